--- a/packages/control-client/src/grpc-clients.ts
+++ b/packages/control-client/src/grpc-clients.ts
@@ -1,6 +1,8 @@
 /** GRPC clients by address, made on first use and shared within the process. */
 
-import {type ChannelCredentials, type Client, type ClientOptions} from '@grpc/grpc-js';
+import {
+	type ChannelCredentials, type ChannelOptions, type Client, type ClientOptions,
+} from '@grpc/grpc-js';
 import {
 	channelOptions, channelTarget, clientCredentials, type KeyMaterial,
 } from '@rattanspring/protocol';
@@ -12,6 +14,8 @@
 export type GrpcClientsOptions<C extends Client> = {
 	readonly clientClass: ClientClass<C>;
 	readonly keys?: KeyMaterial;
+	/** Options beside the common ones. */
+	readonly channel?: ChannelOptions;
 };
 
 /** A pool of clients of one service. */
@@ -27,15 +31,21 @@
 	at(address: string): C {
 		let client = this.#clients.get(address);
 		if (!client) {
-			const {keys} = this.#options;
+			const {keys, channel} = this.#options;
 			const ClientClass = this.#options.clientClass; // eslint-disable-line @typescript-eslint/naming-convention -- it is a class
-			client = new ClientClass(channelTarget(address), clientCredentials(keys), channelOptions);
+			client = new ClientClass(channelTarget(address), clientCredentials(keys), {...channelOptions, ...channel});
 			this.#clients.set(address, client);
 		}
 
 		return client;
 	}
 
+	/** Closes the client of an address, so that the next call opens a new connection. */
+	drop(address: string): void {
+		this.#clients.get(address)?.close();
+		this.#clients.delete(address);
+	}
+
 	/** Closes all clients. */
 	close(): void {
 		for (const client of this.#clients.values()) {
--- a/packages/daemon/src/adapters/grpc-listener.ts
+++ b/packages/daemon/src/adapters/grpc-listener.ts
@@ -10,9 +10,6 @@
 /** Options of a listener. */
 export type GrpcListenerOptions = {readonly listen: ListenSettings; readonly keys?: KeyMaterial};
 
-/** A service and its handlers. */
-export type ListenerService = {readonly definition: ServiceDefinition; readonly implementation: UntypedServiceImplementation};
-
 /** Serves gRPC services on one address. */
 export class GrpcListener {
 	readonly #server: Server;
--- a/packages/daemon/src/adapters/replicated-fleet-log.test.ts
+++ b/packages/daemon/src/adapters/replicated-fleet-log.test.ts
@@ -8,10 +8,10 @@
 import {SilentLogger} from '@rattanspring/logger';
 import {FailureError} from '@rattanspring/types';
 import {expect} from 'earl';
+import {SystemClock} from '@rattanspring/voter-group';
 import {freePorts, waitUntil} from '../test-fleet.js';
 import {GrpcListener} from './grpc-listener.js';
 import {ReplicatedFleetLog} from './replicated-fleet-log.js';
-import {SystemClock} from './system-clock.js';
 
 const host = '127.0.0.1';
 
--- a/packages/daemon/src/adapters/replicated-fleet-log.ts
+++ b/packages/daemon/src/adapters/replicated-fleet-log.ts
@@ -15,14 +15,11 @@
 import {
 	type Clock, err, ok, type Result,
 } from '@rattanspring/types';
+import {
+	formGroup, GrpcPeerTransport, type ListenerService, PeerCalls, peerService, ReplicaDriver, type RequestFailure,
+} from '@rattanspring/voter-group';
 import {type ConfigurationListener, FleetLog} from '../ports/fleet-log.js';
 import {FleetStateMachine} from './fleet-state-machine.js';
-import type {ListenerService} from './grpc-listener.js';
-import {GrpcPeerTransport} from './grpc-peer-transport.js';
-import {formGroup} from './group-formation.js';
-import {PeerCalls} from './peer-calls.js';
-import {peerService} from './peer-service.js';
-import {ReplicaDriver, type RequestFailure} from './replica-driver.js';
 
 /** Applied entries after which a snapshot is taken. */
 const defaultSnapshotEveryEntries = 10_000;
--- a/packages/daemon/src/composition.ts
+++ b/packages/daemon/src/composition.ts
@@ -12,10 +12,9 @@
 import {
 	container, type DependencyContainer, instanceCachingFactory, type InjectionToken,
 } from 'tsyringe';
+import {ExitFatalPort, SystemClock} from '@rattanspring/voter-group';
 import {AdminServer} from './adapters/admin-server.js';
-import {ExitFatalPort} from './adapters/exit-fatal-port.js';
 import {ReplicatedFleetLog} from './adapters/replicated-fleet-log.js';
-import {SystemClock} from './adapters/system-clock.js';
 import {ConfigurationFollower} from './configuration-follower.js';
 import {InForceConfiguration} from './in-force-configuration.js';
 import type {Role} from './ports/role.js';
--- a/packages/daemon/src/roles/control/voters-service.ts
+++ b/packages/daemon/src/roles/control/voters-service.ts
@@ -7,8 +7,8 @@
 import {
 	type Clock, err, ok, type Result,
 } from '@rattanspring/types';
+import type {ListenerService} from '@rattanspring/voter-group';
 import type {GroupMembership, ReplicatedFleetLog} from '../../adapters/replicated-fleet-log.js';
-import type {ListenerService} from '../../adapters/grpc-listener.js';
 import {authorizeRead, authorizeVoterChange} from './operator-access.js';
 
 /** Options of the service. */
--- a/packages/daemon/src/test-spread.ts
+++ b/packages/daemon/src/test-spread.ts
@@ -3,8 +3,8 @@
 import {err, type Result} from '@rattanspring/types';
 import type {ControlFailure} from '@rattanspring/control-client';
 import type {FleetAnswer, FleetCommand, FleetState} from '@rattanspring/fleet-state';
+import {SystemClock} from '@rattanspring/voter-group';
 import {type MemoryFleetLog} from './adapters/memory-fleet-log.js';
-import {SystemClock} from './adapters/system-clock.js';
 import {FleetLog, type ConfigurationListener} from './ports/fleet-log.js';
 
 /** The machine's clock with an offset, so that a test can let time pass. */
--- /dev/null
+++ b/packages/desired-state/src/check-desired-state.ts
@@ -0,0 +1,43 @@
+/** Rules that a desired state must meet before it is accepted. */
+
+import type {DesiredState, Route} from './desired-state.js';
+
+/** Names what is wrong with a document; empty if nothing is. */
+export function problemsOf(state: DesiredState): string[] {
+	const services = new Set(state.services.map(service => service.name));
+	return [
+		...state.routes.flatMap(route => problemsOfRoute(route, services)),
+		...repeated(state.routes.map(route => `${route.host} ${route.pathPrefix}`)).map(place => `Two routes share ${place}.`),
+		...repeated(state.services.map(service => service.name)).map(name => `Two services are named ${name}.`),
+		...repeated((state.clientAccounts ?? []).flatMap(account => [...new Set(account.keys)])).map(() => 'Two client accounts share a key.'),
+	];
+}
+
+function problemsOfRoute(route: Route, services: ReadonlySet<string>): string[] {
+	const problems = route.split
+		.filter(({service}) => !services.has(service))
+		.map(({service}) => `Route ${route.name} names the unknown service ${service}.`);
+	const weights = route.split.map(({weight}) => weight);
+	if (weights.some(weight => weight < 0) || weights.every(weight => weight === 0)) {
+		problems.push(`Route ${route.name} has no positive weights.`);
+	}
+
+	if (route.timeoutMs <= 0) {
+		problems.push(`Route ${route.name} has no timeout.`);
+	}
+
+	if (!route.pathPrefix.startsWith('/') || !route.pathPrefix.endsWith('/')) {
+		problems.push(`The prefix of route ${route.name} does not begin and end with a slash.`);
+	}
+
+	return problems;
+}
+
+function repeated(values: readonly string[]): string[] {
+	const seen = new Set<string>();
+	return values.filter(value => {
+		const isRepeated = seen.has(value);
+		seen.add(value);
+		return isRepeated;
+	});
+}
--- /dev/null
+++ b/packages/fleet-link/src/link-server.ts
@@ -0,0 +1,128 @@
+/** The control side of the link: streams of other daemons, and the messages that go to all of them. */
+
+import type {ServerDuplexStream} from '@grpc/grpc-js';
+import type {DownMessage, NodeCard, UpMessage} from './messages.js';
+
+/** Time between beats on a stream. */
+export const beatIntervalMs = 600;
+
+/** A stream on which nothing came for this long is given up. */
+export const silenceTimeoutMs = 2000;
+
+/** Bytes that may wait for one daemon; a daemon that does not read is cut off and has to follow anew. */
+const maxWaitingBytes = 8_388_608;
+
+type Call = ServerDuplexStream<UpMessage, DownMessage>;
+type Follower = {readonly call: Call; card?: NodeCard; heardAtMs: number};
+
+/** Options of the server side. */
+export type LinkServerOptions = {
+	readonly nowMs: () => number;
+	/** Messages that bring a new follower up to date. */
+	readonly welcome: () => DownMessage[];
+	readonly onMessage: (message: UpMessage, from: NodeCard) => void;
+	/** Called when a daemon came, went or changed. */
+	readonly onNodesChanged: () => void;
+};
+
+/** Streams of all daemons that follow this control process. */
+export class LinkServer {
+	readonly #options: LinkServerOptions;
+	readonly #followers = new Set<Follower>();
+	readonly #timer: NodeJS.Timeout;
+
+	constructor(options: LinkServerOptions) {
+		this.#options = options;
+		this.#timer = setInterval(() => {
+			this.#beat();
+		}, beatIntervalMs);
+	}
+
+	/** Daemons that follow now. */
+	get cards(): NodeCard[] {
+		return [...this.#followers].flatMap(({card}) => card ? [card] : []);
+	}
+
+	/** Serves one stream. */
+	accept(call: Call): void {
+		const follower: Follower = {call, heardAtMs: this.#options.nowMs()};
+		this.#followers.add(follower);
+		call.on('data', (message: UpMessage) => {
+			this.#onMessage(follower, message);
+		});
+		call.on('end', () => {
+			call.end();
+			this.#drop(follower);
+		});
+		call.on('cancelled', () => {
+			this.#drop(follower);
+		});
+		call.on('error', () => {
+			this.#drop(follower);
+		});
+	}
+
+	/** Sends to all daemons of the given roles. */
+	broadcast(message: DownMessage, roles: ReadonlyArray<NodeCard['role']>): void {
+		for (const follower of this.#followers) {
+			if (follower.card && roles.includes(follower.card.role)) {
+				this.#send(follower, message);
+			}
+		}
+	}
+
+	/** Ends all streams. */
+	close(): void {
+		clearInterval(this.#timer);
+		for (const {call} of this.#followers) {
+			call.end();
+		}
+	}
+
+	#onMessage(follower: Follower, message: UpMessage): void {
+		follower.heardAtMs = this.#options.nowMs();
+		if (message.type === 'hello') {
+			const isNew = follower.card === undefined;
+			follower.card = message.card;
+			this.#options.onNodesChanged();
+			if (isNew) {
+				for (const welcome of this.#options.welcome()) {
+					this.#send(follower, welcome);
+				}
+			}
+		} else if (follower.card && message.type !== 'beat') {
+			this.#options.onMessage(message, follower.card);
+		}
+	}
+
+	#send(follower: Follower, message: DownMessage): void {
+		if (follower.call.writableLength > maxWaitingBytes) {
+			this.#cut(follower);
+			return;
+		}
+
+		follower.call.write(message);
+	}
+
+	#beat(): void {
+		const silentSinceMs = this.#options.nowMs() - silenceTimeoutMs;
+		for (const follower of this.#followers) {
+			if (follower.heardAtMs < silentSinceMs) {
+				this.#cut(follower);
+			} else {
+				this.#send(follower, {type: 'beat'});
+			}
+		}
+	}
+
+	#cut(follower: Follower): void {
+		follower.call.destroy();
+		this.#drop(follower);
+	}
+
+	#drop(follower: Follower): void {
+		if (this.#followers.delete(follower)) {
+			this.#options.onNodesChanged();
+		}
+	}
+}
--- /dev/null
+++ b/packages/gateway/src/document-follower.ts
@@ -0,0 +1,95 @@
+/** Keeps an entry on the newest document: it is fetched once control tells of its version, and never goes back. */
+
+import {
+	type DesiredState, type DocumentCodec, RouteTable,
+} from '@rattanspring/desired-state';
+import {LinkCalls, linkService} from '@rattanspring/fleet-link';
+import type {Logger} from '@rattanspring/logger';
+
+const fetchTimeoutMs = 600;
+const retryPauseMs = 50;
+
+/** Options of the follower. */
+export type DocumentFollowerOptions = {
+	readonly codec: DocumentCodec;
+	readonly logger: Logger;
+	/** Addresses of control processes, the nearest first. */
+	readonly sources: () => readonly string[];
+	readonly onState: (state: DesiredState) => void;
+};
+
+/** Fetches documents and holds the newest. */
+export class DocumentFollower {
+	readonly #options: DocumentFollowerOptions;
+	readonly #calls = new LinkCalls();
+	readonly #tellers = new Map<string, number>();
+	#table: RouteTable | undefined;
+	#isFetching = false;
+	#isClosed = false;
+
+	constructor(options: DocumentFollowerOptions) {
+		this.#options = options;
+	}
+
+	/** The state in force here. */
+	get table(): RouteTable | undefined {
+		return this.#table;
+	}
+
+	/** Version in force; -1 before the first. */
+	get version(): number {
+		return this.#table?.state.version ?? -1;
+	}
+
+	/** A control process told which version it has. */
+	told(address: string, version: number): void {
+		this.#tellers.set(address, version);
+		if (version > this.version && !this.#isFetching) {
+			this.#isFetching = true;
+			void this.#fetch();
+		}
+	}
+
+	/** Stops. */
+	close(): void {
+		this.#isClosed = true;
+		this.#calls.close();
+	}
+
+	async #fetch(): Promise<void> {
+		while (!this.#isClosed) {
+			const newest = Math.max(-1, ...this.#tellers.values());
+			if (newest <= this.version) {
+				break;
+			}
+
+			const holders = this.#options.sources().filter(address => (this.#tellers.get(address) ?? -1) > this.version);
+			const [source] = holders.length > 0 ? holders : [...this.#tellers].filter(([, version]) => version > this.version).map(([address]) => address);
+			const reply = await this.#calls.call(source, linkService.document, {heldVersion: this.version}, fetchTimeoutMs);
+			if (reply?.text === undefined || !this.#take(reply.text, source)) {
+				this.#tellers.delete(source);
+				await new Promise(resolve => {
+					setTimeout(resolve, retryPauseMs);
+				});
+			}
+		}
+
+		this.#isFetching = false;
+	}
+
+	#take(text: string, source: string): boolean {
+		const decoded = this.#options.codec.decode(text);
+		if (!decoded.ok) {
+			this.#options.logger.log('error', 'documentUnreadable', {source, message: decoded.failure.message});
+			return false;
+		}
+
+		if (decoded.value.version > this.version) {
+			this.#table = new RouteTable(decoded.value);
+			this.#options.logger.log('info', 'documentInForce', {version: this.version, source, routes: decoded.value.routes.length});
+			this.#options.onState(decoded.value);
+		}
+
+		return true;
+	}
+}
--- /dev/null
+++ b/packages/gateway/src/gateway.ts
@@ -0,0 +1,231 @@
+/** One entry: follows control, answers callers, and knows which entries callers may use. */
+
+import type {DocumentCodec} from '@rattanspring/desired-state';
+import {
+	ControlLinks, type DownMessage, type NodeCard,
+} from '@rattanspring/fleet-link';
+import type {Logger} from '@rattanspring/logger';
+import type {DaemonMetrics} from '@rattanspring/metrics';
+import {
+	AdmissionQueue, CrashGuard, type RetryAllowance, RetryBudget, TargetBoard,
+} from '@rattanspring/placement';
+import type {TargetExchange} from '@rattanspring/target-connection';
+import {TargetTable} from '@rattanspring/target-table';
+import type {Clock} from '@rattanspring/types';
+import type {CallDialect} from './call-dialect.js';
+import {CallerServer} from './caller-server.js';
+import {DocumentFollower} from './document-follower.js';
+import type {FlowContext} from './flow-context.js';
+import {serveRequest} from './request-flow.js';
+
+/** Time between looks at waiting requests, and at targets that fell silent. */
+const pumpIntervalMs = 5;
+const refreshIntervalMs = 500;
+
+/** Entries in one answer to a caller. */
+const maxEntriesTold = 64;
+
+/** Entries of the caller's own failure domain suffice from this number on. */
+const enoughNearEntries = 2;
+
+/** Options of an entry. */
+export type GatewayOptions = {
+	readonly nodeId: string;
+	readonly failureDomain: string;
+	/** Where callers reach this entry. */
+	readonly callerHost: string;
+	readonly callerPort: number;
+	readonly seeds: () => readonly string[];
+	readonly codec: DocumentCodec;
+	readonly dialect: CallDialect;
+	readonly exchange: TargetExchange;
+	readonly allowance: RetryAllowance;
+	readonly clock: Clock;
+	/** Random numbers in [0, 1). */
+	readonly random: () => number;
+	readonly logger: Logger;
+	readonly metrics: DaemonMetrics;
+};
+
+/** One entry. */
+export class Gateway {
+	readonly #options: GatewayOptions;
+	readonly #server: CallerServer;
+	readonly #links: ControlLinks;
+	readonly #documents: DocumentFollower;
+	readonly #targets = new TargetTable();
+	readonly #board: TargetBoard;
+	readonly #context: FlowContext;
+	readonly #timers: NodeJS.Timeout[] = [];
+	#active = 0;
+	#entries: readonly NodeCard[] = [];
+	#isLeaving = false;
+
+	constructor(options: GatewayOptions) {
+		this.#options = options;
+		const nowMs = () => options.clock.monotonicMs();
+		const {random, logger, metrics, dialect, exchange, failureDomain} = options;
+		this.#board = new TargetBoard({failureDomain});
+		const inProgress = new Map<string, number>();
+		this.#context = {
+			dialect,
+			exchange,
+			logger,
+			metrics,
+			board: this.#board,
+			admission: new AdmissionQueue({board: this.#board, random, inProgressOf: name => inProgress.get(name) ?? 0}),
+			budget: new RetryBudget(options.allowance),
+			guard: new CrashGuard(),
+			inProgress,
+			nowMs,
+			random,
+			table: () => this.#documents.table,
+			entryCount: () => Math.max(1, this.#entries.length),
+			onCrash: crash => {
+				this.#links.send({type: 'crash', crash});
+			},
+		};
+		this.#server = new CallerServer({
+			host: options.callerHost,
+			port: options.callerPort,
+			onRequest: (request, response) => {
+				this.#active++;
+				response.on('close', () => {
+					this.#active--;
+				});
+				void serveRequest(this.#context, request, response);
+			},
+		});
+		this.#documents = new DocumentFollower({
+			codec: options.codec,
+			logger,
+			sources: () => this.#links.upAddresses(failureDomain),
+			onState: state => {
+				this.#server.setLimits(state.limits);
+				metrics.revisionInForce.set(state.version);
+			},
+		});
+		this.#links = new ControlLinks({
+			nowMs,
+			seeds: options.seeds,
+			card: () => this.#card(),
+			onMessage: (message, address) => {
+				this.#onMessage(message, address);
+			},
+			onNodes: cards => {
+				this.#entries = cards.filter(card => card.role === 'entry');
+			},
+			onState(linkAddress, isUp) {
+				logger.log(isUp ? 'info' : 'warn', isUp ? 'controlReached' : 'controlLost', {linkAddress});
+			},
+		});
+	}
+
+	/** Whether callers may be sent here. */
+	get isReady(): boolean {
+		return !this.#isLeaving && this.#documents.table !== undefined;
+	}
+
+	/** Requests in progress. */
+	get active(): number {
+		return this.#active;
+	}
+
+	/** Listens. */
+	async start(): Promise<void> {
+		await this.#server.start();
+		this.#every(pumpIntervalMs, () => {
+			if (this.#context.admission.waiting > 0) {
+				this.#context.admission.pump(this.#context.nowMs());
+			}
+		});
+		this.#every(refreshIntervalMs, () => {
+			this.#refreshTargets();
+		});
+	}
+
+	/** Addresses for a caller of a failure domain. */
+	entriesFor(failureDomain: string | undefined): string[] {
+		const own = this.#card();
+		const cards = [...this.#entries.filter(card => card.nodeId !== own.nodeId), own].filter(card => !card.isLeaving);
+		const near = cards.filter(card => card.failureDomain === failureDomain);
+		const told = near.length >= enoughNearEntries ? near : cards;
+		return told.flatMap(card => card.callerAddress ?? []).slice(0, maxEntriesTold);
+	}
+
+	/** Stops being ready; requests are still served, and each connection ends with its next answer. */
+	leave(): void {
+		this.#isLeaving = true;
+		this.#links.sayHello();
+		this.#server.leave();
+	}
+
+	/** Takes no new connections. */
+	stopListening(): void {
+		this.#server.stopListening();
+	}
+
+	/** Stops. */
+	close(): void {
+		for (const timer of this.#timers) {
+			clearInterval(timer);
+		}
+
+		this.#links.close();
+		this.#documents.close();
+		this.#server.close();
+		this.#options.exchange.close();
+	}
+
+	#every(intervalMs: number, work: () => void): void {
+		this.#timers.push(setInterval(work, intervalMs));
+	}
+
+	#card(): NodeCard {
+		const {nodeId, failureDomain, callerHost, callerPort} = this.#options;
+		return {
+			nodeId, role: 'entry', failureDomain, callerAddress: `${callerHost}:${callerPort}`, isLeaving: this.#isLeaving,
+		};
+	}
+
+	#onMessage(message: DownMessage, address: string): void {
+		const nowMs = this.#context.nowMs();
+		switch (message.type) {
+			case 'targets': {
+				for (const report of message.reports) {
+					this.#targets.add(report, nowMs);
+				}
+
+				this.#refreshTargets();
+				break;
+			}
+
+			case 'loads': {
+				this.#board.setLoads(message.loads, nowMs);
+				this.#context.admission.pump(nowMs);
+				break;
+			}
+
+			case 'version': {
+				this.#documents.told(address, message.version);
+				break;
+			}
+
+			case 'crashes': {
+				for (const crash of message.crashes) {
+					this.#context.guard.note(crash);
+				}
+
+				break;
+			}
+
+			default:
+		}
+	}
+
+	#refreshTargets(): void {
+		const ready = this.#targets.ready();
+		this.#board.setTargets(ready);
+		this.#options.metrics.targetsKnown.set(ready.length);
+	}
+}
--- /dev/null
+++ b/packages/placement/src/admission.ts
@@ -0,0 +1,141 @@
+/**
+Admits requests to targets, lets them wait for a short time, or refuses them.
+
+A request waits in one of two lanes. One that can still be answered on time goes first and is refused within an eighth
+of its objective, early enough for its caller to come back in time. One that came back, or that cannot be on time any
+more, is served from what is left, and waits longer, since its caller has no other try.
+*/
+
+import type {Choice, TargetBoard, TargetView} from './target-board.js';
+
+/** Share of the objective after which a request that could be on time is refused. */
+const onTimeWaitShare = 1 / 8;
+
+/** Part of the time left that a late request may wait, and its longest wait: callers give up on a silent stream after 2 s. */
+const lateWaitShare = 0.5;
+const maxLateWaitMs = 1200;
+
+/** Requests waiting for one service at one entry. */
+const maxWaiting = 64;
+
+/** Bounds of the pause that a refused caller is told. */
+const minPauseMs = 80;
+const pauseSpreadMs = 120;
+
+/** A request to be admitted. */
+export type AdmissionRequest = {
+	readonly service: string;
+	/** 0 goes first. */
+	readonly priority: number;
+	readonly accountName: string;
+	readonly arrivedAtMs: number;
+	readonly objectiveMs: number;
+	/** End of the time the caller will wait. */
+	readonly deadlineAtMs: number;
+	/** Whether it came back after a refusal, as far as can be told from the time it has left. */
+	readonly isReturning: boolean;
+	readonly excluded?: ReadonlySet<string>;
+};
+
+/** A target, or a refusal with the time after which the caller may come back. */
+export type Admission
+	= | {readonly kind: 'admitted'; readonly view: TargetView; readonly isLate: boolean}
+		| {readonly kind: 'refused'; readonly reason: 'full' | 'noTarget' | 'lineFull'; readonly retryAfterMs: number};
+
+/** Ends a wait early. */
+export type Waiting = {readonly cancel: () => void};
+
+type Line = {readonly request: AdmissionRequest; readonly isLate: boolean; readonly refuseAtMs: number; readonly settle: (admission: Admission) => void};
+
+/** Options of the admission. */
+export type AdmissionOptions = {
+	readonly board: TargetBoard;
+	/** Random numbers in [0, 1). */
+	readonly random: () => number;
+	/** Requests of an account in progress here: of equal requests, the account with fewer goes first. */
+	readonly inProgressOf: (accountName: string) => number;
+};
+
+/** Requests that wait at one entry. */
+export class AdmissionQueue {
+	readonly #options: AdmissionOptions;
+	#line: Line[] = [];
+
+	constructor(options: AdmissionOptions) {
+		this.#options = options;
+	}
+
+	/** How many wait. */
+	get waiting(): number {
+		return this.#line.length;
+	}
+
+	/** Admits, refuses, or lets wait; `settle` is called once, at once or later, unless the wait is cancelled. */
+	admit(request: AdmissionRequest, nowMs: number, settle: (admission: Admission) => void): Waiting {
+		const isLate = request.isReturning || nowMs - request.arrivedAtMs > request.objectiveMs * onTimeWaitShare;
+		const isFirst = !this.#line.some(other => other.request.service === request.service && (isLate || !other.isLate));
+		const choice = isFirst ? this.#choose(request, nowMs) : {kind: 'full' as const};
+		if (choice.kind === 'target') {
+			settle({kind: 'admitted', view: choice.view, isLate});
+			return {cancel() {}}; // eslint-disable-line @typescript-eslint/no-empty-function -- nothing waits
+		}
+
+		if (choice.kind === 'none' || this.#line.length >= maxWaiting) {
+			settle(this.#refusal(choice.kind === 'none' ? 'noTarget' : 'lineFull'));
+			return {cancel() {}}; // eslint-disable-line @typescript-eslint/no-empty-function -- nothing waits
+		}
+
+		const line: Line = {request, isLate, refuseAtMs: refuseAtMs(request, isLate, nowMs), settle};
+		this.#line.push(line);
+		return {
+			cancel: () => {
+				this.#line = this.#line.filter(other => other !== line);
+			},
+		};
+	}
+
+	/** Looks again: call when a target got free, when load figures came, and every few milliseconds while requests wait. */
+	pump(nowMs: number): void {
+		const order = this.#line.toSorted((left, right) => this.#compare(left, right));
+		const full = new Set<string>();
+		for (const line of order) {
+			const {service} = line.request;
+			const choice = full.has(service) ? {kind: 'full' as const} : this.#choose(line.request, nowMs);
+			if (choice.kind === 'target') {
+				this.#end(line, {kind: 'admitted', view: choice.view, isLate: line.isLate});
+			} else if (nowMs >= line.refuseAtMs) {
+				this.#end(line, this.#refusal('full'));
+			} else {
+				full.add(service);
+			}
+		}
+	}
+
+	#choose(request: AdmissionRequest, nowMs: number): Choice {
+		return this.#options.board.choose({
+			service: request.service, nowMs, excluded: request.excluded, random: this.#options.random,
+		});
+	}
+
+	#compare(left: Line, right: Line): number {
+		return (Number(left.isLate) - Number(right.isLate))
+			|| (left.request.priority - right.request.priority)
+			|| (this.#options.inProgressOf(left.request.accountName) - this.#options.inProgressOf(right.request.accountName))
+			|| (left.request.arrivedAtMs - right.request.arrivedAtMs);
+	}
+
+	#end(line: Line, admission: Admission): void {
+		this.#line = this.#line.filter(other => other !== line);
+		line.settle(admission);
+	}
+
+	#refusal(reason: 'full' | 'noTarget' | 'lineFull'): Admission {
+		return {kind: 'refused', reason, retryAfterMs: minPauseMs + (this.#options.random() * pauseSpreadMs)};
+	}
+}
+
+function refuseAtMs({arrivedAtMs, objectiveMs, deadlineAtMs}: AdmissionRequest, isLate: boolean, nowMs: number): number {
+	return isLate
+		? nowMs + Math.min(maxLateWaitMs, (deadlineAtMs - nowMs) * lateWaitShare)
+		: arrivedAtMs + (objectiveMs * onTimeWaitShare);
+}
--- /dev/null
+++ b/packages/placement/src/target-board.ts
@@ -0,0 +1,244 @@
+/**
+What one entry knows of the targets: their reports, their measured load, and its own requests in progress. Load figures
+are some hundred milliseconds old and shared by all entries, so each entry adds what it has sent since, and draws at random
+among targets that look alike: otherwise all entries would send to the same one.
+*/
+
+import type {TargetLoad, TargetReport} from '@rattanspring/target-table';
+
+/** How an exchange with a target ended. */
+export type ExchangeOutcome = 'answered' | 'abandoned' | 'refused' | 'failed' | 'unreachable';
+
+/** Load figures older than this say nothing. */
+const maxLoadAgeMs = 1500;
+
+/** Time between a measurement at a target and its arrival here, about. */
+const loadDelayMs = 150;
+
+/** Requests above the slots that a target may hold: they start as soon as a slot is free. */
+const queuedPerTarget = 1;
+
+/** A target in another failure domain counts as this much busier. */
+const distancePenalty = 0.3;
+
+/** Random part of a target's rank, so that entries with the same view do not all choose the same target. */
+const drawSpread = 0.8;
+
+/** Pauses after failures: a refusal passes quickly, an unreachable target does not. */
+const refusedPauseMs = 60;
+const unreachablePauseMs = 500;
+const maxPauseMs = 3000;
+
+/** Weight of the newest answer in a target's share of failures. */
+const failureWeight = 0.25;
+
+/** Share of failures that is forgotten in a second. */
+const failureDecayPerSecond = 0.12;
+
+/** How much busier a target counts that fails every request. */
+const failurePenalty = 12;
+
+type Entry = {
+	report: TargetReport;
+	load?: TargetLoad;
+	loadAtMs: number;
+	inFlight: number;
+	/** Times at which requests were sent that the load figures do not show yet. */
+	sentAtMs: number[];
+	pausedUntilMs: number;
+	pauseMs: number;
+	failureShare: number;
+	failureAtMs: number;
+};
+
+/** One target as the board shows it. */
+export type TargetView = {readonly report: TargetReport; readonly busy: number; readonly limit: number; readonly isPaused: boolean; readonly inFlight: number; readonly loadAgeMs?: number};
+
+/** What a choice needs. */
+export type ChoiceInput = {
+	readonly service: string;
+	readonly nowMs: number;
+	readonly excluded?: ReadonlySet<string>;
+	/** Random numbers in [0, 1). */
+	readonly random: () => number;
+};
+
+/** A target to send to, or why there is none: all are full, or none is there at all. */
+export type Choice = {readonly kind: 'target'; readonly view: TargetView} | {readonly kind: 'full'} | {readonly kind: 'none'};
+
+/** Options of a board. */
+export type TargetBoardOptions = {readonly failureDomain: string};
+
+/** The board of one entry. */
+export class TargetBoard {
+	readonly #options: TargetBoardOptions;
+	readonly #entries = new Map<string, Entry>();
+	readonly #loads = new Map<string, {readonly load: TargetLoad; readonly atMs: number}>();
+
+	constructor(options: TargetBoardOptions) {
+		this.#options = options;
+	}
+
+	/** Replaces the targets that take new work. Targets that left are kept while requests are in progress there. */
+	setTargets(reports: readonly TargetReport[]): void {
+		const ready = new Set<string>();
+		for (const report of reports) {
+			ready.add(report.targetId);
+			this.#setTarget(report);
+		}
+
+		for (const [targetId, entry] of this.#entries) {
+			if (!ready.has(targetId)) {
+				entry.report = {...entry.report, state: 'draining'};
+				if (entry.inFlight === 0) {
+					this.#entries.delete(targetId);
+				}
+			}
+		}
+	}
+
+	/** Takes load figures. */
+	setLoads(loads: readonly TargetLoad[], nowMs: number): void {
+		for (const load of loads) {
+			this.#loads.set(load.address, {load, atMs: nowMs});
+		}
+
+		for (const entry of this.#entries.values()) {
+			const known = this.#loads.get(entry.report.address);
+			if (known && known.load.bornMs === entry.report.bornMs && known.atMs !== entry.loadAtMs) {
+				entry.load = known.load;
+				entry.loadAtMs = known.atMs;
+				entry.sentAtMs = entry.sentAtMs.filter(sentAtMs => sentAtMs > known.atMs - loadDelayMs);
+			}
+		}
+	}
+
+	/** Notes that a request was sent. */
+	sent(targetId: string, nowMs: number): void {
+		const entry = this.#entries.get(targetId);
+		if (entry) {
+			entry.inFlight++;
+			entry.sentAtMs.push(nowMs);
+		}
+	}
+
+	/** Notes how a request ended. */
+	ended(targetId: string, outcome: ExchangeOutcome, nowMs: number): void {
+		const entry = this.#entries.get(targetId);
+		if (!entry) {
+			return;
+		}
+
+		entry.inFlight--;
+		if (outcome === 'abandoned') {
+			return;
+		}
+
+		noteHealth(entry, outcome, nowMs);
+	}
+
+	/** Chooses among the targets with room the least busy one, with a random part. */
+	choose({service, nowMs, excluded, random}: ChoiceInput): Choice {
+		let best: TargetView | undefined;
+		let bestRank = Number.POSITIVE_INFINITY;
+		let isAnyReady = false;
+		for (const [targetId, entry] of this.#entries) {
+			if (!isUsable(entry, service) || excluded?.has(targetId)) {
+				continue;
+			}
+
+			isAnyReady = true;
+			const view = this.#view(entry, nowMs);
+			const rank = view.busy + this.#penalty(entry, nowMs) + (random() * drawSpread);
+			if (!view.isPaused && view.busy < view.limit && rank < bestRank) {
+				best = view;
+				bestRank = rank;
+			}
+		}
+
+		if (best) {
+			return {kind: 'target', view: best};
+		}
+
+		return {kind: isAnyReady ? 'full' : 'none'};
+	}
+
+	/** All targets of a service. */
+	views(service: string, nowMs: number): TargetView[] {
+		return [...this.#entries.values()].filter(entry => isUsable(entry, service)).map(entry => this.#view(entry, nowMs));
+	}
+
+	/** Whether this start of a target still takes new work. */
+	isReady(targetId: string): boolean {
+		return this.#entries.get(targetId)?.report.state === 'ready';
+	}
+
+	#setTarget(report: TargetReport): void {
+		const known = this.#entries.get(report.targetId);
+		if (known && known.report.bornMs === report.bornMs) {
+			known.report = report;
+			return;
+		}
+
+		this.#entries.set(report.targetId, {
+			report, loadAtMs: Number.NEGATIVE_INFINITY, inFlight: 0, sentAtMs: [], pausedUntilMs: 0, pauseMs: 0, failureShare: 0, failureAtMs: 0,
+		});
+	}
+
+	#view(entry: Entry, nowMs: number): TargetView {
+		const {report, inFlight, loadAtMs, pausedUntilMs} = entry;
+		const loadAgeMs = nowMs - loadAtMs;
+		return {
+			report,
+			busy: busyOf(entry, loadAgeMs),
+			limit: report.slots + queuedPerTarget,
+			isPaused: nowMs < pausedUntilMs,
+			inFlight,
+			...(entry.load && {loadAgeMs}),
+		};
+	}
+
+	#penalty(entry: Entry, nowMs: number): number {
+		const distance = entry.report.failureDomain === this.#options.failureDomain ? 0 : distancePenalty;
+		const pace = entry.load ? Math.max(0, entry.load.pace - 1) * entry.report.slots : 0;
+		return distance + pace + (failureShareAt(entry, nowMs) * failurePenalty);
+	}
+}
+
+function isUsable({report}: Entry, service: string): boolean {
+	return report.service === service && report.state === 'ready' && (report.rankPlace?.isOpen ?? true);
+}
+
+function busyOf(entry: Entry, loadAgeMs: number): number {
+	const {load, inFlight, sentAtMs} = entry;
+	if (!load || loadAgeMs > maxLoadAgeMs) {
+		return inFlight;
+	}
+
+	return Math.max(inFlight, load.active + load.queued + sentAtMs.length);
+}
+
+function failureShareAt({failureShare, failureAtMs}: Entry, nowMs: number): number {
+	return failureShare * Math.exp(-failureDecayPerSecond * (nowMs - failureAtMs) / 1000);
+}
+
+function noteHealth(entry: Entry, outcome: ExchangeOutcome, nowMs: number): void {
+	const isFailure = outcome === 'failed' || outcome === 'unreachable';
+	const share = failureShareAt(entry, nowMs);
+	entry.failureShare = outcome === 'refused' ? share : share + (((isFailure ? 1 : 0) - share) * failureWeight);
+	entry.failureAtMs = nowMs;
+	if (outcome === 'answered') {
+		entry.pauseMs = 0;
+		return;
+	}
+
+	if (outcome === 'refused') {
+		entry.pausedUntilMs = Math.max(entry.pausedUntilMs, nowMs + refusedPauseMs);
+		return;
+	}
+
+	if (outcome === 'unreachable') {
+		entry.pauseMs = Math.min(maxPauseMs, Math.max(unreachablePauseMs, entry.pauseMs * 2));
+		entry.pausedUntilMs = Math.max(entry.pausedUntilMs, nowMs + entry.pauseMs);
+	}
+}
--- /dev/null
+++ b/packages/target-connection/src/connection-pool.ts
@@ -0,0 +1,169 @@
+/**
+Kept connections to targets. A connection carries one request at a time; one with any doubt about it (a break, bytes that
+belong to no request, an abandoned exchange) is closed and never kept.
+*/
+
+import type {Buffer} from 'node:buffer';
+import {Client, type Dispatcher} from 'undici';
+import {
+	type Exchange, type ExchangeOptions, TargetExchange,
+} from './target-exchange.js';
+
+/** Options of the pool. */
+export type ConnectionPoolOptions = {
+	readonly connectTimeoutMs?: number;
+	/** Time for which an unused connection is kept, unless the target names a shorter one. */
+	readonly keepIdleMs?: number;
+	/** Unused connections kept to one target. */
+	readonly maxIdlePerTarget?: number;
+};
+
+const defaults = {connectTimeoutMs: 400, keepIdleMs: 4000, maxIdlePerTarget: 8};
+
+/** A connection is given up this long before the target would close it. */
+const idleMarginMs = 1000;
+
+/** Connections by target address. */
+export class ConnectionPool extends TargetExchange {
+	readonly #options: Required<ConnectionPoolOptions>;
+	readonly #idle = new Map<string, Client[]>();
+
+	constructor(options: ConnectionPoolOptions = {}) {
+		super();
+		this.#options = {...defaults, ...options};
+	}
+
+	send({address, needsFreshConnection, request, listener}: ExchangeOptions): Exchange {
+		const client = (needsFreshConnection ? undefined : this.#takeIdle(address)) ?? this.#open(address);
+		let isSent = false;
+		let isOver = false;
+		let abort: (() => void) | undefined;
+		const finish = () => {
+			const wasOver = isOver;
+			isOver = true;
+			return !wasOver;
+		};
+
+		const handler: Dispatcher.DispatchHandlers = {
+			onConnect(abortRequest) {
+				abort = abortRequest;
+				if (isOver) {
+					abortRequest();
+					return;
+				}
+
+				isSent = true;
+				listener.onSending();
+			},
+			onHeaders(status, rawHeaders) {
+				if (!isOver && status >= 200) {
+					listener.onHead({status, ...readHeaders(rawHeaders as Buffer[])});
+				}
+
+				return true;
+			},
+			onData(chunk) {
+				if (!isOver) {
+					listener.onData(chunk);
+				}
+
+				return true;
+			},
+			onComplete: () => {
+				if (finish()) {
+					this.#keep(address, client, needsFreshConnection);
+					listener.onEnd();
+				}
+			},
+			onError(error) {
+				void client.destroy();
+				if (finish()) {
+					listener.onFailed({type: isSent ? 'broken' : 'notSent', message: error.message});
+				}
+			},
+		};
+		const {method, path, headers, body} = request;
+		client.dispatch({
+			method: method as Dispatcher.HttpMethod, path, headers: [...headers], body: body && body.byteLength > 0 ? body : null, // eslint-disable-line @typescript-eslint/no-restricted-types -- the library's word for no body
+		}, handler);
+		return {
+			abandon() {
+				if (finish()) {
+					abort?.();
+					void client.destroy();
+				}
+			},
+		};
+	}
+
+	close(): void {
+		for (const clients of this.#idle.values()) {
+			for (const client of clients) {
+				void client.destroy();
+			}
+		}
+
+		this.#idle.clear();
+	}
+
+	#open(address: string): Client {
+		const {connectTimeoutMs, keepIdleMs} = this.#options;
+		const client = new Client(`http://${address}`, {
+			pipelining: 1,
+			connect: {timeout: connectTimeoutMs, noDelay: true},
+			keepAliveTimeout: keepIdleMs,
+			keepAliveMaxTimeout: keepIdleMs,
+			keepAliveTimeoutThreshold: idleMarginMs,
+			headersTimeout: 0,
+			bodyTimeout: 0,
+		});
+		client.on('disconnect', () => {
+			this.#forget(address, client);
+		});
+		return client;
+	}
+
+	#takeIdle(address: string): Client | undefined {
+		const clients = this.#idle.get(address);
+		for (let client = clients?.pop(); client; client = clients?.pop()) {
+			if (!client.closed && !client.destroyed) {
+				return client;
+			}
+		}
+
+		return undefined;
+	}
+
+	#keep(address: string, client: Client, isSingleUse: boolean): void {
+		const clients = this.#idle.get(address) ?? [];
+		if (isSingleUse || clients.length >= this.#options.maxIdlePerTarget) {
+			void client.close();
+			return;
+		}
+
+		clients.push(client);
+		this.#idle.set(address, clients);
+	}
+
+	#forget(address: string, client: Client): void {
+		const clients = this.#idle.get(address);
+		const index = clients?.indexOf(client) ?? -1;
+		if (index !== -1) {
+			clients!.splice(index, 1);
+			void client.destroy();
+		}
+	}
+}
+
+function readHeaders(raw: readonly Buffer[]): {headers: Map<string, string>; rawHeaders: Array<readonly [string, string]>} {
+	const headers = new Map<string, string>();
+	const rawHeaders: Array<readonly [string, string]> = [];
+	for (let index = 0; index + 1 < raw.length; index += 2) {
+		const name = raw[index].toString('latin1');
+		const value = raw[index + 1].toString('latin1');
+		rawHeaders.push([name, value]);
+		headers.set(name.toLowerCase(), value);
+	}
+
+	return {headers, rawHeaders};
+}
--- a/packages/daemon/src/adapters/grpc-peer-transport.ts
+++ b/packages/voter-group/src/grpc-peer-transport.ts
@@ -2,7 +2,9 @@
 
 import {Buffer} from 'node:buffer';
 import {decode, encode} from '@msgpack/msgpack';
-import type {ClientWritableStream, ServerReadableStream} from '@grpc/grpc-js';
+import {
+	type ClientWritableStream, connectivityState, type ServerReadableStream,
+} from '@grpc/grpc-js';
 import {GrpcClients} from '@rattanspring/control-client';
 import {peerProtocol, type KeyMaterial} from '@rattanspring/protocol';
 import {type Envelope, type PeerMessage, PeerTransport} from '@rattanspring/replicated-log';
@@ -19,6 +21,12 @@
 /** Options of the transport. */
 export type GrpcPeerTransportOptions = {readonly keys?: KeyMaterial};
 
+/** Time for a connection to a peer; a lost opening packet may hold the first one up for seconds. */
+const connectTimeoutMs = 1000;
+
+/** A connection may stay open without carrying anything; probes find that out within an election timeout or two. */
+const peerChannel = {'grpc.keepalive_time_ms': 1000, 'grpc.keepalive_timeout_ms': 1000};
+
 /** Streams to peers, opened on first use and again after a failure. */
 export class GrpcPeerTransport extends PeerTransport {
 	readonly #clients: GrpcClients<peerProtocol.PeerClient>;
@@ -27,7 +35,7 @@
 
 	constructor(options: GrpcPeerTransportOptions) {
 		super();
-		this.#clients = new GrpcClients({clientClass: peerProtocol.PeerClient, keys: options.keys});
+		this.#clients = new GrpcClients({clientClass: peerProtocol.PeerClient, keys: options.keys, channel: peerChannel});
 	}
 
 	send(envelope: Envelope, toAddress: string, fromAddress: string): void {
@@ -59,16 +67,30 @@
 	}
 
 	#open(address: string): Stream {
-		const call = this.#clients.at(address).exchange(() => {
-			this.#streams.delete(address);
+		const client = this.#clients.at(address);
+		const call = client.exchange(() => {
+			this.#forget(address, call);
 		});
 		call.on('error', () => {
-			this.#streams.delete(address);
+			this.#forget(address, call);
 		});
 		const stream = {call, waitingBytes: 0};
 		this.#streams.set(address, stream);
+		setTimeout(() => {
+			if (this.#streams.get(address) === stream && client.getChannel().getConnectivityState(false) !== connectivityState.READY) {
+				this.#forget(address, call);
+				call.cancel();
+				this.#clients.drop(address);
+			}
+		}, connectTimeoutMs).unref();
 		return stream;
 	}
+
+	#forget(address: string, call: Stream['call']): void {
+		if (this.#streams.get(address)?.call === call) {
+			this.#streams.delete(address);
+		}
+	}
 }
 
 /** Takes a message and the address of its sender, which is empty if the sender does not know it. */
--- a/packages/daemon/src/adapters/peer-service.ts
+++ b/packages/voter-group/src/peer-service.ts
@@ -5,7 +5,7 @@
 } from '@grpc/grpc-js';
 import {peerProtocol} from '@rattanspring/protocol';
 import type {Membership} from '@rattanspring/replicated-log';
-import type {ListenerService} from './grpc-listener.js';
+import type {ListenerService} from './listener-service.js';
 import {type PeerListener, receiveFrames} from './grpc-peer-transport.js';
 
 /** What the service needs of the replica. */
--- /dev/null
+++ b/scripts/bundle.js
@@ -0,0 +1,18 @@
+/** Builds the programs for the platform into `target/`: one file for each role, loaded only by that role. */
+import {execFileSync} from 'node:child_process';
+import {build} from 'esbuild';
+
+execFileSync('npx', ['tsc', '-b', 'platform'], {stdio: 'inherit'});
+await build({
+	entryPoints: {rattanspringd: 'platform/dist/main.js'},
+	outdir: 'target',
+	bundle: true,
+	splitting: true,
+	format: 'esm',
+	platform: 'node',
+	target: 'node20',
+	sourcemap: false,
+	// CommonJS libraries within the bundle load built-in modules by `require`.
+	banner: {js: 'import {createRequire as createRequireOfBundle} from \'node:module\'; const require = createRequireOfBundle(import.meta.url);'},
+	logLevel: 'warning',
+});
