Keep each group's expert map in step with what its requests choose

Cause: with map 0 the most loaded rank had 2.88 times the mean, and every pass lasts as long as its slowest rank. Change: the agent of a group's first rank sums up the ranks' counts, plans with even shares and switches all ranks at one held pass. Ruled out: prepare and arm without a hold (ranks could pass the step apart).

--- a/packages/expert-map/src/index.ts
+++ b/packages/expert-map/src/index.ts
@@ -1,6 +1,7 @@
 /** Plans expert placement and activates one expert map per step. */
 export * from './expert-map.js';
 export * from './planner/count-history.js';
+export * from './planner/even-share.js';
 export * from './planner/forecast.js';
 export * from './planner/planner.js';
 export * from './planner/repacking.js';
--- /dev/null
+++ b/packages/expert-map/src/planner/even-share.test.ts
@@ -0,0 +1,52 @@
+import {describe, it} from 'node:test';
+import {expect} from 'earl';
+import {planEvenShares, evenShareSkew} from './even-share.js';
+import {runToEnd} from './planner.js';
+
+const ranks = 8;
+const experts = 64;
+
+function mapInTurn(): number[][] {
+	return Array.from({length: ranks}, (_, rank) => Array.from({length: experts / ranks}, (__, place) => (place * ranks) + rank));
+}
+
+/** A few experts take most of the tokens, as popular topics make them. */
+function skewedLoads(hot: readonly number[]): number[] {
+	return Array.from({length: experts}, (_, expert) => hot.includes(expert) ? 1000 : 40);
+}
+
+const rules = {placesPerRank: 11, newPerRank: 4, minGainPerCopy: 0.01};
+
+describe('planEvenShares', () => {
+	describe('with hot experts on one rank', () => {
+		const current = [mapInTurn()];
+		const loads = [skewedLoads([0, 8, 16, 24])];
+		const plan = runToEnd(planEvenShares({current, loads, ...rules}));
+
+		it('evens the ranks out', () => {
+			expect(plan.skewBefore > 3).toEqual(true);
+			expect(plan.skewAfter < 1.3).toEqual(true);
+			expect(Math.abs(evenShareSkew(plan.lists, loads) - plan.skewAfter) < 1e-6).toEqual(true);
+		});
+
+		it('keeps every expert on some rank, and no rank beyond its places', () => {
+			expect(new Set(plan.lists[0].flat()).size).toEqual(experts);
+			expect(plan.lists[0].every(list => list.length <= rules.placesPerRank && new Set(list).size === list.length)).toEqual(true);
+		});
+
+		it('adds no more experts to a rank than one change may', () => {
+			const added = plan.lists[0].map((list, rank) => list.filter(expert => !current[0][rank].includes(expert)).length);
+			expect(added.every(count => count <= rules.newPerRank)).toEqual(true);
+			expect(added.reduce((sum, count) => sum + count, 0)).toEqual(plan.copies);
+		});
+	});
+
+	describe('with even loads', () => {
+		it('changes nothing', () => {
+			const current = [mapInTurn()];
+			const plan = runToEnd(planEvenShares({current, loads: [skewedLoads([])], ...rules}));
+			expect(plan.copies).toEqual(0);
+			expect(plan.lists).toEqual(current);
+		});
+	});
+});
--- /dev/null
+++ b/packages/expert-map/src/planner/even-share.ts
@@ -0,0 +1,222 @@
+/**
+Plans a map for ranks that share each expert's tokens evenly among the ranks that hold it. It starts from the map in use
+and takes the change that evens the ranks of a set the most for each weight that has to be copied, as long as that pays.
+*/
+
+/** Experts of each rank, by set and rank. */
+export type RankLists = ReadonlyArray<ReadonlyArray<readonly number[]>>;
+
+/** Input of a plan. */
+export type EvenSharePlanInput = {
+	readonly current: RankLists;
+	/** Tokens that chose each expert, by set. */
+	readonly loads: ReadonlyArray<readonly number[]>;
+	/** Experts a rank can hold of a set. */
+	readonly placesPerRank: number;
+	/** Experts of a set that are new to a rank in one change. */
+	readonly newPerRank: number;
+	/** Share of a set's mean load by which a copy has to lower the peak to be worth it. */
+	readonly minGainPerCopy: number;
+};
+
+/** A planned map, and what it does. */
+export type EvenSharePlan = {
+	readonly lists: RankLists;
+	/** Peak over mean, averaged over the sets. */
+	readonly skewBefore: number;
+	readonly skewAfter: number;
+	readonly copies: number;
+};
+
+/** The exponent that makes the most loaded ranks count most, and still rewards relief of the next ones. */
+const peakExponent = 8;
+
+type Change = {readonly to: number; readonly add: number; readonly drop?: number; readonly from?: number};
+
+/** Computes a plan; every `yield` is a place to pause. */
+export function * planEvenShares(input: EvenSharePlanInput): Generator<undefined, EvenSharePlan> {
+	const lists: number[][][] = [];
+	let before = 0;
+	let after = 0;
+	let copies = 0;
+	for (const [set, current] of input.current.entries()) {
+		const placement = new SetPlacement(current, input.loads[set], input);
+		before += placement.skew;
+		while (placement.improve()) {
+			yield;
+		}
+
+		after += placement.skew;
+		copies += placement.copies;
+		lists.push(placement.lists);
+	}
+
+	const sets = Math.max(1, input.current.length);
+	return {
+		lists, skewBefore: before / sets, skewAfter: after / sets, copies,
+	};
+}
+
+/** Peak over mean of the ranks' loads, averaged over the sets. */
+export function evenShareSkew(lists: RankLists, loads: ReadonlyArray<readonly number[]>): number {
+	const skews = lists.map((ranks, set) => peakOverMean(rankLoads(ranks, loads[set])));
+	return skews.reduce((sum, skew) => sum + skew, 0) / Math.max(1, skews.length);
+}
+
+/** The placement of one set while it is changed. */
+class SetPlacement {
+	readonly lists: number[][];
+	copies = 0;
+	readonly #loads: readonly number[];
+	readonly #input: EvenSharePlanInput;
+	readonly #original: ReadonlyArray<ReadonlySet<number>>;
+	readonly #holders: number[];
+	readonly #rankLoads: number[];
+	readonly #mean: number;
+
+	constructor(current: ReadonlyArray<readonly number[]>, loads: readonly number[], input: EvenSharePlanInput) {
+		this.lists = current.map(experts => [...experts]);
+		this.#loads = loads;
+		this.#input = input;
+		this.#original = current.map(experts => new Set(experts));
+		this.#holders = loads.map((_, expert) => current.filter(experts => experts.includes(expert)).length);
+		this.#rankLoads = rankLoads(this.lists, loads);
+		this.#mean = Math.max(1e-9, loads.reduce((sum, load) => sum + load, 0) / current.length);
+	}
+
+	get skew(): number {
+		return Math.max(...this.#rankLoads) / this.#mean;
+	}
+
+	/** Takes the best change that relieves the most loaded rank; false if none is worth it. */
+	improve(): boolean {
+		const peak = this.#rankLoads.indexOf(Math.max(...this.#rankLoads));
+		const score = this.#score(this.#rankLoads);
+		let best: Change | undefined;
+		let bestGain = this.#input.minGainPerCopy;
+		for (const change of this.#changes(peak)) {
+			const newCopies = this.#newCopies(change);
+			const gain = (score - this.#score(this.#loadsAfter(change))) / Math.max(1, newCopies);
+			if (gain > bestGain) {
+				best = change;
+				bestGain = gain;
+			}
+		}
+
+		if (!best) {
+			return false;
+		}
+
+		this.#take(best);
+		return true;
+	}
+
+	/** Copies of an expert of the peak rank to another rank, into a free place, in place of a spare replica, or in exchange. */
+	* #changes(peak: number): Generator<Change> {
+		const {placesPerRank} = this.#input;
+		for (const add of this.lists[peak]) {
+			for (const [to, experts] of this.lists.entries()) {
+				if (to === peak || experts.includes(add) || !this.#mayAdd(to, add)) {
+					continue;
+				}
+
+				if (experts.length < placesPerRank) {
+					yield {to, add};
+				}
+
+				for (const drop of experts) {
+					if (this.#holders[drop] > 1) {
+						yield {to, add, drop};
+					} else if (!this.lists[peak].includes(drop) && this.#mayAdd(peak, drop)) {
+						yield {
+							to, add, drop, from: peak,
+						};
+					}
+				}
+			}
+		}
+	}
+
+	#mayAdd(rank: number, expert: number): boolean {
+		const original = this.#original[rank];
+		return original.has(expert) || this.lists[rank].filter(held => !original.has(held)).length < this.#input.newPerRank;
+	}
+
+	#newCopies({to, add, drop, from}: Change): number {
+		const added = this.#original[to].has(add) ? 0 : 1;
+		const exchanged = from === undefined || drop === undefined || this.#original[from].has(drop) ? 0 : 1;
+		return added + exchanged;
+	}
+
+	#loadsAfter(change: Change): number[] {
+		const loads = [...this.#rankLoads];
+		const {to, add, drop, from} = change;
+		if (from !== undefined && drop !== undefined) {
+			const addShare = this.#loads[add] / this.#holders[add];
+			const dropShare = this.#loads[drop];
+			loads[from] += dropShare - addShare;
+			loads[to] += addShare - dropShare;
+			return loads;
+		}
+
+		this.#addShares(loads, add, this.#holders[add], this.#holders[add] + 1);
+		loads[to] += this.#loads[add] / (this.#holders[add] + 1);
+		if (drop !== undefined) {
+			loads[to] -= this.#loads[drop] / this.#holders[drop];
+			this.#addShares(loads, drop, this.#holders[drop], this.#holders[drop] - 1, to);
+		}
+
+		return loads;
+	}
+
+	/** Changes the shares of an expert's holders as their number changes. */
+	#addShares(loads: number[], expert: number, before: number, after: number, except?: number): void {
+		const difference = this.#loads[expert] * ((1 / after) - (1 / before));
+		for (const [rank, experts] of this.lists.entries()) {
+			if (rank !== except && experts.includes(expert)) {
+				loads[rank] += difference;
+			}
+		}
+	}
+
+	#take(change: Change): void {
+		const after = this.#loadsAfter(change);
+		this.copies += this.#newCopies(change);
+		const {to, add, drop, from} = change;
+		if (from !== undefined && drop !== undefined) {
+			replace(this.lists[to], drop, add);
+			replace(this.lists[from], add, drop);
+		} else {
+			if (drop !== undefined) {
+				this.lists[to].splice(this.lists[to].indexOf(drop), 1);
+				this.#holders[drop]--;
+			}
+
+			this.lists[to].push(add);
+			this.#holders[add]++;
+		}
+
+		for (const [rank, load] of after.entries()) {
+			this.#rankLoads[rank] = load;
+		}
+	}
+
+	#score(loads: readonly number[]): number {
+		const sum = loads.reduce((total, load) => total + ((load / this.#mean) ** peakExponent), 0);
+		return (sum / loads.length) ** (1 / peakExponent);
+	}
+}
+
+function replace(list: number[], old: number, next: number): void {
+	list[list.indexOf(old)] = next;
+}
+
+function rankLoads(ranks: ReadonlyArray<readonly number[]>, loads: readonly number[]): number[] {
+	const holders = loads.map((_, expert) => ranks.filter(experts => experts.includes(expert)).length);
+	return ranks.map(experts => experts.reduce((sum, expert) => sum + (loads[expert] / holders[expert]), 0));
+}
+
+function peakOverMean(loads: readonly number[]): number {
+	const total = loads.reduce((sum, load) => sum + load, 0);
+	return total === 0 ? 1 : Math.max(...loads) * loads.length / total;
+}
--- a/packages/fleet-control/src/document-group.ts
+++ b/packages/fleet-control/src/document-group.ts
@@ -35,6 +35,7 @@
 const joinPauseMs = 300;
 const upkeepIntervalMs = 1000;
 const pollMs = 5;
+const tickIntervalMs = 50;
 const transferTimeoutMs = 1000;
 const randomSteps = 2 ** 32;
 
@@ -256,6 +257,7 @@
 			clock,
 			random: () => randomInt(randomSteps) / randomSteps,
 			replica: noLease,
+			tickIntervalMs,
 			snapshotEveryEntries,
 			onApplied: () => {
 				this.#tell();
--- a/packages/fleet-control/src/fleet-control.ts
+++ b/packages/fleet-control/src/fleet-control.ts
@@ -19,10 +19,10 @@
 import {DocumentGroup} from './document-group.js';
 
 /** Time between batches of load figures. */
-const loadBatchIntervalMs = 100;
+const loadBatchIntervalMs = 200;
 
 /** Time between batches of reports that change nothing but the time of the last one. */
-const reportBatchIntervalMs = 200;
+const reportBatchIntervalMs = 1000;
 
 const expireIntervalMs = 10_000;
 
@@ -230,7 +230,7 @@
 
 	#flushReports(): void {
 		if (this.#waitingReports.size > 0) {
-			this.#links.broadcast({type: 'targets', reports: [...this.#waitingReports.values()]}, ['entry', 'agent', 'control']);
+			this.#links.broadcast({type: 'targets', reports: [...this.#waitingReports.values()]}, ['entry', 'control']);
 			this.#waitingReports.clear();
 		}
 	}
--- a/packages/fleet-link/src/link-server.ts
+++ b/packages/fleet-link/src/link-server.ts
@@ -4,10 +4,10 @@
 import type {DownMessage, NodeCard, UpMessage} from './messages.js';
 
 /** Time between beats on a stream. */
-export const beatIntervalMs = 600;
+export const beatIntervalMs = 800;
 
 /** A stream on which nothing came for this long is given up. */
-export const silenceTimeoutMs = 2000;
+export const silenceTimeoutMs = 2200;
 
 /** Bytes that may wait for one daemon; a daemon that does not read is cut off and has to follow anew. */
 const maxWaitingBytes = 8_388_608;
--- a/packages/fleet-link/src/link-service.ts
+++ b/packages/fleet-link/src/link-service.ts
@@ -22,11 +22,14 @@
 /** Whether the leader took the request up, and who leads as far as the answering member knows. */
 export type JoinReply = {readonly isMember: boolean; readonly leaderAddress?: string};
 
-/** An order for the engine on the agent's VM, or a question about it. */
-export type RankRequest = {readonly targetAddress: string; readonly order?: unknown; readonly wants: 'answer' | 'state' | 'counts'};
-
-/** What the engine answered; without `answer` it is not known whether the order was taken. */
-export type RankReply = {readonly answer?: unknown};
+/** An order for the engine on the agent's VM, or a question to it. */
+export type RankRequest<Order = unknown> = {readonly targetAddress: string} & (
+	| {readonly kind: 'state' | 'counts' | 'experts'}
+	| {readonly kind: 'order'; readonly order: Order}
+);
+
+/** What the engine answered; without `answer` there was none. */
+export type RankReply<Answer = unknown> = {readonly answer?: Answer};
 
 /** The methods of the service. */
 export const linkService = {
--- a/packages/fleet-link/src/messages.ts
+++ b/packages/fleet-link/src/messages.ts
@@ -1,6 +1,6 @@
 /** Messages on the streams between control and the other daemons. All of them are soft state; any may be lost. */
 
-import type {TargetLoad, TargetReport} from '@rattanspring/target-table';
+import type {RankPlace, TargetLoad, TargetReport} from '@rattanspring/target-table';
 
 /** What a daemon does. */
 export type NodeRole = 'control' | 'entry' | 'agent';
@@ -16,6 +16,8 @@
 	readonly callerAddress?: string;
 	/** The target on its VM, as `host:port`; agents only. */
 	readonly targetAddress?: string;
+	/** That target's place among the ranks of a group; agents only. */
+	readonly rankPlace?: RankPlace;
 	/** Whether it was asked to stop. */
 	readonly isLeaving: boolean;
 };
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -18,10 +18,12 @@
 import type {FlowContext} from './flow-context.js';
 import {serveRequest} from './request-flow.js';
 
-/** Time between looks at waiting requests, and at targets that fell silent. */
-const pumpIntervalMs = 5;
+/** Time between looks at targets that fell silent. */
 const refreshIntervalMs = 500;
 
+/** Time between looks at waiting requests. */
+const pumpIntervalMs = 10;
+
 /** Entries in one answer to a caller. */
 const maxEntriesTold = 64;
 
@@ -58,6 +60,7 @@
 	readonly #context: FlowContext;
 	readonly #timers: NodeJS.Timeout[] = [];
 	#active = 0;
+	#pumpTimer: NodeJS.Timeout | undefined;
 	#entries: readonly NodeCard[] = [];
 	#isLeaving = false;
 
@@ -73,7 +76,9 @@
 			logger,
 			metrics,
 			board: this.#board,
-			admission: new AdmissionQueue({board: this.#board, random, inProgressOf: name => inProgress.get(name) ?? 0}),
+			admission: new AdmissionQueue({board: this.#board, random, inProgressOf: name => inProgress.get(name) ?? 0, onWaiting: () => {
+				this.#pumpSoon();
+			}}),
 			budget: new RetryBudget(options.allowance),
 			guard: new CrashGuard(),
 			inProgress,
@@ -134,11 +139,6 @@
 	/** Listens. */
 	async start(): Promise<void> {
 		await this.#server.start();
-		this.#every(pumpIntervalMs, () => {
-			if (this.#context.admission.waiting > 0) {
-				this.#context.admission.pump(this.#context.nowMs());
-			}
-		});
 		this.#every(refreshIntervalMs, () => {
 			this.#refreshTargets();
 		});
@@ -177,6 +177,17 @@
 		this.#options.exchange.close();
 	}
 
+	/** Looks at waiting requests every few milliseconds as long as there are any. */
+	#pumpSoon(): void {
+		this.#pumpTimer ??= setTimeout(() => {
+			this.#pumpTimer = undefined;
+			this.#context.admission.pump(this.#context.nowMs());
+			if (this.#context.admission.waiting > 0) {
+				this.#pumpSoon();
+			}
+		}, pumpIntervalMs);
+	}
+
 	#every(intervalMs: number, work: () => void): void {
 		this.#timers.push(setInterval(work, intervalMs));
 	}
--- a/packages/metrics/src/index.ts
+++ b/packages/metrics/src/index.ts
@@ -8,6 +8,15 @@
 
 const latencyBucketsSeconds = [0.001, 0.0025, 0.005, 0.01, 0.025, 0.034, 0.05, 0.1, 0.25, 0.5, 1, 1.7, 2.5, 5, 10, 30];
 
+/** Wake-ups for measuring the event loop's delay come this often. */
+const defaultEventLoopPrecisionMs = 10;
+
+/** Options of the metrics. */
+export type DaemonMetricsOptions = {
+	/** A coarse precision saves wake-ups on VMs with a fraction of a core. */
+	readonly eventLoopPrecisionMs?: number;
+};
+
 /** All metrics of one daemon. */
 export class DaemonMetrics {
 	readonly registry = new Registry();
@@ -39,8 +48,8 @@
 		registers: [this.registry],
 	});
 
-	constructor() {
-		collectDefaultMetrics({register: this.registry});
+	constructor(options: DaemonMetricsOptions = {}) {
+		collectDefaultMetrics({register: this.registry, eventLoopMonitoringPrecision: options.eventLoopPrecisionMs ?? defaultEventLoopPrecisionMs});
 	}
 
 	/** The exposition text for a scrape. */
--- a/packages/placement/src/admission.ts
+++ b/packages/placement/src/admission.ts
@@ -54,6 +54,8 @@
 	readonly random: () => number;
 	/** Requests of an account in progress here: of equal requests, the account with fewer goes first. */
 	readonly inProgressOf: (accountName: string) => number;
+	/** Called when a request begins to wait; `pump` has to be called until none waits. */
+	readonly onWaiting: () => void;
 };
 
 /** Requests that wait at one entry. */
@@ -87,6 +89,7 @@
 
 		const line: Line = {request, isLate, refuseAtMs: refuseAtMs(request, isLate, nowMs), settle};
 		this.#line.push(line);
+		this.#options.onWaiting();
 		return {
 			cancel: () => {
 				this.#line = this.#line.filter(other => other !== line);
--- a/packages/placement/src/target-board.ts
+++ b/packages/placement/src/target-board.ts
@@ -13,7 +13,7 @@
 const maxLoadAgeMs = 1500;
 
 /** Time between a measurement at a target and its arrival here, about. */
-const loadDelayMs = 150;
+const loadDelayMs = 220;
 
 /** Requests above the slots that a target may hold: they start as soon as a slot is free. */
 const queuedPerTarget = 1;
--- a/packages/rank-agent/src/engine-door.ts
+++ b/packages/rank-agent/src/engine-door.ts
@@ -29,6 +29,9 @@
 /** How often requests of a rank chose each expert since the rank's start, by set. */
 export type ExpertCounts = {readonly step: number; readonly epoch: number; readonly counts: readonly number[]};
 
+/** Experts that a rank holds, by set, in the map in use. */
+export type HeldExperts = {readonly version: number; readonly experts: ReadonlyArray<readonly number[]>};
+
 /** An order for a rank. `expectedSequence` and `epoch` make an order void that is carried out late. */
 export type EngineOrder = {readonly expectedSequence: number; readonly epoch: number} & (
 	| {readonly kind: 'prepare'; readonly version: number; readonly map: ReadonlyArray<ReadonlyArray<readonly number[]>>}
@@ -47,6 +50,8 @@
 	abstract state(): Promise<EngineState | undefined>;
 	/** The counts; undefined if no readable answer came. */
 	abstract counts(): Promise<ExpertCounts | undefined>;
+	/** The experts this rank holds; undefined if no readable answer came. */
+	abstract experts(): Promise<HeldExperts | undefined>;
 	abstract order(order: EngineOrder): Promise<OrderOutcome>;
 	abstract close(): void;
 }
--- /dev/null
+++ b/packages/rank-agent/src/map-keeper.ts
@@ -0,0 +1,147 @@
+/**
+Keeps the expert map of a group in step with what its requests choose. The agent of the group's first rank does so: it
+sums up all ranks' counts, forecasts from the last seconds, and switches the map where that pays.
+*/
+
+import {planEvenShares, type RankLists} from '@rattanspring/expert-map';
+import type {Logger} from '@rattanspring/logger';
+import type {EngineDoor} from './engine-door.js';
+import type {GroupRanks} from './group-ranks.js';
+import {MapSwitch} from './map-switch.js';
+
+/** What the keeper weighs. */
+export type MapKeeperOptions = {
+	readonly nowMs: () => number;
+	readonly wallMs: () => number;
+	readonly logger: Logger;
+	/** Experts a rank can hold of a set, and those new to it that one change may add. */
+	readonly placesPerRank: number;
+	readonly newPerRank: number;
+	/** Share of the counts that is forgotten in a second. */
+	readonly forgetPerSecond?: number;
+	/** Lowering of the skew for which a map is switched. */
+	readonly minSkewGain?: number;
+	/** Lowering of a set's peak, in mean loads, for which one expert's weights are copied. */
+	readonly minGainPerCopy?: number;
+};
+
+const defaults = {forgetPerSecond: 0.7, minSkewGain: 0.12, minGainPerCopy: 0.012};
+
+/** Choices that have to be seen before a plan says anything. */
+const minChoices = 2000;
+
+/** Versions are taken from the wall clock, so that a version is not given out twice by agents that forgot. */
+const versionEpochMs = 1_767_225_600_000;
+const versionUnitMs = 100;
+
+/** Keeps the map of one group while it is asked to. */
+export class MapKeeper {
+	readonly #options: Required<MapKeeperOptions>;
+	#formation = '';
+	#last: ReadonlyArray<readonly number[]> | undefined;
+	#lastAtMs = 0;
+	#loads: number[] = [];
+	#lastVersion = 0;
+
+	constructor(options: MapKeeperOptions) {
+		this.#options = {...defaults, ...options};
+	}
+
+	/** One round: count, plan, switch if that pays. */
+	async round(ranks: GroupRanks, holdingRank: number): Promise<void> {
+		const own = await ranks.engines[holdingRank].state();
+		if (own?.heldStep !== undefined) {
+			const outcome = await new MapSwitch({ranks, holdingRank, nowMs: this.#options.nowMs}).recover(own.heldStep);
+			this.#options.logger.log('warn', 'groupReleased', {group: ranks.group, epoch: ranks.epoch, step: own.heldStep, outcome});
+			return;
+		}
+
+		if (!await this.#count(ranks)) {
+			return;
+		}
+
+		const lists = await heldLists(ranks.engines);
+		if (!lists) {
+			return;
+		}
+
+		await this.#plan(ranks, holdingRank, lists);
+	}
+
+	/** Adds up what was chosen since the last round; false where that is too little to plan from. */
+	async #count(ranks: GroupRanks): Promise<boolean> {
+		const {nowMs, forgetPerSecond} = this.#options;
+		const answers = await Promise.all(ranks.engines.map(async engine => engine.counts()));
+		const counts = answers.flatMap(answer => answer?.epoch === ranks.epoch ? [answer.counts] : []);
+		if (counts.length < ranks.engines.length) {
+			return false;
+		}
+
+		const formation = `${ranks.group} ${ranks.epoch}`;
+		const earlier = this.#formation === formation ? this.#last : undefined;
+		const atMs = nowMs();
+		const kept = (1 - forgetPerSecond) ** ((atMs - this.#lastAtMs) / 1000);
+		const loads = counts[0].map((_, index) => {
+			let chosen = 0;
+			for (const [rank, rankCounts] of counts.entries()) {
+				chosen += Math.max(0, rankCounts[index] - (earlier?.[rank][index] ?? rankCounts[index]));
+			}
+
+			return (earlier ? (this.#loads[index] ?? 0) * kept : 0) + chosen;
+		});
+		this.#formation = formation;
+		this.#last = counts;
+		this.#lastAtMs = atMs;
+		this.#loads = loads;
+		return loads.reduce((sum, load) => sum + load, 0) > minChoices;
+	}
+
+	async #plan(ranks: GroupRanks, holdingRank: number, current: RankLists): Promise<void> {
+		const {nowMs, logger, placesPerRank, newPerRank, minSkewGain, minGainPerCopy} = this.#options;
+		const perSet = this.#loads.length / current.length;
+		const loads = current.map((_, set) => this.#loads.slice(set * perSet, (set + 1) * perSet));
+		const plan = await inSlices(planEvenShares({
+			current, loads, placesPerRank, newPerRank, minGainPerCopy,
+		}));
+		if (plan.skewBefore - plan.skewAfter < minSkewGain) {
+			return;
+		}
+
+		const version = Math.max(this.#lastVersion + 1, Math.floor((this.#options.wallMs() - versionEpochMs) / versionUnitMs));
+		this.#lastVersion = version;
+		const startedAtMs = nowMs();
+		const outcome = await new MapSwitch({ranks, holdingRank, nowMs}).run(version, plan.lists);
+		logger.log('info', 'mapSwitch', {
+			group: ranks.group, epoch: ranks.epoch, version, outcome, copies: plan.copies, skewBefore: round(plan.skewBefore), skewAfter: round(plan.skewAfter), tookMs: Math.round(nowMs() - startedAtMs),
+		});
+	}
+}
+
+/** The experts of each rank, by set and rank, if all ranks use the same version. */
+async function heldLists(engines: readonly EngineDoor[]): Promise<RankLists | undefined> {
+	const held = await Promise.all(engines.map(async engine => engine.experts()));
+	const known = held.flatMap(experts => experts ? [experts] : []);
+	if (known.length < engines.length || known.some(({version}) => version !== known[0].version)) {
+		return undefined;
+	}
+
+	return known[0].experts.map((_, set) => known.map(({experts}) => experts[set]));
+}
+
+/** Runs a computation without holding up the event loop. */
+async function inSlices<Value>(steps: Generator<undefined, Value>): Promise<Value> {
+	for (;;) {
+		const next = steps.next();
+		if (next.done) {
+			return next.value;
+		}
+
+		await new Promise(resolve => {
+			setImmediate(resolve);
+		});
+	}
+}
+
+function round(value: number): number {
+	return Math.round(value * 100) / 100;
+}
--- a/packages/rank-agent/src/rank-agent.ts
+++ b/packages/rank-agent/src/rank-agent.ts
@@ -1,16 +1,36 @@
-/** One agent: measures the load of the target on its VM, where that is free and fresh, and tells control. */
-
-import {ControlLinks, type NodeCard} from '@rattanspring/fleet-link';
+/**
+One agent: measures the load of the target on its VM, where that is free and fresh, tells control, and carries out orders
+for its rank. The agent of a group's first rank keeps the group's expert map.
+*/
+
+import {
+	type handleUnaryCall, Server, ServerCredentials,
+} from '@grpc/grpc-js';
+import {
+	ControlLinks, LinkCalls, linkService, type NodeCard, type RankReply, type RankRequest,
+} from '@rattanspring/fleet-link';
 import type {Logger} from '@rattanspring/logger';
-import type {TargetLoad} from '@rattanspring/target-table';
+import {serverOptions} from '@rattanspring/protocol';
+import type {RankPlace, TargetLoad} from '@rattanspring/target-table';
 import type {Clock} from '@rattanspring/types';
-import type {EngineDoor, EngineState} from './engine-door.js';
+import type {EngineDoor, EngineOrder, EngineState} from './engine-door.js';
+import {ranksOf, RemoteEngine} from './group-ranks.js';
+import {MapKeeper} from './map-keeper.js';
 
 /** Time between measurements. */
-const measureIntervalMs = 120;
+const measureIntervalMs = 200;
 
 /** Unchanged figures are told again after this time. */
-const repeatAfterMs = 600;
+const repeatAfterMs = 900;
+
+/** Time between looks at what the group's requests choose. */
+const mapIntervalMs = 700;
+
+/** The rank whose agent keeps the map. */
+const keepingRank = 0;
+
+/** Places of experts on the ranks of a group. */
+export type ExpertPlaces = {readonly placesPerRank: number; readonly newPerRank: number};
 
 /** Options of an agent. */
 export type RankAgentOptions = {
@@ -22,6 +42,10 @@
 	readonly targetAddress: string;
 	readonly seeds: () => readonly string[];
 	readonly door: EngineDoor;
+	/** The places that the desired state names; undefined while none is known, or without experts. */
+	readonly expertPlaces: () => ExpertPlaces | undefined;
+	/** Called when a control process tells of a version of the document. */
+	readonly onVersion: (linkAddress: string, version: number) => void;
 	readonly clock: Clock;
 	readonly logger: Logger;
 };
@@ -30,7 +54,12 @@
 export class RankAgent {
 	readonly #options: RankAgentOptions;
 	readonly #links: ControlLinks;
-	#timer: NodeJS.Timeout | undefined;
+	readonly #calls = new LinkCalls();
+	readonly #server = new Server(serverOptions);
+	readonly #timers: NodeJS.Timeout[] = [];
+	#keeper: MapKeeper | undefined;
+	#place: RankPlace | undefined;
+	#isKeeping = false;
 	#isMeasuring = false;
 	#isReachable = true;
 	#told: TargetLoad | undefined;
@@ -43,8 +72,10 @@
 			nowMs: () => options.clock.monotonicMs(),
 			seeds: options.seeds,
 			card: () => this.#card(),
-			onMessage() {
-				// Nothing that control tells concerns the load.
+			onMessage(message, linkAddress) {
+				if (message.type === 'version') {
+					options.onVersion(linkAddress, message.version);
+				}
 			},
 			onState(linkAddress, isUp) {
 				options.logger.log(isUp ? 'info' : 'warn', isUp ? 'controlReached' : 'controlLost', {linkAddress});
@@ -52,11 +83,29 @@
 		});
 	}
 
-	/** Starts to measure. */
-	start(): void {
-		this.#timer = setInterval(() => {
+	/** Control processes that are reached, the nearest first. */
+	get controlAddresses(): string[] {
+		return this.#links.upAddresses(this.#options.failureDomain);
+	}
+
+	/** Listens and starts to measure. */
+	async start(): Promise<void> {
+		const {follow: _follow, document: _document, submit: _submit, join: _join, ...agentMethods} = linkService;
+		this.#server.addService(agentMethods, {rank: this.#rankHandler()});
+		await new Promise<void>((resolve, reject) => {
+			this.#server.bindAsync(this.#options.linkAddress, ServerCredentials.createInsecure(), error => {
+				if (error) {
+					reject(error);
+				} else {
+					resolve();
+				}
+			});
+		});
+		this.#timers.push(setInterval(() => {
 			void this.#measure();
-		}, measureIntervalMs);
+		}, measureIntervalMs), setInterval(() => {
+			void this.#keepMap();
+		}, mapIntervalMs));
 	}
 
 	/** Tells control that this agent is about to stop. */
@@ -67,8 +116,13 @@
 
 	/** Stops. */
 	close(): void {
-		clearInterval(this.#timer);
+		for (const timer of this.#timers) {
+			clearInterval(timer);
+		}
+
 		this.#links.close();
+		this.#calls.close();
+		this.#server.forceShutdown();
 		this.#options.door.close();
 	}
 
@@ -90,7 +144,58 @@
 		}
 	}
 
+	#rankHandler(): handleUnaryCall<RankRequest, RankReply> {
+		return (call, done) => {
+			void this.#answerRank(call.request as RankRequest<EngineOrder>).then(answer => {
+				done(null, answer === undefined ? {} : {answer});
+			});
+		};
+	}
+
+	async #answerRank(request: RankRequest<EngineOrder>): Promise<unknown> {
+		const {door, targetAddress} = this.#options;
+		if (request.targetAddress !== targetAddress) {
+			return undefined;
+		}
+
+		return request.kind === 'order' ? door.order(request.order) : door[request.kind]();
+	}
+
+	/** One look at the group's map, if this agent keeps it. */
+	async #keepMap(): Promise<void> {
+		const places = this.#options.expertPlaces();
+		const place = this.#place;
+		if (this.#isKeeping || !places || !place?.isOpen || place.rank !== keepingRank) {
+			return;
+		}
+
+		const {door, clock, logger} = this.#options;
+		const ranks = ranksOf(place.group, place.epoch, place.size, [...this.#links.nodes.values()], card => card.nodeId === this.#options.nodeId
+			? door
+			: new RemoteEngine(this.#calls, card.linkAddress!, card.targetAddress!));
+		if (!ranks) {
+			return;
+		}
+
+		this.#keeper ??= new MapKeeper({
+			...places, nowMs: () => clock.monotonicMs(), wallMs: () => clock.wallMs(), logger,
+		});
+		this.#isKeeping = true;
+		await this.#keeper.round(ranks, keepingRank);
+		this.#isKeeping = false;
+	}
+
+	#notePlace(place: RankPlace | undefined): void {
+		const isSame = JSON.stringify(place) === JSON.stringify(this.#place);
+		this.#place = place;
+		if (!isSame) {
+			this.#options.logger.log('info', 'rankPlaceChanged', {group: place?.group, epoch: place?.epoch, rank: place?.rank, isOpen: place?.isOpen});
+			this.#links.sayHello();
+		}
+	}
+
 	#tell(state: EngineState): void {
+		this.#notePlace(state.rankPlace);
 		const load = loadOf(this.#options.targetAddress, state);
 		const nowMs = this.#options.clock.monotonicMs();
 		if (nowMs - this.#toldAtMs < repeatAfterMs && this.#told && isSameLoad(load, this.#told)) {
@@ -108,7 +213,7 @@
 	#card(): NodeCard {
 		const {nodeId, failureDomain, linkAddress, targetAddress} = this.#options;
 		return {
-			nodeId, role: 'agent', failureDomain, linkAddress, targetAddress, isLeaving: this.#isLeaving,
+			nodeId, role: 'agent', failureDomain, linkAddress, targetAddress, ...(this.#place && {rankPlace: this.#place}), isLeaving: this.#isLeaving,
 		};
 	}
 }
--- a/packages/voter-group/src/replica-driver.ts
+++ b/packages/voter-group/src/replica-driver.ts
@@ -13,8 +13,8 @@
 } from '@rattanspring/types';
 import {WriteQueue} from './write-queue.js';
 
-/** Time between ticks of the replica. */
-const tickIntervalMs = 20;
+/** Time between ticks of the replica, unless the options name another. */
+const defaultTickIntervalMs = 20;
 
 /** Why a request got no answer. After `lost` it may have been accepted or not. */
 export type RequestFailure = Refusal | {readonly type: 'lost'; readonly message: string; readonly leaderAddress?: string};
@@ -29,6 +29,7 @@
 	/** Random numbers in [0, 1). */
 	readonly random: () => number;
 	readonly replica?: Partial<ReplicaOptions>;
+	readonly tickIntervalMs?: number;
 	/** Applied entries after which a snapshot is taken. */
 	readonly snapshotEveryEntries: number;
 	/** Called after entries were applied or a snapshot was restored. */
@@ -95,7 +96,7 @@
 	start(): void {
 		this.#timer = setInterval(() => {
 			this.#step({type: 'tick'});
-		}, tickIntervalMs);
+		}, this.#options.tickIntervalMs ?? defaultTickIntervalMs);
 		this.#step({type: 'tick'});
 	}
 
--- a/scripts/bundle.js
+++ b/scripts/bundle.js
@@ -12,6 +12,8 @@
 	platform: 'node',
 	target: 'node20',
 	sourcemap: false,
+	minifyWhitespace: true,
+	minifySyntax: true,
 	// CommonJS libraries within the bundle load built-in modules by `require`.
 	banner: {js: 'import {createRequire as createRequireOfBundle} from \'node:module\'; const require = createRequireOfBundle(import.meta.url);'},
 	logLevel: 'warning',
