--- a/.dependency-cruiser.cjs
+++ b/.dependency-cruiser.cjs
@@ -1,5 +1,5 @@
 /** Import directions between packages: types <- pure cores <- adapters <- daemon, cli. */
-const pureCores = '^packages/(types|replicated-log|fleet-state|request-ledger|directory|routing|expert-map|service-level)/src';
+const pureCores = '^packages/(types|replicated-log|fleet-state|request-ledger|directory|routing|expert-map|service-level|desired-state|target-table|placement)/src';
 const testFile = '[.]test[.]ts$';
 
 module.exports = {
@@ -44,6 +44,12 @@
 			from: {path: '^packages/([^/]+)/src'},
 			to: {path: '^packages/([^/]+)/(src|dist)/(?!index[.])', pathNot: '^packages/$1/'},
 		},
+		{
+			name: 'nothing-imports-the-platform',
+			severity: 'error',
+			from: {path: '^(packages|bench)/'},
+			to: {path: '^platform/'},
+		},
 		{
 			name: 'not-resolvable', severity: 'error', from: {}, to: {couldNotResolve: true},
 		},
@@ -53,6 +59,6 @@
 		exclude: {path: '(^|/)dist/'},
 		tsPreCompilationDeps: true,
 		enhancedResolveOptions: {exportsFields: ['exports'], conditionNames: ['import', 'types', 'default']},
-		includeOnly: '^packages|^node:|^crypto$',
+		includeOnly: '^packages|^platform|^node:|^crypto$',
 	},
 };
--- /dev/null
+++ b/packages/desired-state/src/desired-state.test.ts
@@ -0,0 +1,91 @@
+import {describe, it} from 'node:test';
+import {expect} from 'earl';
+import {
+	type DesiredState, drawService, outcomeOf, problemsOf, type Route, RouteTable,
+} from './index.js';
+
+const route: Route = {
+	name: 'drafts', host: 'a.example', pathPrefix: '/drafts/', kind: 'streaming', timeoutMs: 8000, objectiveMs: 400, priority: 1, split: [{service: 'engine', weight: 1}], maxAttempts: 2, isPublic: false, isResumable: true,
+};
+
+const state: DesiredState = {
+	version: 3,
+	routes: [route, {...route, name: 'inner', pathPrefix: '/drafts/inner/'}],
+	services: [{name: 'engine', healthPath: '/healthz', maxConnections: 10}],
+	limits: {
+		maxHeaderBytes: 16_384, maxBodyBytes: 1000, headerTimeoutMs: 3000, idleTimeoutMs: 15_000,
+	},
+	clientAccounts: [{name: 'a', keys: ['k1', 'k2']}, {name: 'b', keys: ['k3']}],
+};
+
+function withRoute(change: Partial<Route>): DesiredState {
+	return {...state, routes: [{...route, ...change}]};
+}
+
+describe('problemsOf', () => {
+	it('finds nothing wrong with a proper document', () => {
+		expect(problemsOf(state)).toEqual([]);
+	});
+
+	const cases: Array<[string, DesiredState]> = [
+		['an unknown service', withRoute({split: [{service: 'other', weight: 1}]})],
+		['two routes at one place', {...state, routes: [route, {...route, name: 'again'}]}],
+		['weights that add up to 0', withRoute({split: [{service: 'engine', weight: 0}]})],
+		['a negative weight', withRoute({split: [{service: 'engine', weight: 2}, {service: 'engine', weight: -1}]})],
+		['a timeout of 0', withRoute({timeoutMs: 0})],
+		['a prefix without a slash at its end', withRoute({pathPrefix: '/drafts'})],
+		['a key of two accounts', {...state, clientAccounts: [{name: 'a', keys: ['k']}, {name: 'b', keys: ['k']}]}],
+	];
+	for (const [what, document] of cases) {
+		it(`names ${what}`, () => {
+			expect(problemsOf(document).length).toEqual(1);
+		});
+	}
+});
+
+describe('outcomeOf', () => {
+	const held = {version: 5, text: 'five'};
+
+	it('stores the first document and higher versions', () => {
+		expect(outcomeOf(undefined, held)).toEqual('stored');
+		expect(outcomeOf(held, {version: 9, text: 'nine'})).toEqual('stored');
+	});
+
+	it('acknowledges a resend and a version that was overtaken, and changes nothing', () => {
+		expect(outcomeOf(held, {version: 5, text: 'five'})).toEqual('alreadyStored');
+		expect(outcomeOf(held, {version: 4, text: 'four'})).toEqual('overtaken');
+	});
+
+	it('refuses other content under the version held', () => {
+		expect(outcomeOf(held, {version: 5, text: 'other'})).toEqual('conflict');
+	});
+});
+
+describe('RouteTable', () => {
+	const table = new RouteTable(state);
+
+	it('finds the route with the longest prefix', () => {
+		expect(table.routeOf('a.example', '/drafts/inner/x')?.name).toEqual('inner');
+		expect(table.routeOf('a.example', '/drafts/x')?.name).toEqual('drafts');
+	});
+
+	it('finds no route at another host, or where the path only begins alike', () => {
+		expect(table.routeOf('b.example', '/drafts/x')).toEqual(undefined);
+		expect(table.routeOf('a.example', '/draftsman')).toEqual(undefined);
+	});
+
+	it('finds the account of each key, and none for others', () => {
+		expect(table.accountOf('k2')?.name).toEqual('a');
+		expect(table.accountOf('k3')?.name).toEqual('b');
+		expect(table.accountOf('k')).toEqual(undefined);
+	});
+});
+
+describe('drawService', () => {
+	it('draws by weight, and never a service of weight 0', () => {
+		const split = [{service: 'a', weight: 0}, {service: 'b', weight: 3}, {service: 'c', weight: 1}];
+		const drawn = Array.from({length: 100}, (_, index) => drawService(split, index / 100));
+		expect(drawn.filter(service => service === 'b').length).toEqual(75);
+		expect(drawn.filter(service => service === 'c').length).toEqual(25);
+	});
+});
--- a/packages/fleet-control/src/document-group.ts
+++ b/packages/fleet-control/src/document-group.ts
@@ -8,7 +8,9 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {toJsonBytes} from '@rattanspring/control-client';
 import type {ReplaceOutcome, StoredDocument} from '@rattanspring/desired-state';
-import {type JoinReply, type JoinRequest, LinkCalls, linkService} from '@rattanspring/fleet-link';
+import {
+	type JoinReply, type JoinRequest, LinkCalls, linkService,
+} from '@rattanspring/fleet-link';
 import {diskIdentity, type FatalPort, FileLogStorage} from '@rattanspring/log-storage';
 import type {Logger} from '@rattanspring/logger';
 import {
@@ -41,9 +43,9 @@
 
 /**
 The leader serves no reads on a lease: its steady clock stands still while its VM is suspended, so that a lease could
-seem to run on after others have elected another leader.
+seem to run on after others have elected another leader. A bound of 1 on the drift leaves no lease.
 */
-const noLease = {clockDriftBound: 1};
+const replicaOptions = {clockDriftBound: 1, electionTimeoutMs: 600, heartbeatIntervalMs: 120};
 
 /** Options of the group. */
 export type DocumentGroupOptions = {
@@ -160,7 +162,7 @@
 		}
 
 		const isConfirmed = driver.state.role === 'leader'
-			? (await withTimeout(driver.read(), readTimeoutMs))?.ok ?? false
+			? await confirmsRead(driver)
 			: await this.#catchUpWithLeader(driver);
 		return {isConfirmed, document: isConfirmed ? this.#machine.document : undefined};
 	}
@@ -256,7 +258,7 @@
 			machine: this.#machine,
 			clock,
 			random: () => randomInt(randomSteps) / randomSteps,
-			replica: noLease,
+			replica: replicaOptions,
 			tickIntervalMs,
 			snapshotEveryEntries,
 			onApplied: () => {
@@ -300,13 +302,15 @@
 	async #addLearner(driver: ReplicaDriver<ReplaceOutcome>, membership: Membership, newcomer: {voterId: string; address: string}): Promise<void> {
 		const replaces = replacedBy({membership, newcomer, silentMsOf: voterId => this.#silentMsOf(driver, voterId)});
 		const result = await driver.changeMembership({kind: 'add', learner: {...newcomer, ...(replaces !== undefined && {replaces})}});
-		this.#options.logger.log('info', 'memberJoins', {voterId: newcomer.voterId, address: newcomer.address, replaces, outcome: result.ok ? 'accepted' : result.failure.type});
+		this.#options.logger.log('info', 'memberJoins', {
+			voterId: newcomer.voterId, address: newcomer.address, replaces, outcome: result.ok ? 'accepted' : result.failure.type,
+		});
 	}
 
 	/** The leader removes a voter beyond the group's size that stays away, and learners whose VM came back as another. */
 	async #upkeep(): Promise<void> {
 		const driver = this.#driver;
-		if (!driver || driver.state.role !== 'leader') {
+		if (driver?.state.role !== 'leader') {
 			return;
 		}
 
@@ -331,6 +335,11 @@
 	}
 }
 
+async function confirmsRead(driver: ReplicaDriver<ReplaceOutcome>): Promise<boolean> {
+	const read = await withTimeout(driver.read(), readTimeoutMs);
+	return read?.ok ?? false;
+}
+
 /** An earlier identity of a learner's address: its disk is lost. */
 function staleLearner(membership: Membership): string | undefined {
 	return membership.learners.find((learner, index) => membership.learners.some((other, otherIndex) => otherIndex > index && other.address === learner.address))?.voterId;
--- a/packages/fleet-control/src/fleet-control.ts
+++ b/packages/fleet-control/src/fleet-control.ts
@@ -6,7 +6,7 @@
 
 import type {ReplaceOutcome, StoredDocument} from '@rattanspring/desired-state';
 import {
-	ControlLinks, type CrashReport, type DownMessage, LinkServer, linkService, type NodeCard, type UpMessage,
+	ControlLinks, type CrashReport, type DownMessage, LinkServer, linkService, type NodeCard, type NodeRole, type UpMessage,
 } from '@rattanspring/fleet-link';
 import type {FatalPort} from '@rattanspring/log-storage';
 import type {Logger} from '@rattanspring/logger';
@@ -63,13 +63,11 @@
 		const nowMs = () => options.clock.monotonicMs();
 		this.#links = new LinkServer({
 			nowMs,
-			welcome: () => this.#welcome(),
+			ownCard: () => this.#card(),
+			welcome: role => this.#welcome(role),
 			onMessage: message => {
 				this.#onMessage(message);
 			},
-			onNodesChanged: () => {
-				this.#links.broadcast(this.#nodes(), ['entry', 'agent', 'control']);
-			},
 		});
 		this.#others = new ControlLinks({
 			nowMs,
@@ -137,8 +135,10 @@
 		}
 
 		this.#waitingReports.set(report.targetId, report);
-		if (!before || before.state !== report.state || before.bornMs !== report.bornMs || before.rankPlace?.epoch !== report.rankPlace?.epoch || before.rankPlace?.isOpen !== report.rankPlace?.isOpen) {
-			this.#options.logger.log('info', 'targetChanged', {targetId: report.targetId, state: report.state, bornMs: report.bornMs, sequence: report.sequence});
+		if (!before || isChange(before, report)) {
+			this.#options.logger.log('info', 'targetChanged', {
+				targetId: report.targetId, state: report.state, bornMs: report.bornMs, sequence: report.sequence,
+			});
 			this.#flushReports();
 		}
 	}
@@ -155,6 +155,7 @@
 	leave(): void {
 		this.#isLeaving = true;
 		this.#others.sayHello();
+		this.#links.tellNodes();
 		this.#group.passLeadershipOn();
 	}
 
@@ -207,14 +208,14 @@
 		}
 	}
 
-	#welcome(): DownMessage[] {
+	#welcome(role: NodeRole): DownMessage[] {
 		const {document} = this.#group;
-		const messages: DownMessage[] = [this.#nodes(), {type: 'targets', reports: this.#targets.all()}];
+		const messages: DownMessage[] = role === 'agent' ? [] : [{type: 'targets', reports: this.#targets.all()}];
 		if (document) {
 			messages.push({type: 'version', version: document.version});
 		}
 
-		if (this.#crashes.length > 0) {
+		if (role === 'entry' && this.#crashes.length > 0) {
 			messages.push({type: 'crashes', crashes: this.#crashes});
 		}
 
@@ -235,10 +236,6 @@
 		}
 	}
 
-	#nodes(): DownMessage {
-		return {type: 'nodes', cards: [...this.#links.cards, this.#card()]};
-	}
-
 	#card(): NodeCard {
 		const {nodeId, failureDomain, linkAddress} = this.#options;
 		return {
@@ -258,3 +255,11 @@
 async function respond<Request, Reply>(answer: (request: Request) => Promise<Reply>, request: Request, done: sendUnaryData<Reply>): Promise<void> {
 	done(null, await answer(request));
 }
+
+/** Whether a report says more than that its target is still there. */
+function isChange(before: TargetReport, after: TargetReport): boolean {
+	return before.state !== after.state
+		|| before.bornMs !== after.bornMs
+		|| before.rankPlace?.epoch !== after.rankPlace?.epoch
+		|| before.rankPlace?.isOpen !== after.rankPlace?.isOpen;
+}
--- a/packages/fleet-link/src/control-links.ts
+++ b/packages/fleet-link/src/control-links.ts
@@ -113,8 +113,9 @@
 			nowMs: this.#options.nowMs,
 			card,
 			onMessage: message => {
-				if (message.type === 'nodes') {
-					this.#links.get(address)!.cards = message.cards;
+				if (message.type === 'nodes' || message.type === 'nodesChanged') {
+					const link = this.#links.get(address)!;
+					link.cards = message.type === 'nodes' ? message.cards : changedCards(link.cards, message);
 					this.#join();
 				} else if (message.type !== 'beat') {
 					onMessage(message, address);
@@ -146,3 +147,8 @@
 		this.#options.onNodes?.([...nodes.values()]);
 	}
 }
+
+function changedCards(cards: readonly NodeCard[], {cards: changed, goneIds}: {readonly cards: readonly NodeCard[]; readonly goneIds: readonly string[]}): NodeCard[] {
+	const replaced = new Set([...goneIds, ...changed.map(card => card.nodeId)]);
+	return [...cards.filter(card => !replaced.has(card.nodeId)), ...changed];
+}
--- a/packages/fleet-link/src/index.ts
+++ b/packages/fleet-link/src/index.ts
@@ -4,4 +4,4 @@
 export * from './link-client.js';
 export * from './link-server.js';
 export * from './link-service.js';
-export type * from './messages.js';
+export * from './messages.js';
--- a/packages/fleet-link/src/link-calls.ts
+++ b/packages/fleet-link/src/link-calls.ts
@@ -1,6 +1,8 @@
 /** Calls of the link that have an answer. Each call has a deadline; no answer is `undefined`, never a guess. */
 
-import {Client, credentials, Metadata, type MethodDefinition} from '@grpc/grpc-js';
+import {
+	Client, credentials, Metadata, type MethodDefinition,
+} from '@grpc/grpc-js';
 import {channelOptions, channelTarget} from '@rattanspring/protocol';
 
 /** Clients by address. A client that let a call time out is replaced: its connection may be dead. */
--- a/packages/fleet-link/src/link-server.ts
+++ b/packages/fleet-link/src/link-server.ts
@@ -1,7 +1,9 @@
 /** The control side of the link: streams of other daemons, and the messages that go to all of them. */
 
 import type {ServerDuplexStream} from '@grpc/grpc-js';
-import type {DownMessage, NodeCard, UpMessage} from './messages.js';
+import {
+	concernedRoles, type DownMessage, type NodeCard, type NodeRole, type UpMessage,
+} from './messages.js';
 
 /** Time between beats on a stream. */
 export const beatIntervalMs = 800;
@@ -12,17 +14,19 @@
 /** Bytes that may wait for one daemon; a daemon that does not read is cut off and has to follow anew. */
 const maxWaitingBytes = 8_388_608;
 
+/** Changes of the list of daemons are told together after this pause. */
+const nodesPauseMs = 60;
+
 type Call = ServerDuplexStream<UpMessage, DownMessage>;
 type Follower = {readonly call: Call; card?: NodeCard; heardAtMs: number};
 
 /** Options of the server side. */
 export type LinkServerOptions = {
 	readonly nowMs: () => number;
-	/** Messages that bring a new follower up to date. */
-	readonly welcome: () => DownMessage[];
+	readonly ownCard: () => NodeCard;
+	/** Messages that bring a new follower of a role up to date, besides the list of daemons. */
+	readonly welcome: (role: NodeRole) => DownMessage[];
 	readonly onMessage: (message: UpMessage, from: NodeCard) => void;
-	/** Called when a daemon came, went or changed. */
-	readonly onNodesChanged: () => void;
 };
 
 /** Streams of all daemons that follow this control process. */
@@ -30,6 +34,8 @@
 	readonly #options: LinkServerOptions;
 	readonly #followers = new Set<Follower>();
 	readonly #timer: NodeJS.Timeout;
+	#told = new Map<string, NodeCard>();
+	#nodesTimer: NodeJS.Timeout | undefined;
 
 	constructor(options: LinkServerOptions) {
 		this.#options = options;
@@ -38,9 +44,17 @@
 		}, beatIntervalMs);
 	}
 
-	/** Daemons that follow now. */
+	/** Daemons that follow now, and this one. */
 	get cards(): NodeCard[] {
-		return [...this.#followers].flatMap(({card}) => card ? [card] : []);
+		return [...[...this.#followers].flatMap(({card}) => card ? [card] : []), this.#options.ownCard()];
+	}
+
+	/** Tells the followers of changes of the list, this daemon's own card included. */
+	tellNodes(): void {
+		this.#nodesTimer ??= setTimeout(() => {
+			this.#nodesTimer = undefined;
+			this.#tellChanges();
+		}, nodesPauseMs);
 	}
 
 	/** Serves one stream. */
@@ -74,6 +88,7 @@
 	/** Ends all streams. */
 	close(): void {
 		clearInterval(this.#timer);
+		clearTimeout(this.#nodesTimer);
 		for (const {call} of this.#followers) {
 			call.end();
 		}
@@ -84,9 +99,11 @@
 		if (message.type === 'hello') {
 			const isNew = follower.card === undefined;
 			follower.card = message.card;
-			this.#options.onNodesChanged();
+			this.tellNodes();
 			if (isNew) {
-				for (const welcome of this.#options.welcome()) {
+				const {role} = message.card;
+				this.#send(follower, {type: 'nodes', cards: concerning(role, this.cards)});
+				for (const welcome of this.#options.welcome(role)) {
 					this.#send(follower, welcome);
 				}
 			}
@@ -122,7 +139,28 @@
 
 	#drop(follower: Follower): void {
 		if (this.#followers.delete(follower)) {
-			this.#options.onNodesChanged();
+			this.tellNodes();
 		}
 	}
+
+	#tellChanges(): void {
+		const current = new Map(this.cards.map(card => [card.nodeId, card]));
+		const changed = [...current.values()].filter(card => JSON.stringify(card) !== JSON.stringify(this.#told.get(card.nodeId)));
+		const gone = [...this.#told.values()].filter(card => !current.has(card.nodeId));
+		this.#told = current;
+		for (const follower of this.#followers) {
+			if (follower.card) {
+				const {role} = follower.card;
+				const cards = concerning(role, changed);
+				const goneIds = concerning(role, gone).map(card => card.nodeId);
+				if (cards.length + goneIds.length > 0) {
+					this.#send(follower, {type: 'nodesChanged', cards, goneIds});
+				}
+			}
+		}
+	}
+}
+
+function concerning(role: NodeRole, cards: readonly NodeCard[]): NodeCard[] {
+	return cards.filter(card => concernedRoles[role].includes(card.role));
 }
--- a/packages/fleet-link/src/messages.ts
+++ b/packages/fleet-link/src/messages.ts
@@ -31,6 +31,13 @@
 	readonly bornMs: number;
 };
 
+/** Daemons that a daemon of a role has to know of. */
+export const concernedRoles: Readonly<Record<NodeRole, readonly NodeRole[]>> = {
+	control: ['control'],
+	entry: ['control', 'entry'],
+	agent: ['control', 'agent'],
+};
+
 /** From a daemon to control. */
 export type UpMessage
 	= | {readonly type: 'hello'; readonly card: NodeCard}
@@ -41,7 +48,10 @@
 /** From control to a daemon. */
 export type DownMessage
 	= | {readonly type: 'beat'}
+		/** All daemons that concern the receiver. */
 		| {readonly type: 'nodes'; readonly cards: readonly NodeCard[]}
+		/** Those that came or changed, and those that went. */
+		| {readonly type: 'nodesChanged'; readonly cards: readonly NodeCard[]; readonly goneIds: readonly string[]}
 		| {readonly type: 'targets'; readonly reports: readonly TargetReport[]}
 		| {readonly type: 'loads'; readonly loads: readonly TargetLoad[]}
 		| {readonly type: 'crashes'; readonly crashes: readonly CrashReport[]}
--- a/packages/gateway/src/forward-flow.ts
+++ b/packages/gateway/src/forward-flow.ts
@@ -9,10 +9,10 @@
 	type Admission, type AttemptOutcome, type ExchangeOutcome, isRepeatable, nextStep, type Waiting,
 } from '@rattanspring/placement';
 import type {AnswerHead} from '@rattanspring/target-connection';
+import type {AllowedCall} from './allowed-call.js';
 import {Attempt, type WholeAnswer} from './attempt.js';
 import type {CallerAnswer} from './caller-answer.js';
 import type {FlowContext} from './flow-context.js';
-import type {AllowedCall} from './request-flow.js';
 
 /** The final answer goes out this long before the time is up. */
 const deadlineMarginMs = 15;
@@ -46,6 +46,8 @@
 	#mayHaveRun = false;
 	#admittedAtMs: number | undefined;
 	#firstByteAtMs: number | undefined;
+	#lastEventAtMs: number | undefined;
+	#longestPauseMs: number | undefined;
 	#lastEventId: string | undefined;
 	/** The head that the caller got, or would get, for its stream. */
 	#streamHead: AnswerHead | undefined;
@@ -184,6 +186,7 @@
 			this.#answer.beginStream(head);
 		}
 
+		this.#notePause();
 		this.#lastEventId = lastId ?? this.#lastEventId;
 		this.#answer.write(bytes);
 		if (isRepeatable(this.#call.route)) {
@@ -191,6 +194,15 @@
 		}
 	}
 
+	#notePause(): void {
+		const nowMs = this.#nowMs;
+		if (this.#lastEventAtMs !== undefined) {
+			this.#longestPauseMs = Math.max(this.#longestPauseMs ?? 0, nowMs - this.#lastEventAtMs);
+		}
+
+		this.#lastEventAtMs = nowMs;
+	}
+
 	#onStreamEnd(head: AnswerHead): void {
 		this.#endAttempt('answered');
 		if (!this.#streamHead) {
@@ -326,6 +338,7 @@
 			sent: this.#sentCount,
 			waitedMs: sinceMs(arrivedAtMs, this.#admittedAtMs),
 			firstByteMs: sinceMs(arrivedAtMs, this.#firstByteAtMs),
+			pauseMs: sinceMs(0, this.#longestPauseMs),
 			tookMs: sinceMs(arrivedAtMs, this.#nowMs),
 		});
 	}
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -60,7 +60,7 @@
 	readonly #context: FlowContext;
 	readonly #timers: NodeJS.Timeout[] = [];
 	#active = 0;
-	#pumpTimer: NodeJS.Timeout | undefined;
+	#isPumping = false;
 	#entries: readonly NodeCard[] = [];
 	#isLeaving = false;
 
@@ -76,9 +76,11 @@
 			logger,
 			metrics,
 			board: this.#board,
-			admission: new AdmissionQueue({board: this.#board, random, inProgressOf: name => inProgress.get(name) ?? 0, onWaiting: () => {
-				this.#pumpSoon();
-			}}),
+			admission: new AdmissionQueue({
+				board: this.#board, random, inProgressOf: name => inProgress.get(name) ?? 0, onWaiting: () => {
+					this.#pumpSoon();
+				},
+			}),
 			budget: new RetryBudget(options.allowance),
 			guard: new CrashGuard(),
 			inProgress,
@@ -179,8 +181,13 @@
 
 	/** Looks at waiting requests every few milliseconds as long as there are any. */
 	#pumpSoon(): void {
-		this.#pumpTimer ??= setTimeout(() => {
-			this.#pumpTimer = undefined;
+		if (this.#isPumping) {
+			return;
+		}
+
+		this.#isPumping = true;
+		setTimeout(() => {
+			this.#isPumping = false;
 			this.#context.admission.pump(this.#context.nowMs());
 			if (this.#context.admission.waiting > 0) {
 				this.#pumpSoon();
@@ -230,7 +237,11 @@
 				break;
 			}
 
-			default:
+			case 'beat':
+			case 'nodes':
+			case 'nodesChanged': {
+				break;
+			}
 		}
 	}
 
--- a/packages/gateway/src/request-flow.ts
+++ b/packages/gateway/src/request-flow.ts
@@ -6,6 +6,7 @@
 import {
 	type ClientAccount, drawService, type Route, type RouteTable,
 } from '@rattanspring/desired-state';
+import type {AllowedCall} from './allowed-call.js';
 import type {CallFacts} from './call-dialect.js';
 import {CallerAnswer} from './caller-answer.js';
 import type {FlowContext} from './flow-context.js';
@@ -13,24 +14,7 @@
 import {readBody} from './read-body.js';
 
 /** Pause told to callers while no desired state is known. */
-const startingPauseMs = 300;
-
-/** A request that is allowed, and where it goes. */
-export type AllowedCall = {
-	readonly facts: CallFacts;
-	readonly route: Route;
-	readonly service: string;
-	readonly account?: ClientAccount;
-	readonly method: string;
-	readonly path: string;
-	readonly rawHeaders: readonly string[];
-	readonly body: Buffer;
-	/** Digest of path, client account and body. */
-	readonly fingerprint: string;
-	readonly arrivedAtMs: number;
-	/** End of the time that the caller and the route allow. */
-	readonly deadlineAtMs: number;
-};
+const startingPauseMs = 2000;
 
 /** Serves one request. */
 export async function serveRequest(context: FlowContext, request: IncomingMessage, response: ServerResponse): Promise<void> {
@@ -56,10 +40,11 @@
 	const body = await bodyInTime(request, table.state.limits.maxBodyBytes, deadlineAtMs - arrivedAtMs);
 	if (body.kind === 'whole') {
 		const path = request.url!;
-		new ForwardFlow(context, answer, {
+		const call: AllowedCall = {
 			facts, route, service: drawService(route.split, context.random()), account, method: request.method!, path, rawHeaders: request.rawHeaders, body: body.body,
 			fingerprint: fingerprintOf(path, account?.name, body.body), arrivedAtMs, deadlineAtMs,
-		}).start(response);
+		};
+		new ForwardFlow(context, answer, call).start(response);
 		return;
 	}
 
--- a/packages/placement/src/admission.ts
+++ b/packages/placement/src/admission.ts
@@ -22,6 +22,9 @@
 const minPauseMs = 80;
 const pauseSpreadMs = 120;
 
+/** Pause where a service has no target at all: it takes seconds until one has reported. */
+const noTargetPauseMs = 1500;
+
 /** A request to be admitted. */
 export type AdmissionRequest = {
 	readonly service: string;
@@ -45,6 +48,13 @@
 /** Ends a wait early. */
 export type Waiting = {readonly cancel: () => void};
 
+/** Nothing waits any more. */
+const noWait: Waiting = {
+	cancel() {
+		// Nothing to end.
+	},
+};
+
 type Line = {readonly request: AdmissionRequest; readonly isLate: boolean; readonly refuseAtMs: number; readonly settle: (admission: Admission) => void};
 
 /** Options of the admission. */
@@ -79,15 +89,17 @@
 		const choice = isFirst ? this.#choose(request, nowMs) : {kind: 'full' as const};
 		if (choice.kind === 'target') {
 			settle({kind: 'admitted', view: choice.view, isLate});
-			return {cancel() {}}; // eslint-disable-line @typescript-eslint/no-empty-function -- nothing waits
+			return noWait;
 		}
 
 		if (choice.kind === 'none' || this.#line.length >= maxWaiting) {
 			settle(this.#refusal(choice.kind === 'none' ? 'noTarget' : 'lineFull'));
-			return {cancel() {}}; // eslint-disable-line @typescript-eslint/no-empty-function -- nothing waits
+			return noWait;
 		}
 
-		const line: Line = {request, isLate, refuseAtMs: refuseAtMs(request, isLate, nowMs), settle};
+		const line: Line = {
+			request, isLate, refuseAtMs: refuseAtMs(request, isLate, nowMs), settle,
+		};
 		this.#line.push(line);
 		this.#options.onWaiting();
 		return {
@@ -133,7 +145,7 @@
 	}
 
 	#refusal(reason: 'full' | 'noTarget' | 'lineFull'): Admission {
-		return {kind: 'refused', reason, retryAfterMs: minPauseMs + (this.#options.random() * pauseSpreadMs)};
+		return {kind: 'refused', reason, retryAfterMs: (reason === 'noTarget' ? noTargetPauseMs : minPauseMs) + (this.#options.random() * pauseSpreadMs)};
 	}
 }
 
--- a/packages/placement/src/target-board.ts
+++ b/packages/placement/src/target-board.ts
@@ -105,7 +105,7 @@
 
 		for (const entry of this.#entries.values()) {
 			const known = this.#loads.get(entry.report.address);
-			if (known && known.load.bornMs === entry.report.bornMs && known.atMs !== entry.loadAtMs) {
+			if (known?.load.bornMs === entry.report.bornMs && known.atMs !== entry.loadAtMs) {
 				entry.load = known.load;
 				entry.loadAtMs = known.atMs;
 				entry.sentAtMs = entry.sentAtMs.filter(sentAtMs => sentAtMs > known.atMs - loadDelayMs);
@@ -175,7 +175,7 @@
 
 	#setTarget(report: TargetReport): void {
 		const known = this.#entries.get(report.targetId);
-		if (known && known.report.bornMs === report.bornMs) {
+		if (known?.report.bornMs === report.bornMs) {
 			known.report = report;
 			return;
 		}
--- a/packages/rank-agent/src/engine-door.ts
+++ b/packages/rank-agent/src/engine-door.ts
@@ -24,6 +24,8 @@
 	readonly armed?: ArmedMap;
 	/** The pass that is not begun until it is released. */
 	readonly heldStep?: number;
+	/** Highest fencing number that the agent of this rank has seen. */
+	readonly fencing?: number;
 };
 
 /** How often requests of a rank chose each expert since the rank's start, by set. */
@@ -32,8 +34,10 @@
 /** Experts that a rank holds, by set, in the map in use. */
 export type HeldExperts = {readonly version: number; readonly experts: ReadonlyArray<readonly number[]>};
 
-/** An order for a rank. `expectedSequence` and `epoch` make an order void that is carried out late. */
-export type EngineOrder = {readonly expectedSequence: number; readonly epoch: number} & (
+/** An order for a rank, under a coordinator's fencing number and for one formation of the group. */
+export type EngineOrder = {readonly fencing: number; readonly epoch: number} & (
+	/** Shuts out coordinators with lower numbers. */
+	| {readonly kind: 'fence'}
 	| {readonly kind: 'prepare'; readonly version: number; readonly map: ReadonlyArray<ReadonlyArray<readonly number[]>>}
 	| {readonly kind: 'arm'; readonly version: number; readonly step: number}
 	| {readonly kind: 'disarm'; readonly version: number}
--- /dev/null
+++ b/packages/rank-agent/src/fenced-door.ts
@@ -0,0 +1,45 @@
+/**
+The door to an engine that drops orders of coordinators that were overtaken. Engines do not check fencing numbers; the
+agents do, and all orders for a rank pass through its agent.
+*/
+
+import {
+	EngineDoor, type EngineOrder, type EngineState, type ExpertCounts, type HeldExperts, type OrderOutcome,
+} from './engine-door.js';
+
+/** Checks the fencing number of each order. */
+export class FencedDoor extends EngineDoor {
+	readonly #inner: EngineDoor;
+	#highest = 0;
+
+	constructor(inner: EngineDoor) {
+		super();
+		this.#inner = inner;
+	}
+
+	async state(): Promise<EngineState | undefined> {
+		const state = await this.#inner.state();
+		return state && {...state, fencing: this.#highest};
+	}
+
+	async counts(): Promise<ExpertCounts | undefined> {
+		return this.#inner.counts();
+	}
+
+	async experts(): Promise<HeldExperts | undefined> {
+		return this.#inner.experts();
+	}
+
+	async order(order: EngineOrder): Promise<OrderOutcome> {
+		if (order.fencing < this.#highest) {
+			return 'refused';
+		}
+
+		this.#highest = order.fencing;
+		return order.kind === 'fence' ? 'done' : this.#inner.order(order);
+	}
+
+	close(): void {
+		this.#inner.close();
+	}
+}
--- a/packages/rank-agent/src/group-ranks.ts
+++ b/packages/rank-agent/src/group-ranks.ts
@@ -1,6 +1,7 @@
 /** The engines of all ranks of one group, each asked and ordered by the agent on its own VM. */
 
-import {LinkCalls, linkService, type NodeCard} from '@rattanspring/fleet-link';
+import {type LinkCalls, linkService, type NodeCard} from '@rattanspring/fleet-link';
+import type {RankPlace} from '@rattanspring/target-table';
 import {
 	EngineDoor, type EngineOrder, type EngineState, type ExpertCounts, type HeldExperts, type OrderOutcome,
 } from './engine-door.js';
@@ -50,7 +51,7 @@
 export type GroupRanks = {readonly group: string; readonly epoch: number; readonly engines: readonly EngineDoor[]};
 
 /** The ranks of the group, if the agents of all of them are known and its formation is whole. */
-export function ranksOf(group: string, epoch: number, size: number, cards: Iterable<NodeCard>, engineOf: (card: NodeCard) => EngineDoor): GroupRanks | undefined {
+export function ranksOf({group, epoch, size}: RankPlace, cards: Iterable<NodeCard>, engineOf: (card: NodeCard) => EngineDoor): GroupRanks | undefined {
 	const byRank = new Map<number, NodeCard>();
 	for (const card of cards) {
 		if (card.role === 'agent' && card.rankPlace?.group === group && card.rankPlace.epoch === epoch && card.rankPlace.isOpen) {
--- a/packages/rank-agent/src/index.ts
+++ b/packages/rank-agent/src/index.ts
@@ -1,6 +1,8 @@
 /** The agent on a target's VM: measures its load, carries out orders for its rank, and keeps its group's expert map. */
 export * from './engine-door.js';
+export * from './fenced-door.js';
 export * from './group-ranks.js';
 export * from './map-keeper.js';
 export * from './map-switch.js';
+export * from './map-versions.js';
 export * from './rank-agent.js';
--- a/packages/rank-agent/src/map-keeper.ts
+++ b/packages/rank-agent/src/map-keeper.ts
@@ -8,11 +8,12 @@
 import type {EngineDoor} from './engine-door.js';
 import type {GroupRanks} from './group-ranks.js';
 import {MapSwitch} from './map-switch.js';
+import type {MapVersions} from './map-versions.js';
 
 /** What the keeper weighs. */
 export type MapKeeperOptions = {
 	readonly nowMs: () => number;
-	readonly wallMs: () => number;
+	readonly versions: MapVersions;
 	readonly logger: Logger;
 	/** Experts a rank can hold of a set, and those new to it that one change may add. */
 	readonly placesPerRank: number;
@@ -30,10 +31,6 @@
 /** Choices that have to be seen before a plan says anything. */
 const minChoices = 2000;
 
-/** Versions are taken from the wall clock, so that a version is not given out twice by agents that forgot. */
-const versionEpochMs = 1_767_225_600_000;
-const versionUnitMs = 100;
-
 /** Keeps the map of one group while it is asked to. */
 export class MapKeeper {
 	readonly #options: Required<MapKeeperOptions>;
@@ -41,7 +38,6 @@
 	#last: ReadonlyArray<readonly number[]> | undefined;
 	#lastAtMs = 0;
 	#loads: number[] = [];
-	#lastVersion = 0;
 
 	constructor(options: MapKeeperOptions) {
 		this.#options = {...defaults, ...options};
@@ -49,10 +45,8 @@
 
 	/** One round: count, plan, switch if that pays. */
 	async round(ranks: GroupRanks, holdingRank: number): Promise<void> {
-		const own = await ranks.engines[holdingRank].state();
-		if (own?.heldStep !== undefined) {
-			const outcome = await new MapSwitch({ranks, holdingRank, nowMs: this.#options.nowMs}).recover(own.heldStep);
-			this.#options.logger.log('warn', 'groupReleased', {group: ranks.group, epoch: ranks.epoch, step: own.heldStep, outcome});
+		const holding = await ranks.engines[holdingRank].state();
+		if (!holding || holding.armed !== undefined || holding.heldStep !== undefined) {
 			return;
 		}
 
@@ -107,12 +101,20 @@
 			return;
 		}
 
-		const version = Math.max(this.#lastVersion + 1, Math.floor((this.#options.wallMs() - versionEpochMs) / versionUnitMs));
-		this.#lastVersion = version;
+		const version = this.#options.versions.next();
 		const startedAtMs = nowMs();
-		const outcome = await new MapSwitch({ranks, holdingRank, nowMs}).run(version, plan.lists);
+		const mapSwitch = new MapSwitch({ranks, holdingRank, nowMs});
+		const outcome = await mapSwitch.run(version, plan.lists);
 		logger.log('info', 'mapSwitch', {
-			group: ranks.group, epoch: ranks.epoch, version, outcome, copies: plan.copies, skewBefore: round(plan.skewBefore), skewAfter: round(plan.skewAfter), tookMs: Math.round(nowMs() - startedAtMs),
+			group: ranks.group,
+			epoch: ranks.epoch,
+			version,
+			outcome,
+			refusal: mapSwitch.firstRefusal,
+			copies: plan.copies,
+			skewBefore: round(plan.skewBefore),
+			skewAfter: round(plan.skewAfter),
+			tookMs: Math.round(nowMs() - startedAtMs),
 		});
 	}
 }
--- a/packages/rank-agent/src/map-switch.ts
+++ b/packages/rank-agent/src/map-switch.ts
@@ -1,9 +1,12 @@
 /**
 Brings a new expert map into use on all ranks of a group with the same pass, in two phases. The group is held before the
 pass at which the ranks are armed to switch, and released only once every rank is seen to be armed for that map and pass,
-or none is. An order that got no answer may still be carried out seconds later; each order therefore names the number of
-orders that its rank had taken by then, and is repeated under that number until the rank has taken it, so that the late one
-no longer fits.
+or none is.
+
+An order that got no answer may still be carried out seconds later, and a coordinator may stand still for as long. Neither
+does harm: versions and passes are never used twice; a rank on which a switch was given up prepares a higher version, after
+which it can no longer be armed for the one given up; and the agent of the holding rank, which takes over, first shuts
+the earlier coordinator out at every rank.
 */
 
 import {setTimeout as sleep} from 'node:timers/promises';
@@ -12,28 +15,32 @@
 } from './engine-door.js';
 import type {GroupRanks} from './group-ranks.js';
 
-/** How a switch ended. */
-export type SwitchOutcome = 'switched' | 'notPrepared' | 'notHeld' | 'aborted' | 'groupChanged' | 'unsettled';
+/** How a switch ended. After `left` the group may be held, and the agent of the holding rank has to take over. */
+export type SwitchOutcome = 'switched' | 'notPrepared' | 'left' | 'aborted' | 'groupChanged' | 'unsettled';
 
 /** Passes between the last one begun and the one at which the ranks switch. */
 const marginPasses = 4;
 
+/** Passes that tell switches apart which start from the same pass. */
+const passSpread = 3;
+
 const pollMs = 40;
+const preparePollMs = 80;
 
 /** Copies of weights take this long at most; arming a held group must be quick, or is undone. */
 const prepareLimitMs = 9000;
-const armLimitMs = 1200;
+const armLimitMs = 450;
 const undoLimitMs = 20_000;
 
-/** Passes ahead at which a rank is held for a moment, only so that it counts one more order. */
-const farPasses = 1_000_000;
+type Body = EngineOrder extends infer Order ? Order extends EngineOrder ? Omit<Order, 'fencing' | 'epoch'> : never : never;
 
-type Body = EngineOrder extends infer Order ? Order extends EngineOrder ? Omit<Order, 'expectedSequence' | 'epoch'> : never : never;
+/** A map: the experts of each rank, by set and rank. */
+export type ExpertLists = ReadonlyArray<ReadonlyArray<readonly number[]>>;
 
 /** Options of a switch. */
 export type MapSwitchOptions = {
 	readonly ranks: GroupRanks;
-	/** The rank at which the group is held: the coordinator's own. */
+	/** The rank at which the group is held: not the coordinator's own, so that its agent can take over. */
 	readonly holdingRank: number;
 	readonly nowMs: () => number;
 };
@@ -43,8 +50,8 @@
 	readonly #ranks: GroupRanks;
 	readonly #holding: EngineDoor;
 	readonly #nowMs: () => number;
-	/** Ranks at which an order may still be carried out late. */
-	readonly #doubtful = new Set<EngineDoor>();
+	#fencing = 0;
+	#firstRefusal: string | undefined;
 
 	constructor({ranks, holdingRank, nowMs}: MapSwitchOptions) {
 		this.#ranks = ranks;
@@ -52,176 +59,152 @@
 		this.#nowMs = nowMs;
 	}
 
-	/** Prepares and brings a map into use; the version must be new to all ranks. */
-	async run(version: number, map: ReadonlyArray<ReadonlyArray<readonly number[]>>): Promise<SwitchOutcome> {
-		const isPrepared = await this.#prepare(version, map);
-		if (!isPrepared) {
-			return 'notPrepared';
-		}
+	/** The first order that a rank did not take, for the log. */
+	get firstRefusal(): string | undefined {
+		return this.#firstRefusal;
+	}
 
-		const states = await this.#states();
-		if (!states) {
+	/** Prepares and brings a map into use; the version must be new to all ranks. */
+	async run(version: number, map: ExpertLists): Promise<SwitchOutcome> {
+		if (!await this.#takeOffice()) {
 			return 'groupChanged';
 		}
 
-		const step = Math.max(...states.map(state => state.step)) + marginPasses;
-		if (!await this.#hold(step)) {
-			return this.#finish(undefined, step);
+		if (!await this.#prepare(version, map)) {
+			return 'notPrepared';
 		}
 
-		await this.#armAll(version, step);
-		return this.#finish(version, step);
-	}
-
-	/** Releases a group that was left held, after a whole switch or none. */
-	async recover(step: number): Promise<SwitchOutcome> {
 		const states = await this.#states();
 		if (!states) {
 			return 'groupChanged';
 		}
 
-		const version = states[0].armed?.version;
-		return this.#finish(version, step);
-	}
+		const step = Math.max(...states.map(state => state.step)) + marginPasses + (version % passSpread);
+		const untilMs = this.#nowMs() + armLimitMs;
+		if (!await this.#orderUntilTaken(this.#holding, {kind: 'hold', step}, untilMs)) {
+			return 'left';
+		}
 
-	async #prepare(version: number, map: ReadonlyArray<ReadonlyArray<readonly number[]>>): Promise<boolean> {
-		const untilMs = this.#nowMs() + prepareLimitMs;
-		const results = await Promise.all(this.#ranks.engines.map(async engine => this.#orderUntilTaken(engine, {kind: 'prepare', version, map}, untilMs)));
-		if (results.some(result => !result)) {
-			return false;
+		await this.#toAll({kind: 'arm', version, step}, untilMs);
+		const armed = await this.#states();
+		if (!armed || !areAlike(armed, version, step) || this.#nowMs() > untilMs) {
+			return 'left';
 		}
 
-		for (;;) {
-			const states = await this.#states();
-			if (!states || this.#nowMs() > untilMs) {
-				return false;
-			}
+		return await this.#orderUntilTaken(this.#holding, {kind: 'go', step}, untilMs) ? 'switched' : 'left';
+	}
 
-			if (states.every(state => state.preparedVersion === version)) {
-				return true;
+	/** Releases a group that was left held, after a whole switch or none. Only the agent of the holding rank does this. */
+	async recover(step: number, versionOf: () => number): Promise<SwitchOutcome> {
+		const untilMs = this.#nowMs() + undoLimitMs;
+		while (this.#nowMs() < untilMs) {
+			const outcome = await this.#tryRecovery(step, versionOf, this.#nowMs() + armLimitMs);
+			if (outcome) {
+				return outcome;
 			}
 
 			await sleep(pollMs);
 		}
-	}
-
-	async #hold(step: number): Promise<boolean> {
-		const isTaken = await this.#orderUntilTaken(this.#holding, {kind: 'hold', step}, this.#nowMs() + armLimitMs);
-		const state = await this.#holding.state();
-		return isTaken && state?.heldStep === step;
-	}
 
-	async #armAll(version: number, step: number): Promise<void> {
-		const untilMs = this.#nowMs() + armLimitMs;
-		await Promise.all(this.#ranks.engines.map(async engine => this.#orderUntilTaken(engine, {kind: 'arm', version, step}, untilMs)));
+		return 'unsettled';
 	}
 
-	/** Releases the group once all ranks are armed alike, or none is. */
-	async #finish(version: number | undefined, step: number): Promise<SwitchOutcome> {
-		const untilMs = this.#nowMs() + undoLimitMs;
-		let states = await this.#states();
-		if (states && version !== undefined && states.every(state => state.armed?.version === version && state.armed.step === step)) {
-			return await this.#release(step, untilMs) ? 'switched' : 'unsettled';
+	async #tryRecovery(step: number, versionOf: () => number, untilMs: number): Promise<SwitchOutcome | undefined> {
+		const isInOffice = await this.#takeOffice();
+		const states = isInOffice ? await this.#states() : undefined;
+		if (!states) {
+			return await this.#isOtherFormation() ? 'groupChanged' : undefined;
 		}
 
-		while (this.#nowMs() < untilMs) {
-			states = await this.#states();
-			if (!states) {
-				if (await this.#isOtherFormation()) {
-					return 'groupChanged';
-				}
-			} else if (states.every(state => state.armed === undefined) && await this.#settleDoubts(states)) {
-				return await this.#release(step, untilMs) ? 'aborted' : 'unsettled';
-			} else {
-				await this.#disarm(states, untilMs);
-			}
+		const holding = states[this.#ranks.engines.indexOf(this.#holding)];
+		if (holding.heldStep === undefined) {
+			return 'aborted';
+		}
 
-			await sleep(pollMs);
+		const {armed} = states[0];
+		const isWhole = armed !== undefined && areAlike(states, armed.version, armed.step) && armed.step >= holding.heldStep;
+		if (!isWhole && !await this.#undo(states, versionOf(), untilMs)) {
+			return undefined;
 		}
 
-		return 'unsettled';
+		const isReleased = await this.#orderUntilTaken(this.#holding, {kind: 'go', step: holding.heldStep}, untilMs);
+		return isReleased ? (isWhole ? 'switched' : 'aborted') : undefined;
 	}
 
-	async #disarm(states: readonly EngineState[], untilMs: number): Promise<void> {
+	/** Disarms all ranks and lets them prepare the map they use under a higher version, so that none can be armed late. */
+	async #undo(states: readonly EngineState[], version: number, untilMs: number): Promise<boolean> {
 		await Promise.all(this.#ranks.engines.map(async (engine, rank) => {
 			const {armed} = states[rank];
-			if (armed) {
-				await this.#orderUntilTaken(engine, {kind: 'disarm', version: armed.version}, untilMs);
-			}
+			return armed && this.#orderUntilTaken(engine, {kind: 'disarm', version: armed.version}, untilMs);
 		}));
+		const held = await Promise.all(this.#ranks.engines.map(async engine => engine.experts()));
+		const known = held.flatMap(experts => experts ? [experts] : []);
+		if (known.length < held.length) {
+			return false;
+		}
+
+		const lists = known[0].experts.map((_, set) => known.map(({experts}) => experts[set]));
+		const isPrepared = await this.#toAll({kind: 'prepare', version, map: lists}, untilMs);
+		const after = await this.#states();
+		return isPrepared && after !== undefined && after.every(state => state.armed === undefined);
 	}
 
-	/** Lets each doubtful rank count one more order, so that an order that is still on its way no longer fits. */
-	async #settleDoubts(states: readonly EngineState[]): Promise<boolean> {
-		for (const [rank, engine] of this.#ranks.engines.entries()) {
-			if (!this.#doubtful.has(engine)) {
-				continue;
-			}
+	/** Takes a fencing number above all that the ranks have seen. */
+	async #takeOffice(): Promise<boolean> {
+		const states = await this.#states();
+		if (!states) {
+			return false;
+		}
 
-			const untilMs = this.#nowMs() + armLimitMs;
-			const farStep = states[rank].step + farPasses;
-			const isHeld = engine === this.#holding && states[rank].heldStep !== undefined;
-			const isSettled = isHeld || (await this.#orderUntilTaken(engine, {kind: 'hold', step: farStep}, untilMs) && await this.#orderUntilTaken(engine, {kind: 'go', step: farStep}, untilMs));
-			if (!isSettled) {
-				return false;
-			}
+		this.#fencing = Math.max(...states.map(state => state.fencing ?? 0)) + 1;
+		return this.#toAll({kind: 'fence'}, this.#nowMs() + armLimitMs);
+	}
 
-			this.#doubtful.delete(engine);
+	async #prepare(version: number, map: ExpertLists): Promise<boolean> {
+		const untilMs = this.#nowMs() + prepareLimitMs;
+		if (!await this.#toAll({kind: 'prepare', version, map}, untilMs)) {
+			return false;
 		}
 
-		return true;
-	}
+		for (;;) {
+			const states = await this.#states();
+			if (!states || this.#nowMs() > untilMs) {
+				return false;
+			}
 
-	async #release(step: number, untilMs: number): Promise<boolean> {
-		while (this.#nowMs() < untilMs) {
-			const state = await this.#holding.state();
-			if (state && (state.heldStep === undefined || state.rankPlace?.epoch !== this.#ranks.epoch)) {
+			if (states.every(state => state.preparedVersion === version)) {
 				return true;
 			}
 
-			await this.#orderUntilTaken(this.#holding, {kind: 'go', step: state?.heldStep ?? step}, this.#nowMs() + armLimitMs);
+			await sleep(preparePollMs);
 		}
+	}
 
-		return false;
+	async #toAll(body: Body, untilMs: number): Promise<boolean> {
+		const results = await Promise.all(this.#ranks.engines.map(async engine => this.#orderUntilTaken(engine, body, untilMs)));
+		return results.every(Boolean);
 	}
 
-	/** Repeats an order under the same number until the rank has taken it, has refused it, or time is up. */
+	/** Repeats an order that gets no answer until the rank has taken it, has refused it, or time is up. */
 	async #orderUntilTaken(engine: EngineDoor, body: Body, untilMs: number): Promise<boolean> {
-		let isDoubtful = false;
 		while (this.#nowMs() < untilMs) {
-			const before = await engine.state();
-			if (!before || before.rankPlace?.epoch !== this.#ranks.epoch) {
-				await sleep(pollMs);
-				if (before) {
-					break;
-				}
-
-				continue;
-			}
-
-			if (isDoubtful && isTakenAlready(before, body)) {
-				this.#doubtful.delete(engine);
+			const outcome: OrderOutcome = await engine.order({...body, fencing: this.#fencing, epoch: this.#ranks.epoch} as EngineOrder);
+			if (outcome === 'begun' || outcome === 'done') {
 				return true;
 			}
 
-			const outcome: OrderOutcome = await engine.order({...body, expectedSequence: before.orderSequence, epoch: this.#ranks.epoch} as EngineOrder);
-			if (outcome === 'begun' || outcome === 'done') {
-				if (outcome === 'begun') {
-					this.#doubtful.delete(engine);
+			const state = await engine.state();
+			if (state && (state.rankPlace?.epoch !== this.#ranks.epoch || outcome === 'refused' || isTakenAlready(state, body))) {
+				const isTaken = state.rankPlace?.epoch === this.#ranks.epoch && isTakenAlready(state, body);
+				if (!isTaken) {
+					this.#firstRefusal ??= `${body.kind} at rank ${state.rankPlace?.rank}: ${outcome}, step ${state.step}`;
 				}
 
-				return true;
+				return isTaken;
 			}
-
-			if (outcome === 'refused') {
-				const after = await engine.state();
-				return after !== undefined && after.rankPlace?.epoch === this.#ranks.epoch && isTakenAlready(after, body);
-			}
-
-			isDoubtful = true;
-			this.#doubtful.add(engine);
 		}
 
+		this.#firstRefusal ??= `${body.kind}: no answer`;
 		return false;
 	}
 
@@ -238,9 +221,17 @@
 	}
 }
 
+function areAlike(states: readonly EngineState[], version: number, step: number): boolean {
+	return states.every(({armed}) => armed?.version === version && armed.step === step);
+}
+
 /** Whether the state shows that an order was carried out. */
 function isTakenAlready(state: EngineState, body: Body): boolean {
 	switch (body.kind) {
+		case 'fence': {
+			return false;
+		}
+
 		case 'prepare': {
 			return state.preparedVersion === body.version;
 		}
--- a/packages/rank-agent/src/rank-agent.ts
+++ b/packages/rank-agent/src/rank-agent.ts
@@ -14,8 +14,11 @@
 import type {RankPlace, TargetLoad} from '@rattanspring/target-table';
 import type {Clock} from '@rattanspring/types';
 import type {EngineDoor, EngineOrder, EngineState} from './engine-door.js';
-import {ranksOf, RemoteEngine} from './group-ranks.js';
+import {FencedDoor} from './fenced-door.js';
+import {type GroupRanks, ranksOf, RemoteEngine} from './group-ranks.js';
 import {MapKeeper} from './map-keeper.js';
+import {MapSwitch} from './map-switch.js';
+import {MapVersions} from './map-versions.js';
 
 /** Time between measurements. */
 const measureIntervalMs = 200;
@@ -26,8 +29,12 @@
 /** Time between looks at what the group's requests choose. */
 const mapIntervalMs = 700;
 
-/** The rank whose agent keeps the map. */
+/** The rank whose agent keeps the map, and the one at which the group is held meanwhile, if there are several. */
 const keepingRank = 0;
+const holdingRank = 1;
+
+/** A group held for longer than this was left by its keeper; the agent of the holding rank releases it. */
+const abandonedAfterMs = 600;
 
 /** Places of experts on the ranks of a group. */
 export type ExpertPlaces = {readonly placesPerRank: number; readonly newPerRank: number};
@@ -54,12 +61,15 @@
 export class RankAgent {
 	readonly #options: RankAgentOptions;
 	readonly #links: ControlLinks;
+	readonly #door: FencedDoor;
+	readonly #versions: MapVersions;
 	readonly #calls = new LinkCalls();
 	readonly #server = new Server(serverOptions);
 	readonly #timers: NodeJS.Timeout[] = [];
 	#keeper: MapKeeper | undefined;
 	#place: RankPlace | undefined;
 	#isKeeping = false;
+	#heldSinceMs: number | undefined;
 	#isMeasuring = false;
 	#isReachable = true;
 	#told: TargetLoad | undefined;
@@ -68,6 +78,8 @@
 
 	constructor(options: RankAgentOptions) {
 		this.#options = options;
+		this.#door = new FencedDoor(options.door);
+		this.#versions = new MapVersions(() => options.clock.wallMs());
 		this.#links = new ControlLinks({
 			nowMs: () => options.clock.monotonicMs(),
 			seeds: options.seeds,
@@ -141,6 +153,7 @@
 
 		if (state) {
 			this.#tell(state);
+			void this.#releaseIfAbandoned(state);
 		}
 	}
 
@@ -153,8 +166,8 @@
 	}
 
 	async #answerRank(request: RankRequest<EngineOrder>): Promise<unknown> {
-		const {door, targetAddress} = this.#options;
-		if (request.targetAddress !== targetAddress) {
+		const door = this.#door;
+		if (request.targetAddress !== this.#options.targetAddress) {
 			return undefined;
 		}
 
@@ -164,38 +177,62 @@
 	/** One look at the group's map, if this agent keeps it. */
 	async #keepMap(): Promise<void> {
 		const places = this.#options.expertPlaces();
-		const place = this.#place;
-		if (this.#isKeeping || !places || !place?.isOpen || place.rank !== keepingRank) {
+		if (this.#isKeeping || !places || this.#place?.rank !== keepingRank) {
 			return;
 		}
 
-		const {door, clock, logger} = this.#options;
-		const ranks = ranksOf(place.group, place.epoch, place.size, [...this.#links.nodes.values()], card => card.nodeId === this.#options.nodeId
-			? door
-			: new RemoteEngine(this.#calls, card.linkAddress!, card.targetAddress!));
-		if (!ranks) {
+		const {clock, logger} = this.#options;
+		const ranks = this.#ranks();
+		if (ranks) {
+			this.#keeper ??= new MapKeeper({
+				...places, nowMs: () => clock.monotonicMs(), versions: this.#versions, logger,
+			});
+			this.#isKeeping = true;
+			await this.#keeper.round(ranks, Math.min(holdingRank, ranks.engines.length - 1));
+			this.#isKeeping = false;
+		}
+	}
+
+	/** Releases the group if its keeper left it held at this rank. */
+	async #releaseIfAbandoned({heldStep, rankPlace}: EngineState): Promise<void> {
+		const nowMs = this.#options.clock.monotonicMs();
+		this.#heldSinceMs = heldStep === undefined ? undefined : this.#heldSinceMs ?? nowMs;
+		if (this.#heldSinceMs === undefined || heldStep === undefined || this.#isKeeping || nowMs - this.#heldSinceMs < abandonedAfterMs) {
 			return;
 		}
 
-		this.#keeper ??= new MapKeeper({
-			...places, nowMs: () => clock.monotonicMs(), wallMs: () => clock.wallMs(), logger,
-		});
-		this.#isKeeping = true;
-		await this.#keeper.round(ranks, keepingRank);
-		this.#isKeeping = false;
+		const ranks = this.#ranks();
+		if (ranks && rankPlace) {
+			this.#isKeeping = true;
+			const outcome = await new MapSwitch({ranks, holdingRank: rankPlace.rank, nowMs: () => this.#options.clock.monotonicMs()}).recover(heldStep, () => this.#versions.next());
+			this.#isKeeping = false;
+			this.#heldSinceMs = undefined;
+			this.#options.logger.log('warn', 'abandonedGroupReleased', {group: ranks.group, epoch: ranks.epoch, step: heldStep, outcome});
+		}
+	}
+
+	#ranks(): GroupRanks | undefined {
+		const place = this.#place;
+		const {nodeId} = this.#options;
+		return place?.isOpen
+			? ranksOf(place, this.#links.nodes.values(), card => card.nodeId === nodeId ? this.#door : new RemoteEngine(this.#calls, card.linkAddress!, card.targetAddress!))
+			: undefined;
 	}
 
 	#notePlace(place: RankPlace | undefined): void {
 		const isSame = JSON.stringify(place) === JSON.stringify(this.#place);
 		this.#place = place;
 		if (!isSame) {
-			this.#options.logger.log('info', 'rankPlaceChanged', {group: place?.group, epoch: place?.epoch, rank: place?.rank, isOpen: place?.isOpen});
+			this.#options.logger.log('info', 'rankPlaceChanged', {
+				group: place?.group, epoch: place?.epoch, rank: place?.rank, isOpen: place?.isOpen,
+			});
 			this.#links.sayHello();
 		}
 	}
 
 	#tell(state: EngineState): void {
 		this.#notePlace(state.rankPlace);
+		this.#versions.note(Math.max(state.mapVersion ?? 0, state.preparedVersion ?? 0));
 		const load = loadOf(this.#options.targetAddress, state);
 		const nowMs = this.#options.clock.monotonicMs();
 		if (nowMs - this.#toldAtMs < repeatAfterMs && this.#told && isSameLoad(load, this.#told)) {
--- a/packages/target-connection/src/connection-pool.ts
+++ b/packages/target-connection/src/connection-pool.ts
@@ -4,7 +4,7 @@
 */
 
 import type {Buffer} from 'node:buffer';
-import {Client, type Dispatcher} from 'undici';
+import {buildConnector, Client, type Dispatcher} from 'undici';
 import {
 	type Exchange, type ExchangeOptions, TargetExchange,
 } from './target-exchange.js';
@@ -27,6 +27,7 @@
 export class ConnectionPool extends TargetExchange {
 	readonly #options: Required<ConnectionPoolOptions>;
 	readonly #idle = new Map<string, Client[]>();
+	readonly #resets = new WeakSet<Client>();
 
 	constructor(options: ConnectionPoolOptions = {}) {
 		super();
@@ -57,7 +58,7 @@
 			},
 			onHeaders(status, rawHeaders) {
 				if (!isOver && status >= 200) {
-					listener.onHead({status, ...readHeaders(rawHeaders as Buffer[])});
+					listener.onHead({status, ...readHeaders(rawHeaders)});
 				}
 
 				return true;
@@ -70,7 +71,13 @@
 				return true;
 			},
 			onComplete: () => {
-				if (finish()) {
+				if (!finish()) {
+					return;
+				}
+
+				if (this.#resets.has(client)) {
+					listener.onFailed({type: 'broken', message: 'reset'});
+				} else {
 					this.#keep(address, client, needsFreshConnection);
 					listener.onEnd();
 				}
@@ -84,7 +91,7 @@
 		};
 		const {method, path, headers, body} = request;
 		client.dispatch({
-			method: method as Dispatcher.HttpMethod, path, headers: [...headers], body: body && body.byteLength > 0 ? body : null, // eslint-disable-line @typescript-eslint/no-restricted-types -- the library's word for no body
+			method: method as Dispatcher.HttpMethod, path, headers: [...headers], body: body && body.byteLength > 0 ? body : null,
 		}, handler);
 		return {
 			abandon() {
@@ -107,10 +114,12 @@
 	}
 
 	#open(address: string): Client {
-		const {connectTimeoutMs, keepIdleMs} = this.#options;
-		const client = new Client(`http://${address}`, {
+		const {keepIdleMs} = this.#options;
+		const client: Client = new Client(`http://${address}`, {
 			pipelining: 1,
-			connect: {timeout: connectTimeoutMs, noDelay: true},
+			connect: this.#connector(() => {
+				this.#resets.add(client);
+			}),
 			keepAliveTimeout: keepIdleMs,
 			keepAliveMaxTimeout: keepIdleMs,
 			keepAliveTimeoutThreshold: idleMarginMs,
@@ -123,6 +132,23 @@
 		return client;
 	}
 
+	/** Notes resets: undici takes an answer without a length for whole when its connection is reset, which it is not. */
+	#connector(onReset: () => void): buildConnector.connector {
+		const connect = buildConnector({timeout: this.#options.connectTimeoutMs, noDelay: true});
+		return (options, callback) => {
+			connect(options, (...result) => {
+				const [error, socket] = result;
+				if (error === null) { // eslint-disable-line @typescript-eslint/no-restricted-types -- the library's word for no error
+					socket.on('error', () => {
+						onReset();
+					});
+				}
+
+				callback(...result);
+			});
+		};
+	}
+
 	#takeIdle(address: string): Client | undefined {
 		const clients = this.#idle.get(address);
 		for (let client = clients?.pop(); client; client = clients?.pop()) {
--- /dev/null
+++ b/packages/target-connection/src/target-connection.test.ts
@@ -0,0 +1,218 @@
+import {Buffer} from 'node:buffer';
+import net, {type AddressInfo, type Socket} from 'node:net';
+import {
+	after, afterEach, before, describe, it,
+} from 'node:test';
+import {expect} from 'earl';
+import {
+	ConnectionPool, EventSplitter, type ExchangeFailure,
+} from './index.js';
+
+/** A target at the level of bytes: each connection is handed to the test's own script. */
+class ScriptedTarget {
+	connections = 0;
+	requests: string[] = [];
+	script: (socket: Socket, request: string, count: number) => void = () => undefined;
+	readonly #sockets = new Set<Socket>();
+	readonly #server = net.createServer(socket => {
+		this.connections++;
+		this.#sockets.add(socket);
+		socket.on('error', () => undefined);
+		socket.on('data', (chunk: Buffer) => {
+			this.requests.push(chunk.toString());
+			this.script(socket, chunk.toString(), this.requests.length);
+		});
+	});
+
+	get address(): string {
+		return `127.0.0.1:${(this.#server.address() as AddressInfo).port}`;
+	}
+
+	async start(): Promise<void> {
+		await new Promise<void>(resolve => {
+			this.#server.listen(0, '127.0.0.1', resolve);
+		});
+	}
+
+	stop(): void {
+		for (const socket of this.#sockets) {
+			socket.destroy();
+		}
+
+		this.#server.close();
+	}
+}
+
+type Outcome = {readonly status?: number; readonly body: string; readonly failure?: ExchangeFailure; readonly isSent: boolean};
+
+async function exchange(pool: ConnectionPool, address: string, needsFreshConnection = false): Promise<Outcome> {
+	return new Promise(resolve => {
+		let status: number | undefined;
+		let body = '';
+		let isSent = false;
+		pool.send({
+			address,
+			needsFreshConnection,
+			request: {method: 'POST', path: '/a/b?c=1', headers: ['Host', 'x.example', 'Attempt-Id', '7'], body: Buffer.from('hello')},
+			listener: {
+				onSending() {
+					isSent = true;
+				},
+				onHead(head) {
+					status = head.status;
+				},
+				onData(chunk) {
+					body += chunk.toString();
+				},
+				onEnd() {
+					resolve({status, body, isSent});
+				},
+				onFailed(failure) {
+					resolve({
+						status, body, failure, isSent,
+					});
+				},
+			},
+		});
+	});
+}
+
+async function pause(timeoutMs: number): Promise<void> {
+	await new Promise(resolve => {
+		setTimeout(resolve, timeoutMs);
+	});
+}
+
+const wholeAnswer = 'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok';
+
+describe('ConnectionPool', () => {
+	const target = new ScriptedTarget();
+	let pool = new ConnectionPool();
+	before(async () => target.start());
+	after(() => {
+		target.stop();
+	});
+	afterEach(() => {
+		pool.close();
+		pool = new ConnectionPool();
+		target.connections = 0;
+		target.requests = [];
+	});
+
+	describe('with a sound target', () => {
+		it('sends method, path, headers and body unchanged, and keeps the connection', async () => {
+			target.script = socket => socket.write(wholeAnswer);
+			expect((await exchange(pool, target.address)).body).toEqual('ok');
+			expect((await exchange(pool, target.address)).status).toEqual(200);
+			expect(target.connections).toEqual(1);
+			const [first] = target.requests;
+			expect(first.startsWith('POST /a/b?c=1 HTTP/1.1\r\n')).toEqual(true);
+			expect(first.toLowerCase()).toInclude('host: x.example\r\n');
+			expect(first).toInclude('Attempt-Id: 7\r\n');
+			expect(first.endsWith('\r\n\r\nhello')).toEqual(true);
+		});
+
+		it('opens a connection of its own where a request must not meet an idle close', async () => {
+			target.script = socket => socket.write(wholeAnswer);
+			await exchange(pool, target.address);
+			await exchange(pool, target.address, true);
+			expect(target.connections).toEqual(2);
+		});
+	});
+
+	describe('with a target that spoils its answers', () => {
+		const broken: Array<[string, string]> = [
+			['breaks off inside the body', 'HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok'],
+			['breaks off inside a chunk', 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nok'],
+			['ends without the last chunk', 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n'],
+			['sends bytes that are no answer', 'hello\r\n\r\n'],
+			['closes without an answer', ''],
+		];
+		for (const [what, bytes] of broken) {
+			it(`never takes for whole an answer of a target that ${what}`, async () => {
+				target.script = socket => {
+					socket.end(bytes);
+				};
+
+				const outcome = await exchange(pool, target.address);
+				expect(outcome.failure?.type).toEqual('broken');
+			});
+		}
+
+		it('does not take an answer without a length for whole when its connection is reset', async () => {
+			target.script = socket => {
+				socket.write('HTTP/1.1 200 OK\r\n\r\npart');
+				setTimeout(() => {
+					socket.resetAndDestroy();
+				}, 20);
+			};
+
+			expect((await exchange(pool, target.address)).failure?.type).toEqual('broken');
+		});
+
+		it('never uses a connection again on which bytes followed a whole answer', async () => {
+			target.script = (socket, _request, count) => socket.write(count === 1 ? wholeAnswer + 'HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong' : wholeAnswer);
+			await exchange(pool, target.address);
+			await pause(30);
+			const second = await exchange(pool, target.address);
+			expect(second.body).toEqual('ok');
+			expect(target.connections).toEqual(2);
+		});
+
+		it('never uses a connection again on which an extra answer came late', async () => {
+			target.script = (socket, _request, count) => {
+				socket.write(wholeAnswer);
+				if (count === 1) {
+					setTimeout(() => socket.write('HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong'), 20);
+				}
+			};
+
+			await exchange(pool, target.address);
+			await pause(60);
+			expect((await exchange(pool, target.address)).body).toEqual('ok');
+			expect(target.connections).toEqual(2);
+		});
+	});
+
+	describe('with a target that cannot be reached', () => {
+		it('says that not one byte was sent', async () => {
+			const outcome = await exchange(pool, '127.0.0.1:1');
+			expect(outcome.failure?.type).toEqual('notSent');
+			expect(outcome.isSent).toEqual(false);
+		});
+	});
+
+	describe('with a target that closes an idle connection', () => {
+		it('opens a new one for the next request', async () => {
+			target.script = socket => {
+				socket.write(wholeAnswer);
+				setTimeout(() => socket.end(), 20);
+			};
+
+			await exchange(pool, target.address);
+			await pause(60);
+			expect((await exchange(pool, target.address)).body).toEqual('ok');
+		});
+	});
+});
+
+describe('EventSplitter', () => {
+	it('passes on whole events only, wherever the bytes are cut', () => {
+		const stream = Buffer.from('id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n');
+		for (let cut = 1; cut < stream.byteLength; cut++) {
+			const splitter = new EventSplitter();
+			const first = splitter.push(stream.subarray(0, cut));
+			const second = splitter.push(stream.subarray(cut));
+			expect(first.bytes.toString() + second.bytes.toString()).toEqual(stream.toString());
+			expect(first.bytes.byteLength === 0 || first.bytes.toString().endsWith('\n\n')).toEqual(true);
+			expect(second.lastId ?? first.lastId).toEqual('3');
+			expect(splitter.isAtBorder).toEqual(true);
+		}
+	});
+
+	it('knows when a stream ends inside an event', () => {
+		const splitter = new EventSplitter();
+		expect(splitter.push(Buffer.from('id: 1\ndata: a\n\nid: 2\nda')).lastId).toEqual('1');
+		expect(splitter.isAtBorder).toEqual(false);
+	});
+});
--- a/xo.config.js
+++ b/xo.config.js
@@ -1,5 +1,5 @@
 /** Linter and formatter settings: XO's rules, plus the purity rule for cores. */
-const pureCores = ['types', 'replicated-log', 'fleet-state', 'request-ledger', 'directory', 'routing', 'expert-map', 'service-level'];
+const pureCores = ['types', 'replicated-log', 'fleet-state', 'request-ledger', 'directory', 'routing', 'expert-map', 'service-level', 'desired-state', 'target-table', 'placement'];
 const clocks = ['Date', 'performance', 'setTimeout', 'setInterval', 'setImmediate', 'queueMicrotask', 'process', 'fetch', 'crypto'];
 const testFunctions = ['describe', 'it', 'test', 'suite', 'before', 'after', 'beforeEach', 'afterEach'];
 const clockMessage = 'A pure core takes time, randomness and messages as inputs.';
@@ -10,7 +10,7 @@
 
 /** @type {import('xo').FlatXoConfig} */
 const config = [
-	{ignores: ['**/dist/**', 'packages/protocol/src/generated/**']},
+	{ignores: ['**/dist/**', 'target/**', 'packages/protocol/src/generated/**']},
 	{
 		files: ['**/*.ts', '**/*.js'],
 		rules: {
@@ -36,6 +36,16 @@
 		files: ['packages/protocol/src/{channel-options,credentials}.ts', 'packages/daemon/src/adapters/access-policy.ts', 'packages/fleet-state/src/catalogue.ts', 'packages/stand-ins/src/engine-server.ts'],
 		rules: {'@typescript-eslint/naming-convention': 'off'},
 	},
+	{
+		// Names of the platform's wire, and of the headers and options of libraries.
+		files: ['platform/src/**/*.ts', 'packages/voter-group/src/grpc-peer-transport.ts', 'packages/gateway/src/{caller-answer,request-flow}.ts'],
+		rules: {'@typescript-eslint/naming-convention': 'off'},
+	},
+	{
+		// The shapes of gRPC callbacks and of parsed JSON have null; bytes from the network are searched with Buffer's methods.
+		files: ['platform/src/**/*.ts', 'packages/{fleet-link,fleet-control,rank-agent,gateway,target-connection}/src/**/*.ts'],
+		rules: {'@typescript-eslint/no-restricted-types': 'off'},
+	},
 	{
 		files: pureCores.map(name => `packages/${name}/src/**/*.ts`),
 		ignores: ['**/*.test.ts'],
