--- a/packages/fleet-control/src/document-group.ts
+++ b/packages/fleet-control/src/document-group.ts
@@ -76,7 +76,6 @@
 	readonly #calls = new LinkCalls();
 	#driver: ReplicaDriver<ReplaceOutcome> | undefined;
 	#voterId = '';
-	#groupSize = 0;
 	#timer: NodeJS.Timeout | undefined;
 	#toldVersion = -1;
 	#isStopped = false;
@@ -107,6 +106,11 @@
 		return this.#driver?.state.role === 'leader';
 	}
 
+	/** Whether this member counts. */
+	get isVoter(): boolean {
+		return this.#driver !== undefined && isVoter(membershipOf(this.#driver.state), this.#voterId);
+	}
+
 	/** Recovers, forms or joins the group, and starts. */
 	async start(): Promise<void> {
 		const {dataFolder, nodeId, logger} = this.#options;
@@ -286,7 +290,7 @@
 
 	/** A member that is no voter asks the others to take it in, until it is one. */
 	async #joinIfOutside(): Promise<void> {
-		while (!this.#isStopped && !this.#isVoter()) {
+		while (!this.#isStopped && !this.isVoter) {
 			const {linkAddress, seeds, others} = this.#options;
 			const addresses = new Set([...seeds(), ...others()].filter(address => address !== linkAddress));
 			const request = {voterId: this.#voterId, address: linkAddress};
@@ -295,12 +299,17 @@
 		}
 	}
 
-	#isVoter(): boolean {
-		return this.#driver !== undefined && isVoter(membershipOf(this.#driver.state), this.#voterId);
+	/** Voters that the group should have. */
+	get #size(): number {
+		return Math.max(1, this.#options.seeds().length);
 	}
 
 	async #addLearner(driver: ReplicaDriver<ReplaceOutcome>, membership: Membership, newcomer: {voterId: string; address: string}): Promise<void> {
 		const replaces = replacedBy({membership, newcomer, silentMsOf: voterId => this.#silentMsOf(driver, voterId)});
+		if (replaces === undefined && membership.voters.length >= this.#size) {
+			return;
+		}
+
 		const result = await driver.changeMembership({kind: 'add', learner: {...newcomer, ...(replaces !== undefined && {replaces})}});
 		this.#options.logger.log('info', 'memberJoins', {
 			voterId: newcomer.voterId, address: newcomer.address, replaces, outcome: result.ok ? 'accepted' : result.failure.type,
@@ -315,8 +324,7 @@
 		}
 
 		const membership = membershipOf(driver.state);
-		this.#groupSize = this.#groupSize === 0 ? Math.max(1, Math.min(membership.voters.length, this.#options.seeds().length)) : this.#groupSize;
-		const surplus = surplusVoter(membership, this.#groupSize, voterId => this.#silentMsOf(driver, voterId)) ?? staleLearner(membership);
+		const surplus = surplusVoter(membership, this.#size, voterId => this.#silentMsOf(driver, voterId)) ?? staleLearner(membership);
 		if (surplus !== undefined) {
 			const result = await driver.changeMembership({kind: 'remove', voterId: surplus});
 			this.#options.logger.log('info', 'memberRemoved', {voterId: surplus, outcome: result.ok ? 'accepted' : result.failure.type});
--- a/packages/fleet-control/src/fleet-control.ts
+++ b/packages/fleet-control/src/fleet-control.ts
@@ -112,6 +112,11 @@
 		await this.#group.start();
 	}
 
+	/** Whether this process counts in the group. */
+	get isVoter(): boolean {
+		return this.#group.isVoter;
+	}
+
 	/** Commits a document; undefined if it may or may not have been accepted. */
 	async replace(document: StoredDocument): Promise<ReplaceOutcome | undefined> {
 		const held = this.#group.document;
--- a/packages/fleet-control/src/replacement.ts
+++ b/packages/fleet-control/src/replacement.ts
@@ -1,7 +1,7 @@
 /**
 Which voter a newcomer takes the place of. A voter that comes back at its address under another identity has lost its
 disk, so its old identity can never vote again. At a new address a newcomer replaces a voter that has been out of reach
-for long; without one it is added, and the group shrinks back once a voter stays away.
+for long; as long as all voters of a whole group are heard, it waits.
 */
 
 import type {Membership, Voter} from '@rattanspring/replicated-log';
@@ -20,7 +20,7 @@
 	readonly silentMsOf: (voterId: string) => number;
 };
 
-/** The voter that the newcomer takes the place of; undefined to add it as one more. */
+/** The voter that the newcomer takes the place of; undefined while all are heard. */
 export function replacedBy({membership, newcomer, silentMsOf}: ReplacementInput): string | undefined {
 	const sameAddress = membership.voters.find(voter => voter.address === newcomer.address);
 	if (sameAddress) {
--- a/packages/rank-agent/src/map-switch.ts
+++ b/packages/rank-agent/src/map-switch.ts
@@ -19,7 +19,7 @@
 export type SwitchOutcome = 'switched' | 'notPrepared' | 'left' | 'aborted' | 'groupChanged' | 'unsettled';
 
 /** Passes between the last one begun and the one at which the ranks switch. */
-const marginPasses = 4;
+const marginPasses = 6;
 
 /** Passes that tell switches apart which start from the same pass. */
 const passSpread = 3;
