Count a group's slowest rank when placing, and say in the log what a choice was made from

A frozen control process also held up the loads of its zone's agents, and entries with stale figures counted only their own requests. Change: a group's pace is that of its slowest rank; agents tell two control processes; stale figures are scaled by the number of entries. Ruled out: waiting at the entry (waitedMs 0 to 2 on all late streams). The log names busy, limit and age of the figures for each request.

--- a/packages/fleet-control/src/fleet-control.test.ts
+++ b/packages/fleet-control/src/fleet-control.test.ts
@@ -3,7 +3,7 @@
 import {tmpdir} from 'node:os';
 import path from 'node:path';
 import {
-	after, afterEach, beforeEach, describe, it,
+	afterEach, beforeEach, describe, it,
 } from 'node:test';
 import {LinkClient} from '@rattanspring/fleet-link';
 import {FatalPort} from '@rattanspring/log-storage';
@@ -39,11 +39,6 @@
 		await Promise.all([...running.keys()].map(async index => stop(index)));
 		await rm(folder, {recursive: true, force: true});
 	});
-	after(() => {
-		// Streams that wait for a peer keep no test alive.
-		setTimeout(() => process.exit(), 3000).unref();
-	});
-
 	async function start(index: number, isFirstStart: boolean): Promise<void> {
 		const control = new FleetControl({
 			nodeId: `n${index}`,
@@ -124,7 +119,8 @@
 		await stop(0);
 		await stop(1);
 		const control = running.get(2)!;
-		expect((await control.read()).isConfirmed).toEqual(false);
+		const read = await control.read();
+		expect(read.isConfirmed).toEqual(false);
 		expect(await control.replace({version: 8, text: 'alone'})).toEqual(undefined);
 	});
 
@@ -135,7 +131,8 @@
 		await rm(path.join(folder, 'disk-2'), {recursive: true});
 		await replace(8);
 		await start(2, false);
-		await eventually(async () => (await running.get(2)!.read()).document?.version === 8 && running.get(2)!.isVoter);
+		await eventually(async () => running.get(2)!.isVoter);
+		expect(await confirmedVersion(2)).toEqual(8);
 		await stop(0);
 		await replace(9);
 		expect(await confirmedVersion(2)).toEqual(9);
@@ -189,8 +186,9 @@
 
 	it('replaces the voter that was silent longest, and none while all are heard', () => {
 		const newcomer = {voterId: 'd.1', address: 'D'};
+		const silentMs = new Map([['a.1', 0], ['b.1', 9000], ['c.1', 3000]]);
 		expect(replacedBy({membership, newcomer, silentMsOf: () => 100})).toEqual(undefined);
-		expect(replacedBy({membership, newcomer, silentMsOf: id => ({'a.1': 0, 'b.1': 9000, 'c.1': 3000})[id]!})).toEqual('b.1');
+		expect(replacedBy({membership, newcomer, silentMsOf: id => silentMs.get(id)!})).toEqual('b.1');
 	});
 });
 
--- a/packages/gateway/src/forward-flow.ts
+++ b/packages/gateway/src/forward-flow.ts
@@ -6,7 +6,7 @@
 import type {Buffer} from 'node:buffer';
 import type {ServerResponse} from 'node:http';
 import {
-	type Admission, type AttemptOutcome, type ExchangeOutcome, isRepeatable, nextStep, type Waiting,
+	type Admission, type AttemptOutcome, type ExchangeOutcome, isRepeatable, nextStep, type TargetView, type Waiting,
 } from '@rattanspring/placement';
 import type {AnswerHead} from '@rattanspring/target-connection';
 import type {AllowedCall} from './allowed-call.js';
@@ -53,7 +53,8 @@
 	#streamHead: AnswerHead | undefined;
 	/** A failure that a target answered, kept in case no other target does better. */
 	#failedAnswer: WholeAnswer | undefined;
-	#lastTarget: string | undefined;
+	/** What the last choice of a target was made from. */
+	#lastView: TargetView | undefined;
 	#isOver = false;
 
 	constructor(context: FlowContext, answer: CallerAnswer, call: AllowedCall) {
@@ -116,7 +117,7 @@
 		const {report} = admission.view;
 		this.#admittedAtMs ??= this.#nowMs;
 		this.#context.board.sent(report.targetId, this.#nowMs);
-		this.#lastTarget = report.targetId;
+		this.#lastView = admission.view;
 		const isResumed = this.#streamHead !== undefined;
 		const urgency = isResumed ? urgencies.resumed : (admission.isLate ? urgencies.late : urgencies.onTime);
 		this.#send(report.address, report.targetId, report.bornMs, urgency);
@@ -334,7 +335,10 @@
 			outcome,
 			status,
 			reason,
-			targetId: this.#lastTarget,
+			targetId: this.#lastView?.report.targetId,
+			busy: this.#lastView?.busy,
+			limit: this.#lastView?.limit,
+			loadAgeMs: sinceMs(0, this.#lastView?.loadAgeMs),
 			sent: this.#sentCount,
 			waitedMs: sinceMs(arrivedAtMs, this.#admittedAtMs),
 			firstByteMs: sinceMs(arrivedAtMs, this.#firstByteAtMs),
--- a/packages/gateway/src/gateway.test.ts
+++ b/packages/gateway/src/gateway.test.ts
@@ -13,11 +13,11 @@
 import {type AnswerHead, ConnectionPool} from '@rattanspring/target-connection';
 import type {TargetReport} from '@rattanspring/target-table';
 import {expect} from 'earl';
+import type {FlowContext} from './flow-context.js';
+import {serveRequest} from './request-flow.js';
 import {
 	type AnswerFacts, CallDialect, CallerServer, type CallFacts, type TargetFacts,
 } from './index.js';
-import type {FlowContext} from './flow-context.js';
-import {serveRequest} from './request-flow.js';
 
 /** Headers of a platform of our own. */
 class TestDialect extends CallDialect {
@@ -49,15 +49,13 @@
 
 /** A target that answers as the test says. */
 class Target {
-	handler: Handler = (request, response) => {
-		answer(request, response, 200, 'done');
-	};
-
 	seen: Array<{readonly headers: http.IncomingHttpHeaders; readonly body: string}> = [];
 	closedEarly = 0;
 	readonly #server = http.createServer((request, response) => {
 		const chunks: Buffer[] = [];
-		request.on('data', (chunk: Buffer) => chunks.push(chunk));
+		request.on('data', (chunk: Buffer) => {
+			chunks.push(chunk);
+		});
 		response.on('close', () => {
 			this.closedEarly += response.writableFinished ? 0 : 1;
 		});
@@ -68,6 +66,10 @@
 		});
 	});
 
+	handler: Handler = (request, response) => {
+		answer(request, response, 200, 'done');
+	};
+
 	get port(): number {
 		return (this.#server.address() as AddressInfo).port;
 	}
@@ -142,7 +144,7 @@
 	});
 
 	function setUp(): void {
-		context?.exchange.close(); // eslint-disable-line @typescript-eslint/no-unnecessary-condition -- not set before the first test
+		context?.exchange.close();
 		table = new RouteTable(state);
 		crashes.length = 0;
 		for (const target of targets) {
@@ -174,7 +176,9 @@
 			random: Math.random,
 			table: () => table,
 			entryCount: () => 1,
-			onCrash: crash => crashes.push(crash),
+			onCrash(crash) {
+				crashes.push(crash);
+			},
 		};
 	}
 
@@ -210,9 +214,15 @@
 		});
 	}
 
+	async function statusOf(path: string, headers: Record<string, string> = {}, body = 'order'): Promise<number> {
+		const got = await call(path, headers, body);
+		return got.status;
+	}
+
 	async function raw(bytes: string): Promise<string> {
 		return new Promise(resolve => {
-			const socket = net.connect(port, '127.0.0.1', () => socket.write(bytes));
+			const socket = net.connect(port, '127.0.0.1');
+			socket.write(bytes);
 			let text = '';
 			socket.on('data', (chunk: Buffer) => {
 				text += chunk.toString();
@@ -221,7 +231,9 @@
 			socket.on('close', () => {
 				resolve(text);
 			});
-			setTimeout(() => socket.destroy(), 1500);
+			setTimeout(() => {
+				socket.destroy();
+			}, 1500);
 		});
 	}
 
@@ -248,16 +260,16 @@
 	describe('with requests that are not allowed or cannot be read', () => {
 		it('says 503 before it knows a desired state, 404 without a route, 401 without a known key', async () => {
 			table = undefined;
-			expect((await call('/plain/x')).status).toEqual(503);
+			expect(await statusOf('/plain/x')).toEqual(503);
 			table = new RouteTable(state);
-			expect((await call('/other/x')).status).toEqual(404);
-			expect((await call('/plain/x', {'x-key': 'other'})).status).toEqual(401);
+			expect(await statusOf('/other/x')).toEqual(404);
+			expect(await statusOf('/plain/x', {'x-key': 'other'})).toEqual(401);
 			expect(sent()).toEqual(0);
 		});
 
 		it('turns down what is too large', async () => {
-			expect((await call('/plain/x', {}, 'x'.repeat(2000))).status).toEqual(413);
-			expect((await call('/plain/x', {'x-more': 'x'.repeat(5000)})).status).toEqual(431);
+			expect(await statusOf('/plain/x', {}, 'x'.repeat(2000))).toEqual(413);
+			expect(await statusOf('/plain/x', {'x-more': 'x'.repeat(5000)})).toEqual(431);
 			expect(sent()).toEqual(0);
 		});
 
@@ -337,7 +349,7 @@
 		it('gives the final answer at the end of the time that the caller has', async () => {
 			setHandlers(() => undefined);
 			const startMs = performance.now();
-			expect((await call('/plain/x', {'x-time-left': '200'})).status).toEqual(504);
+			expect(await statusOf('/plain/x', {'x-time-left': '200'})).toEqual(504);
 			expect(performance.now() - startMs < 350).toEqual(true);
 		});
 	});
@@ -368,7 +380,9 @@
 				response.writeHead(200, head(request));
 				if (last === 0) {
 					response.write(events(1, 3) + 'id: 4\nda');
-					setTimeout(() => response.destroy(), 30);
+					setTimeout(() => {
+						response.destroy();
+					}, 30);
 				} else {
 					response.end(events(last + 1, 6));
 				}
@@ -383,7 +397,9 @@
 			setHandlers((request, response) => {
 				response.writeHead(200, head(request));
 				response.write(events(1, 2));
-				setTimeout(() => response.destroy(), 20);
+				setTimeout(() => {
+					response.destroy();
+				}, 20);
 			});
 			const got = await call('/draft/x');
 			expect(got.isWhole).toEqual(false);
@@ -405,7 +421,7 @@
 			context.guard.note({fingerprint, targetId: 'other', bornMs: 1});
 			context.guard.note({fingerprint, targetId: 'another', bornMs: 1});
 			const before = sent();
-			expect((await call('/plain/x')).status).toEqual(503);
+			expect(await statusOf('/plain/x')).toEqual(503);
 			expect(sent()).toEqual(before);
 		});
 	});
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -68,7 +68,7 @@
 		this.#options = options;
 		const nowMs = () => options.clock.monotonicMs();
 		const {random, logger, metrics, dialect, exchange, failureDomain} = options;
-		this.#board = new TargetBoard({failureDomain});
+		this.#board = new TargetBoard({failureDomain, entryCount: () => Math.max(1, this.#entries.length)});
 		const inProgress = new Map<string, number>();
 		this.#context = {
 			dialect,
--- a/packages/placement/src/placement.test.ts
+++ b/packages/placement/src/placement.test.ts
@@ -19,7 +19,7 @@
 
 function queueOf(board: TargetBoard): AdmissionQueue {
 	return new AdmissionQueue({
-		board, random: () => 0.5, inProgressOf: name => name === 'busy' ? 5 : 0, onWaiting() {}, // eslint-disable-line @typescript-eslint/no-empty-function -- the tests pump themselves
+		board, random: () => 0.5, inProgressOf: name => name === 'busy' ? 5 : 0, onWaiting: () => undefined,
 	});
 }
 
@@ -40,6 +40,39 @@
 }
 
 describe('TargetBoard', () => {
+	describe('with ranks in lock-step', () => {
+		const place = (group: string, rank: number) => ({
+			group, epoch: 1, rank, size: 2, isOpen: true,
+		});
+		const loadOf = (index: number, group: string, pace: number) => ({
+			address: `10.0.0.${index}:80`, bornMs: 1, active: 0, queued: 0, memoryShare: 0, pace, rankPlace: place(group, index % 2),
+		});
+
+		it('leaves a whole group alone whose slowest rank is slow, while the other has room', () => {
+			const board = boardOf(4, 4);
+			board.setLoads([loadOf(0, 'g', 1), loadOf(1, 'g', 4), loadOf(2, 'h', 1), loadOf(3, 'h', 1)], 0);
+			const chosen = [];
+			for (let index = 0; index < 10; index++) {
+				const choice = board.choose({service: 's', nowMs: 0, random: () => 0.5});
+				if (choice.kind === 'target') {
+					chosen.push(choice.view.report.targetId);
+					board.sent(choice.view.report.targetId, 0);
+				}
+			}
+
+			expect(chosen.filter(targetId => targetId === 't2' || targetId === 't3').length).toEqual(10);
+			const overflow = board.choose({service: 's', nowMs: 0, random: () => 0.5});
+			expect(overflow.kind).toEqual('target');
+		});
+
+		it('uses no rank of a group that broke, by the newest word of it', () => {
+			const board = boardOf(2);
+			board.setLoads([{...loadOf(0, 'g', 1), rankPlace: {...place('g', 0), isOpen: false}}], 0);
+			const choice = board.choose({service: 's', nowMs: 0, random: () => 0});
+			expect(choice.kind === 'target' && choice.view.report.targetId).toEqual('t1');
+		});
+	});
+
 	describe('choosing', () => {
 		it('spreads requests over targets before any figures come', () => {
 			const board = boardOf(4);
@@ -117,7 +150,9 @@
 			fill(board);
 			const queue = queueOf(board);
 			const ended: Admission[] = [];
-			queue.admit(request, 0, admission => ended.push(admission));
+			queue.admit(request, 0, admission => {
+				ended.push(admission);
+			});
 			queue.pump(49);
 			expect(ended.length).toEqual(0);
 			queue.pump(51);
@@ -153,9 +188,15 @@
 			fill(board);
 			const queue = queueOf(board);
 			const order: string[] = [];
-			queue.admit({...request, accountName: 'busy'}, 0, () => order.push('busy'));
-			queue.admit(request, 0, () => order.push('idle'));
-			queue.admit({...request, priority: 0, accountName: 'busy'}, 0, () => order.push('urgent'));
+			queue.admit({...request, accountName: 'busy'}, 0, () => {
+				order.push('busy');
+			});
+			queue.admit(request, 0, () => {
+				order.push('idle');
+			});
+			queue.admit({...request, priority: 0, accountName: 'busy'}, 0, () => {
+				order.push('urgent');
+			});
 			for (let index = 0; index < 3; index++) {
 				board.ended('t0', 'answered', 10);
 				queue.pump(10);
--- a/packages/placement/src/target-board.ts
+++ b/packages/placement/src/target-board.ts
@@ -38,6 +38,9 @@
 /** How much busier a target counts that fails every request. */
 const failurePenalty = 12;
 
+/** A target or group that is slower than this, against its published speed, is used only when nothing else has room. */
+const maxSlowness = 3;
+
 type Entry = {
 	report: TargetReport;
 	load?: TargetLoad;
@@ -67,7 +70,11 @@
 export type Choice = {readonly kind: 'target'; readonly view: TargetView} | {readonly kind: 'full'} | {readonly kind: 'none'};
 
 /** Options of a board. */
-export type TargetBoardOptions = {readonly failureDomain: string};
+export type TargetBoardOptions = {
+	readonly failureDomain: string;
+	/** Entries that send to the same targets. */
+	readonly entryCount?: () => number;
+};
 
 /** The board of one entry. */
 export class TargetBoard {
@@ -142,14 +149,15 @@
 		let best: TargetView | undefined;
 		let bestRank = Number.POSITIVE_INFINITY;
 		let isAnyReady = false;
+		const paces = this.#groupPaces(nowMs);
 		for (const [targetId, entry] of this.#entries) {
-			if (!isUsable(entry, service) || excluded?.has(targetId)) {
+			if (!isUsable(entry, service, nowMs) || excluded?.has(targetId)) {
 				continue;
 			}
 
 			isAnyReady = true;
 			const view = this.#view(entry, nowMs);
-			const rank = view.busy + this.#penalty(entry, nowMs) + (random() * drawSpread);
+			const rank = view.busy + this.#penalty(entry, nowMs, paces) + (random() * drawSpread);
 			if (!view.isPaused && view.busy < view.limit && rank < bestRank) {
 				best = view;
 				bestRank = rank;
@@ -165,7 +173,7 @@
 
 	/** All targets of a service. */
 	views(service: string, nowMs: number): TargetView[] {
-		return [...this.#entries.values()].filter(entry => isUsable(entry, service)).map(entry => this.#view(entry, nowMs));
+		return [...this.#entries.values()].filter(entry => isUsable(entry, service, nowMs)).map(entry => this.#view(entry, nowMs));
 	}
 
 	/** Whether this start of a target still takes new work. */
@@ -190,7 +198,7 @@
 		const loadAgeMs = nowMs - loadAtMs;
 		return {
 			report,
-			busy: busyOf(entry, loadAgeMs),
+			busy: busyOf(entry, loadAgeMs, this.#options.entryCount?.() ?? 1),
 			limit: report.slots + queuedPerTarget,
 			isPaused: nowMs < pausedUntilMs,
 			inFlight,
@@ -198,21 +206,38 @@
 		};
 	}
 
-	#penalty(entry: Entry, nowMs: number): number {
+	/** The pace of each group is that of its slowest rank, as all ranks work in lock-step. */
+	#groupPaces(nowMs: number): Map<string, number> {
+		const paces = new Map<string, number>();
+		for (const {load, loadAtMs} of this.#entries.values()) {
+			if (load?.rankPlace && nowMs - loadAtMs < maxLoadAgeMs) {
+				const {group} = load.rankPlace;
+				paces.set(group, Math.max(paces.get(group) ?? 1, load.pace));
+			}
+		}
+
+		return paces;
+	}
+
+	#penalty(entry: Entry, nowMs: number, paces: ReadonlyMap<string, number>): number {
 		const distance = entry.report.failureDomain === this.#options.failureDomain ? 0 : distancePenalty;
-		const pace = entry.load ? Math.max(0, entry.load.pace - 1) * entry.report.slots : 0;
-		return distance + pace + (failureShareAt(entry, nowMs) * failurePenalty);
+		const pace = paces.get(entry.load?.rankPlace?.group ?? '') ?? entry.load?.pace ?? 1;
+		const slowness = Math.min(maxSlowness, Math.max(0, pace - 1)) * entry.report.slots;
+		return distance + slowness + (failureShareAt(entry, nowMs) * failurePenalty);
 	}
 }
 
-function isUsable({report}: Entry, service: string): boolean {
-	return report.service === service && report.state === 'ready' && (report.rankPlace?.isOpen ?? true);
+/** Whether a target takes work: it is ready, and its group of ranks is whole by the newest word of it. */
+function isUsable({report, load, loadAtMs}: Entry, service: string, nowMs: number): boolean {
+	const place = load && nowMs - loadAtMs < maxLoadAgeMs ? load.rankPlace : report.rankPlace;
+	return report.service === service && report.state === 'ready' && (place?.isOpen ?? true);
 }
 
-function busyOf(entry: Entry, loadAgeMs: number): number {
+/** Without fresh figures the other entries are taken to send as much as this one. */
+function busyOf(entry: Entry, loadAgeMs: number, entryCount: number): number {
 	const {load, inFlight, sentAtMs} = entry;
 	if (!load || loadAgeMs > maxLoadAgeMs) {
-		return inFlight;
+		return load ? inFlight * entryCount : inFlight;
 	}
 
 	return Math.max(inFlight, load.active + load.queued + sentAtMs.length);
--- a/packages/rank-agent/src/lockstep-group.ts
+++ b/packages/rank-agent/src/lockstep-group.ts
@@ -25,7 +25,7 @@
 /** Options of a group. */
 export type LockstepGroupOptions = {
 	readonly ranks: number;
-	readonly lists: ReadonlyArray<Lists>;
+	readonly lists: readonly Lists[];
 	readonly copyMs: number;
 	readonly passMs: number;
 	readonly lateMs: () => number;
@@ -190,7 +190,7 @@
 				}
 
 				const isReady = state.prepared?.version === order.version && state.prepared.readyAtMs <= this.#options.nowMs();
-				if (!isReady || state.armed || order.step <= this.step) {
+				if (!isReady || state.armed !== undefined || order.step <= this.step) {
 					return 'refused';
 				}
 
--- a/packages/rank-agent/src/map-switch.test.ts
+++ b/packages/rank-agent/src/map-switch.test.ts
@@ -5,6 +5,7 @@
 } from './engine-door.js';
 import {LockstepGroup, type OrderFate} from './lockstep-group.js';
 import {MapSwitch} from './map-switch.js';
+import {MapVersions} from './map-versions.js';
 
 const rankCount = 4;
 const lists = [[[0, 4], [1, 5], [2, 6], [3, 7]]];
@@ -23,6 +24,12 @@
 
 const timers: NodeJS.Timeout[] = [];
 
+/** Two orders in ten come late, one loses its answer, one is lost. */
+function fateOf(draw: number): OrderFate {
+	const fates: OrderFate[] = ['late', 'late', 'answerLost', 'lost'];
+	return fates[Math.floor(draw * 10)] ?? 'prompt';
+}
+
 /** A group whose passes and late orders go on by themselves, in real time. */
 function groupWith(fateOf: () => OrderFate, random: () => number): Bed {
 	const group = new LockstepGroup({
@@ -109,10 +116,7 @@
 		for (let seed = 1; seed <= 24; seed++) {
 			it(`never mixes maps in a pass, and leaves no group held: seed ${seed}`, async () => {
 				const random = randomOf(seed * 7919);
-				const {group, timer} = groupWith(() => {
-					const draw = random();
-					return draw < 0.2 ? 'late' : (draw < 0.3 ? 'answerLost' : (draw < 0.4 ? 'lost' : 'prompt'));
-				}, random);
+				const {group, timer} = groupWith(() => fateOf(random()), random);
 				group.isBusy = seed % 3 !== 0;
 				for (let version = 10; version < 13; version++) {
 					await switchOf(group).run(version * 10, nextMap);
@@ -139,12 +143,13 @@
 				const {group, timer} = groupWith(() => random() < 0.1 ? 'late' : 'prompt', random);
 				const slow = group.engines.map(engine => new SlowEngine(engine, () => random() < 0.15 ? 150 : 0));
 				const running = new MapSwitch({ranks: {group: 'g', epoch: 1, engines: slow}, holdingRank: 1, nowMs: () => performance.now()}).run(10, nextMap);
-				let version = 100;
+				const versions = new MapVersions(() => 0);
+				const nextVersion = () => versions.next() + 100;
 				for (let look = 0; look < 60; look++) {
 					await pause(15);
 					const {heldStep} = group.state(1);
 					if (heldStep !== undefined) {
-						await new MapSwitch({ranks: {group: 'g', epoch: 1, engines: group.engines}, holdingRank: 1, nowMs: () => performance.now()}).recover(heldStep, () => ++version);
+						await new MapSwitch({ranks: {group: 'g', epoch: 1, engines: group.engines}, holdingRank: 1, nowMs: () => performance.now()}).recover(heldStep, nextVersion);
 					}
 
 					group.isBusy = look % 4 !== 3;
--- a/packages/rank-agent/src/map-switch.ts
+++ b/packages/rank-agent/src/map-switch.ts
@@ -87,7 +87,7 @@
 
 		await this.#toAll({kind: 'arm', version, step}, untilMs);
 		const armed = await this.#states();
-		if (!armed || !areAlike(armed, version, step) || this.#nowMs() > untilMs) {
+		if (!areAlike(armed, version, step) || this.#nowMs() > untilMs) {
 			return 'left';
 		}
 
@@ -122,7 +122,7 @@
 		}
 
 		const {armed} = states[0];
-		const isWhole = armed !== undefined && areAlike(states, armed.version, armed.step) && armed.step >= holding.heldStep;
+		const isWhole = armed ? armed.step >= holding.heldStep && areAlike(states, armed.version, armed.step) : false;
 		if (!isWhole && !await this.#undo(states, versionOf(), untilMs)) {
 			return undefined;
 		}
@@ -188,7 +188,7 @@
 	/** Repeats an order that gets no answer until the rank has taken it, has refused it, or time is up. */
 	async #orderUntilTaken(engine: EngineDoor, body: Body, untilMs: number): Promise<boolean> {
 		while (this.#nowMs() < untilMs) {
-			const outcome: OrderOutcome = await engine.order({...body, fencing: this.#fencing, epoch: this.#ranks.epoch} as EngineOrder);
+			const outcome: OrderOutcome = await engine.order({...body, fencing: this.#fencing, epoch: this.#ranks.epoch});
 			if (outcome === 'begun' || outcome === 'done') {
 				return true;
 			}
@@ -221,8 +221,8 @@
 	}
 }
 
-function areAlike(states: readonly EngineState[], version: number, step: number): boolean {
-	return states.every(({armed}) => armed?.version === version && armed.step === step);
+function areAlike(states: readonly EngineState[] | undefined, version: number, step: number): boolean {
+	return states?.every(({armed}) => armed?.version === version && armed.step === step) ?? false;
 }
 
 /** Whether the state shows that an order was carried out. */
--- a/packages/rank-agent/src/rank-agent.ts
+++ b/packages/rank-agent/src/rank-agent.ts
@@ -26,6 +26,9 @@
 /** Unchanged figures are told again after this time. */
 const repeatAfterMs = 900;
 
+/** Control processes that load figures are sent to: one of them may stand still. */
+const toldControls = 2;
+
 /** Time between looks at what the group's requests choose. */
 const mapIntervalMs = 700;
 
@@ -207,7 +210,9 @@
 			const outcome = await new MapSwitch({ranks, holdingRank: rankPlace.rank, nowMs: () => this.#options.clock.monotonicMs()}).recover(heldStep, () => this.#versions.next());
 			this.#isKeeping = false;
 			this.#heldSinceMs = undefined;
-			this.#options.logger.log('warn', 'abandonedGroupReleased', {group: ranks.group, epoch: ranks.epoch, step: heldStep, outcome});
+			this.#options.logger.log('warn', 'abandonedGroupReleased', {
+				group: ranks.group, epoch: ranks.epoch, step: heldStep, outcome,
+			});
 		}
 	}
 
@@ -239,9 +244,8 @@
 			return;
 		}
 
-		const [nearest] = this.#links.upAddresses(this.#options.failureDomain);
-		if (nearest !== undefined) {
-			this.#links.send({type: 'load', load}, nearest);
+		for (const address of this.controlAddresses.slice(0, toldControls)) {
+			this.#links.send({type: 'load', load}, address);
 			this.#told = load;
 			this.#toldAtMs = nowMs;
 		}
--- a/packages/target-connection/src/connection-pool.ts
+++ b/packages/target-connection/src/connection-pool.ts
@@ -138,7 +138,7 @@
 		return (options, callback) => {
 			connect(options, (...result) => {
 				const [error, socket] = result;
-				if (error === null) { // eslint-disable-line @typescript-eslint/no-restricted-types -- the library's word for no error
+				if (error === null) {
 					socket.on('error', () => {
 						onReset();
 					});
--- a/packages/target-connection/src/target-connection.test.ts
+++ b/packages/target-connection/src/target-connection.test.ts
@@ -12,7 +12,6 @@
 class ScriptedTarget {
 	connections = 0;
 	requests: string[] = [];
-	script: (socket: Socket, request: string, count: number) => void = () => undefined;
 	readonly #sockets = new Set<Socket>();
 	readonly #server = net.createServer(socket => {
 		this.connections++;
@@ -24,6 +23,8 @@
 		});
 	});
 
+	script: (socket: Socket, request: string, count: number) => void = () => undefined;
+
 	get address(): string {
 		return `127.0.0.1:${(this.#server.address() as AddressInfo).port}`;
 	}
@@ -53,7 +54,9 @@
 		pool.send({
 			address,
 			needsFreshConnection,
-			request: {method: 'POST', path: '/a/b?c=1', headers: ['Host', 'x.example', 'Attempt-Id', '7'], body: Buffer.from('hello')},
+			request: {
+				method: 'POST', path: '/a/b?c=1', headers: ['Host', 'x.example', 'X-Id', '7'], body: Buffer.from('hello'),
+			},
 			listener: {
 				onSending() {
 					isSent = true;
@@ -99,21 +102,37 @@
 		target.requests = [];
 	});
 
+	async function exchangeAt(field: 'body' | 'status'): Promise<string | number | undefined> {
+		const outcome = await exchange(pool, target.address);
+		return outcome[field];
+	}
+
+	async function failureType(): Promise<string | undefined> {
+		const outcome = await exchange(pool, target.address);
+		return outcome.failure?.type;
+	}
+
 	describe('with a sound target', () => {
 		it('sends method, path, headers and body unchanged, and keeps the connection', async () => {
-			target.script = socket => socket.write(wholeAnswer);
-			expect((await exchange(pool, target.address)).body).toEqual('ok');
-			expect((await exchange(pool, target.address)).status).toEqual(200);
+			target.script = socket => {
+				socket.write(wholeAnswer);
+			};
+
+			expect(await exchangeAt('body')).toEqual('ok');
+			expect(await exchangeAt('status')).toEqual(200);
 			expect(target.connections).toEqual(1);
 			const [first] = target.requests;
 			expect(first.startsWith('POST /a/b?c=1 HTTP/1.1\r\n')).toEqual(true);
 			expect(first.toLowerCase()).toInclude('host: x.example\r\n');
-			expect(first).toInclude('Attempt-Id: 7\r\n');
+			expect(first).toInclude('X-Id: 7\r\n');
 			expect(first.endsWith('\r\n\r\nhello')).toEqual(true);
 		});
 
 		it('opens a connection of its own where a request must not meet an idle close', async () => {
-			target.script = socket => socket.write(wholeAnswer);
+			target.script = socket => {
+				socket.write(wholeAnswer);
+			};
+
 			await exchange(pool, target.address);
 			await exchange(pool, target.address, true);
 			expect(target.connections).toEqual(2);
@@ -134,8 +153,7 @@
 					socket.end(bytes);
 				};
 
-				const outcome = await exchange(pool, target.address);
-				expect(outcome.failure?.type).toEqual('broken');
+				expect(await failureType()).toEqual('broken');
 			});
 		}
 
@@ -147,11 +165,14 @@
 				}, 20);
 			};
 
-			expect((await exchange(pool, target.address)).failure?.type).toEqual('broken');
+			expect(await failureType()).toEqual('broken');
 		});
 
 		it('never uses a connection again on which bytes followed a whole answer', async () => {
-			target.script = (socket, _request, count) => socket.write(count === 1 ? wholeAnswer + 'HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong' : wholeAnswer);
+			target.script = (socket, _request, count) => {
+				socket.write(count === 1 ? wholeAnswer + 'HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong' : wholeAnswer);
+			};
+
 			await exchange(pool, target.address);
 			await pause(30);
 			const second = await exchange(pool, target.address);
@@ -163,13 +184,15 @@
 			target.script = (socket, _request, count) => {
 				socket.write(wholeAnswer);
 				if (count === 1) {
-					setTimeout(() => socket.write('HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong'), 20);
+					setTimeout(() => {
+						socket.write('HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong');
+					}, 20);
 				}
 			};
 
 			await exchange(pool, target.address);
 			await pause(60);
-			expect((await exchange(pool, target.address)).body).toEqual('ok');
+			expect(await exchangeAt('body')).toEqual('ok');
 			expect(target.connections).toEqual(2);
 		});
 	});
@@ -186,12 +209,14 @@
 		it('opens a new one for the next request', async () => {
 			target.script = socket => {
 				socket.write(wholeAnswer);
-				setTimeout(() => socket.end(), 20);
+				setTimeout(() => {
+					socket.end();
+				}, 20);
 			};
 
 			await exchange(pool, target.address);
 			await pause(60);
-			expect((await exchange(pool, target.address)).body).toEqual('ok');
+			expect(await exchangeAt('body')).toEqual('ok');
 		});
 	});
 });
--- /dev/null
+++ b/scripts/check-platform-names.sh
@@ -0,0 +1,10 @@
+#!/usr/bin/env bash
+# The platform's own names stay in platform/, deploy/ and docs/; everything else speaks the product's words.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+names='Attempt-Id|Instance-Signature|Prefix-Hash|Expect-Instance|Expect-Version|Not-Executed|Token-Usage|Instances\.Heartbeat|Instances\.Deregister|Config\.Replace|Config\.Read|heartbeat_url|cold_left_ms|slo_ms|RATTANSPRING_SETTINGS'
+if git grep -nE "$names" -- . ':!platform' ':!deploy' ':!docs' ':!journal' ':!KNOWN-RED.txt' ':!scripts/check-platform-names.sh'; then
+	echo 'platform names: found outside platform/ (above)'
+	exit 1
+fi
+echo 'platform names: none outside platform/'
--- a/scripts/run-tests.sh
+++ b/scripts/run-tests.sh
@@ -2,5 +2,5 @@
 # Runs the compiled tests of every package; the cases of KNOWN-RED.txt run apart (known-red.sh).
 set -euo pipefail
 cd "$(dirname "$0")/.."
-mapfile -t files < <(find packages bench -path '*/dist/*' -name '*.test.js' -not -path '*/node_modules/*' -not -name '*.known-red.test.js' | sort)
+mapfile -t files < <(find packages bench platform -path '*/dist/*' -name '*.test.js' -not -path '*/node_modules/*' -not -name '*.known-red.test.js' | sort)
 exec node --test --test-timeout=180000 --test-concurrency=4 "${files[@]}"
