Place requests by the prompts that targets still read; switch maps only where steps get shorter

Ranked by load figures of some hundred milliseconds ago, all entries sent to the same target, and its prompts were read one after the other. Change: an entry goes by the prompts it has sent and that have not begun to be answered; figures only steer away from targets nearly full, slow or broken.

--- a/packages/gateway/src/forward-flow.ts
+++ b/packages/gateway/src/forward-flow.ts
@@ -55,6 +55,8 @@
 	#failedAnswer: WholeAnswer | undefined;
 	/** What the last choice of a target was made from. */
 	#lastView: TargetView | undefined;
+	/** Whether the target has not begun to answer. */
+	#isReading = false;
 	#isOver = false;
 
 	constructor(context: FlowContext, answer: CallerAnswer, call: AllowedCall) {
@@ -116,7 +118,8 @@
 
 		const {report} = admission.view;
 		this.#admittedAtMs ??= this.#nowMs;
-		this.#context.board.sent(report.targetId, this.#nowMs);
+		this.#context.board.sent(report.targetId, this.#nowMs, this.#call.facts.promptTokens);
+		this.#isReading = true;
 		this.#lastView = admission.view;
 		const isResumed = this.#streamHead !== undefined;
 		const urgency = isResumed ? urgencies.resumed : (admission.isLate ? urgencies.late : urgencies.onTime);
@@ -181,6 +184,7 @@
 	}
 
 	#onEvents(head: AnswerHead, bytes: Buffer, lastId: string | undefined): void {
+		this.#noteBegun();
 		if (!this.#streamHead) {
 			this.#streamHead = head;
 			this.#firstByteAtMs = this.#nowMs;
@@ -195,6 +199,13 @@
 		}
 	}
 
+	#noteBegun(): void {
+		if (this.#isReading && this.#running) {
+			this.#isReading = false;
+			this.#context.board.begun(this.#running.targetId, this.#call.facts.promptTokens);
+		}
+	}
+
 	#notePause(): void {
 		const nowMs = this.#nowMs;
 		if (this.#lastEventAtMs !== undefined) {
@@ -301,6 +312,7 @@
 
 	#endAttempt(outcome: ExchangeOutcome): void {
 		clearTimeout(this.#silence);
+		this.#noteBegun();
 		if (this.#running) {
 			this.#context.board.ended(this.#running.targetId, outcome, this.#nowMs);
 			this.#running = undefined;
--- a/packages/placement/src/target-board.ts
+++ b/packages/placement/src/target-board.ts
@@ -1,7 +1,10 @@
 /**
-What one entry knows of the targets: their reports, their measured load, and its own requests in progress. Load figures
-are some hundred milliseconds old and shared by all entries, so each entry adds what it has sent since, and draws at random
-among targets that look alike: otherwise all entries would send to the same one.
+What one entry knows of the targets: their reports, their measured load, and its own requests in progress.
+
+A first event waits for the prompts that its target still reads, far more than for the streams that it writes. Load figures
+do not tell what is being read, are some hundred milliseconds old, and are shared by all entries: ranked by them alone,
+all entries send to the same target at once. So an entry goes by the prompts that it has sent itself and that have not begun to be
+answered; the load figures only steer away from targets that are nearly full, slow or broken.
 */
 
 import type {TargetLoad, TargetReport} from '@rattanspring/target-table';
@@ -22,7 +25,13 @@
 const distancePenalty = 0.3;
 
 /** Random part of a target's rank, so that entries with the same view do not all choose the same target. */
-const drawSpread = 0.8;
+const drawSpread = 1;
+
+/** Share of the slots up to which targets count as equally busy. */
+const comfortableShare = 0.75;
+
+/** Prompt tokens that a target reads in one pass, about; without figures a request counts as one pass. */
+const tokensPerPass = 512;
 
 /** Pauses after failures: a refusal passes quickly, an unreachable target does not. */
 const refusedPauseMs = 60;
@@ -46,6 +55,8 @@
 	load?: TargetLoad;
 	loadAtMs: number;
 	inFlight: number;
+	/** Passes that prompts sent from here, and not begun to be answered, take to be read. */
+	readingPasses: number;
 	/** Times at which requests were sent that the load figures do not show yet. */
 	sentAtMs: number[];
 	pausedUntilMs: number;
@@ -121,14 +132,23 @@
 	}
 
 	/** Notes that a request was sent. */
-	sent(targetId: string, nowMs: number): void {
+	sent(targetId: string, nowMs: number, promptTokens?: number): void {
 		const entry = this.#entries.get(targetId);
 		if (entry) {
 			entry.inFlight++;
+			entry.readingPasses += passesOf(promptTokens);
 			entry.sentAtMs.push(nowMs);
 		}
 	}
 
+	/** Notes that a request began to be answered, or ended without that. */
+	begun(targetId: string, promptTokens?: number): void {
+		const entry = this.#entries.get(targetId);
+		if (entry) {
+			entry.readingPasses = Math.max(0, entry.readingPasses - passesOf(promptTokens));
+		}
+	}
+
 	/** Notes how a request ended. */
 	ended(targetId: string, outcome: ExchangeOutcome, nowMs: number): void {
 		const entry = this.#entries.get(targetId);
@@ -157,7 +177,8 @@
 
 			isAnyReady = true;
 			const view = this.#view(entry, nowMs);
-			const rank = view.busy + this.#penalty(entry, nowMs, paces) + (random() * drawSpread);
+			const crowd = Math.max(0, view.busy - (entry.report.slots * comfortableShare));
+			const rank = entry.readingPasses + crowd + this.#penalty(entry, nowMs, paces) + (random() * drawSpread);
 			if (!view.isPaused && view.busy < view.limit && rank < bestRank) {
 				best = view;
 				bestRank = rank;
@@ -189,7 +210,7 @@
 		}
 
 		this.#entries.set(report.targetId, {
-			report, loadAtMs: Number.NEGATIVE_INFINITY, inFlight: 0, sentAtMs: [], pausedUntilMs: 0, pauseMs: 0, failureShare: 0, failureAtMs: 0,
+			report, loadAtMs: Number.NEGATIVE_INFINITY, inFlight: 0, readingPasses: 0, sentAtMs: [], pausedUntilMs: 0, pauseMs: 0, failureShare: 0, failureAtMs: 0,
 		});
 	}
 
@@ -243,6 +264,10 @@
 	return Math.max(inFlight, load.active + load.queued + sentAtMs.length);
 }
 
+function passesOf(promptTokens: number | undefined): number {
+	return promptTokens === undefined ? 1 : Math.max(1, promptTokens / tokensPerPass);
+}
+
 function failureShareAt({failureShare, failureAtMs}: Entry, nowMs: number): number {
 	return failureShare * Math.exp(-failureDecayPerSecond * (nowMs - failureAtMs) / 1000);
 }
--- a/packages/rank-agent/src/map-keeper.ts
+++ b/packages/rank-agent/src/map-keeper.ts
@@ -20,13 +20,20 @@
 	readonly newPerRank: number;
 	/** Share of the counts that is forgotten in a second. */
 	readonly forgetPerSecond?: number;
-	/** Lowering of the skew for which a map is switched. */
-	readonly minSkewGain?: number;
+	/** Published figures of the engines. */
+	readonly stepMs: number;
+	readonly perSequenceMs: number;
+	readonly expertShare: number;
+	/** Share of a step's time that a switch has to save. */
+	readonly minStepGain?: number;
 	/** Lowering of a set's peak, in mean loads, for which one expert's weights are copied. */
 	readonly minGainPerCopy?: number;
 };
 
-const defaults = {forgetPerSecond: 0.7, minSkewGain: 0.12, minGainPerCopy: 0.012};
+const defaults = {forgetPerSecond: 0.7, minStepGain: 0.045, minGainPerCopy: 0.012};
+
+/** Weight of the newest look at how many requests a rank writes. */
+const activeWeight = 0.4;
 
 /** Choices that have to be seen before a plan says anything. */
 const minChoices = 2000;
@@ -38,6 +45,7 @@
 	#last: ReadonlyArray<readonly number[]> | undefined;
 	#lastAtMs = 0;
 	#loads: number[] = [];
+	#active = 0;
 
 	constructor(options: MapKeeperOptions) {
 		this.#options = {...defaults, ...options};
@@ -50,6 +58,7 @@
 			return;
 		}
 
+		this.#active += (holding.active - this.#active) * activeWeight;
 		if (!await this.#count(ranks)) {
 			return;
 		}
@@ -90,14 +99,22 @@
 		return loads.reduce((sum, load) => sum + load, 0) > minChoices;
 	}
 
+	/** Share of a step's time that a lower skew saves, at the number of requests that ranks write now. */
+	#stepGain(skewBefore: number, skewAfter: number): number {
+		const {stepMs, perSequenceMs, expertShare} = this.#options;
+		const tokensMs = perSequenceMs * this.#active;
+		const before = stepMs + (tokensMs * (1 - expertShare + (expertShare * skewBefore)));
+		return tokensMs * expertShare * (skewBefore - skewAfter) / before;
+	}
+
 	async #plan(ranks: GroupRanks, holdingRank: number, current: RankLists): Promise<void> {
-		const {nowMs, logger, placesPerRank, newPerRank, minSkewGain, minGainPerCopy} = this.#options;
+		const {nowMs, logger, placesPerRank, newPerRank, minGainPerCopy} = this.#options;
 		const perSet = this.#loads.length / current.length;
 		const loads = current.map((_, set) => this.#loads.slice(set * perSet, (set + 1) * perSet));
 		const plan = await inSlices(planEvenShares({
 			current, loads, placesPerRank, newPerRank, minGainPerCopy,
 		}));
-		if (plan.skewBefore - plan.skewAfter < minSkewGain) {
+		if (this.#stepGain(plan.skewBefore, plan.skewAfter) < this.#options.minStepGain) {
 			return;
 		}
 
--- a/packages/rank-agent/src/map-switch.ts
+++ b/packages/rank-agent/src/map-switch.ts
@@ -146,7 +146,8 @@
 		const lists = known[0].experts.map((_, set) => known.map(({experts}) => experts[set]));
 		const isPrepared = await this.#toAll({kind: 'prepare', version, map: lists}, untilMs);
 		const after = await this.#states();
-		return isPrepared && after !== undefined && after.every(state => state.armed === undefined);
+		const isDisarmed = after?.every(state => state.armed === undefined) ?? false;
+		return isPrepared && isDisarmed;
 	}
 
 	/** Takes a fencing number above all that the ranks have seen. */
--- a/packages/rank-agent/src/rank-agent.ts
+++ b/packages/rank-agent/src/rank-agent.ts
@@ -39,8 +39,14 @@
 /** A group held for longer than this was left by its keeper; the agent of the holding rank releases it. */
 const abandonedAfterMs = 600;
 
-/** Places of experts on the ranks of a group. */
-export type ExpertPlaces = {readonly placesPerRank: number; readonly newPerRank: number};
+/** Places of experts on the ranks of a group, and what their work costs. */
+export type ExpertPlaces = {
+	readonly placesPerRank: number;
+	readonly newPerRank: number;
+	readonly stepMs: number;
+	readonly perSequenceMs: number;
+	readonly expertShare: number;
+};
 
 /** Options of an agent. */
 export type RankAgentOptions = {
