Trial: keep targets at their slots, steer less away from slow groups

Change: no request above the slots; a slow group counts as three passes more for each multiple of its time. Ruled out: pauses over 120 ms (50 of 276 streams, most of them late at first already).

--- a/packages/placement/src/target-board.ts
+++ b/packages/placement/src/target-board.ts
@@ -18,17 +18,14 @@
 /** Time between a measurement at a target and its arrival here, about. */
 const loadDelayMs = 220;
 
-/** Requests above the slots that a target may hold: they start as soon as a slot is free. */
-const queuedPerTarget = 1;
-
 /** A target in another failure domain counts as this much busier. */
-const distancePenalty = 0.3;
+const distancePenalty = 0.8;
 
 /** Random part of a target's rank, so that entries with the same view do not all choose the same target. */
 const drawSpread = 1;
 
 /** Share of the slots up to which targets count as equally busy. */
-const comfortableShare = 0.75;
+const comfortableShare = 0.6;
 
 /** Prompt tokens that a target reads in one pass, about; without figures a request counts as one pass. */
 const tokensPerPass = 512;
@@ -47,8 +44,8 @@
 /** How much busier a target counts that fails every request. */
 const failurePenalty = 12;
 
-/** A target or group that is slower than this, against its published speed, is used only when nothing else has room. */
-const maxSlowness = 3;
+/** Passes until a first event, about: a slow target or group counts as so much busier for each multiple of its published time. */
+const passesToFirstEvent = 3;
 
 type Entry = {
 	report: TargetReport;
@@ -220,7 +217,7 @@
 		return {
 			report,
 			busy: busyOf(entry, loadAgeMs, this.#options.entryCount?.() ?? 1),
-			limit: report.slots + queuedPerTarget,
+			limit: report.slots,
 			isPaused: nowMs < pausedUntilMs,
 			inFlight,
 			...(entry.load && {loadAgeMs}),
@@ -243,7 +240,7 @@
 	#penalty(entry: Entry, nowMs: number, paces: ReadonlyMap<string, number>): number {
 		const distance = entry.report.failureDomain === this.#options.failureDomain ? 0 : distancePenalty;
 		const pace = paces.get(entry.load?.rankPlace?.group ?? '') ?? entry.load?.pace ?? 1;
-		const slowness = Math.min(maxSlowness, Math.max(0, pace - 1)) * entry.report.slots;
+		const slowness = Math.max(0, pace - 1) * passesToFirstEvent;
 		return distance + slowness + (failureShareAt(entry, nowMs) * failurePenalty);
 	}
 }
