--- a/packages/rank-agent/src/lockstep-group.ts
+++ b/packages/rank-agent/src/lockstep-group.ts
@@ -31,6 +31,8 @@
 	readonly lateMs: () => number;
 	readonly fateOf: () => OrderFate;
 	readonly nowMs: () => number;
+	/** Requests that each rank writes. */
+	readonly active?: number;
 };
 
 /** A group whose passes are driven by `advance`. */
@@ -98,7 +100,7 @@
 		const {prepared} = state;
 		return {
 			bornMs: 1,
-			active: 1,
+			active: this.#options.active ?? 1,
 			queued: 0,
 			memoryShare: 0,
 			pace: 1,
--- /dev/null
+++ b/packages/rank-agent/src/map-keeper.test.ts
@@ -0,0 +1,70 @@
+import {after, describe, it} from 'node:test';
+import {expect} from 'earl';
+import {LockstepGroup} from './lockstep-group.js';
+import {MapKeeper} from './map-keeper.js';
+import {MapVersions} from './map-versions.js';
+
+const rankCount = 4;
+const expertCount = 16;
+const lists = [Array.from({length: rankCount}, (_, rank) => [rank, rank + 4, rank + 8, rank + 12])];
+
+const silent = {
+	log() {
+		// Nothing is looked at.
+	},
+};
+
+describe('MapKeeper', () => {
+	const timers: NodeJS.Timeout[] = [];
+	after(() => {
+		for (const timer of timers) {
+			clearInterval(timer);
+		}
+	});
+
+	function bed(active: number): {readonly group: LockstepGroup; readonly keeper: MapKeeper; readonly round: () => Promise<void>} {
+		const group = new LockstepGroup({
+			ranks: rankCount, lists, copyMs: 5, passMs: 5, fateOf: () => 'prompt', lateMs: () => 0, nowMs: () => performance.now(), active,
+		});
+		timers.push(setInterval(() => {
+			group.advance();
+		}, 1));
+		const keeper = new MapKeeper({
+			nowMs: () => performance.now(), versions: new MapVersions(() => Date.now()), logger: silent, placesPerRank: 6, newPerRank: 2, stepMs: 5.85, perSequenceMs: 0.5, expertShare: 0.85,
+		});
+		return {group, keeper, round: async () => keeper.round({group: 'g', epoch: group.epoch, engines: group.engines}, 1)};
+	}
+
+	/** Choices of one moment: experts 0 and 4, both on the first rank, are in demand. */
+	function choose(group: LockstepGroup, moment: number): void {
+		const counts = Array.from({length: expertCount}, (_, expert) => moment * (expert === 0 || expert === 4 ? 4000 : 300));
+		for (let rank = 0; rank < rankCount; rank++) {
+			group.setCounts(rank, counts);
+		}
+	}
+
+	async function play(active: number): Promise<LockstepGroup> {
+		const {group, round} = bed(active);
+		for (let moment = 1; moment <= 6; moment++) {
+			choose(group, moment);
+			await round();
+			await new Promise(resolve => {
+				setTimeout(resolve, 60);
+			});
+		}
+
+		return group;
+	}
+
+	it('switches to a map that evens out what is chosen, on all ranks with the same pass', async () => {
+		const group = await play(8);
+		expect(group.versions[0] > 0).toEqual(true);
+		expect(new Set(group.versions).size).toEqual(1);
+		expect(group.mixedPasses).toEqual(0);
+	});
+
+	it('leaves the map alone while too little is written for a switch to pay', async () => {
+		const group = await play(0);
+		expect(group.versions).toEqual([0, 0, 0, 0]);
+	});
+});
