Suspect a request only if its target is gone a moment after the connection broke

Cause: many idempotent requests share path, account and (empty) body; three connections reset at three sound targets would have refused all of them for good. Ruled out: telling crashes by the reports, which come a heartbeat later.

--- a/packages/gateway/src/flow-context.ts
+++ b/packages/gateway/src/flow-context.ts
@@ -26,6 +26,6 @@
 	readonly table: () => RouteTable | undefined;
 	/** Entries that share the retry budget. */
 	readonly entryCount: () => number;
-	/** Called where a request was running at a target that may have died. */
-	readonly onCrash: (crash: Crash) => void;
+	/** Called where the connection of a running request broke: its target may have died. */
+	readonly onBroken: (crash: Crash, address: string) => void;
 };
--- a/packages/gateway/src/forward-flow.ts
+++ b/packages/gateway/src/forward-flow.ts
@@ -29,7 +29,7 @@
 
 const crashPauseMs = 5000;
 
-type Running = {readonly attempt: Attempt; readonly targetId: string; readonly bornMs: number};
+type Running = {readonly attempt: Attempt; readonly targetId: string; readonly bornMs: number; readonly address: string};
 
 /** One request on its way. */
 export class ForwardFlow {
@@ -158,7 +158,9 @@
 				},
 			},
 		});
-		this.#running = {attempt, targetId, bornMs};
+		this.#running = {
+			attempt, targetId, bornMs, address,
+		};
 		if (route.kind === 'streaming' && isRepeatable(route)) {
 			this.#watchSilence(firstEventTimeoutMs);
 		}
@@ -227,7 +229,7 @@
 
 	#onOutcome(outcome: AttemptOutcome, detail: string): void {
 		const running = this.#running!;
-		const {logger, guard, onCrash} = this.#context;
+		const {logger, guard, onBroken} = this.#context;
 		const {route, service, fingerprint, facts} = this.#call;
 		this.#endAttempt(exchangeOutcomes[outcome]);
 		if (outcome === 'notSent') {
@@ -238,9 +240,7 @@
 		}
 
 		if (outcome === 'broken' && detail !== 'silent') {
-			const crash = {fingerprint, targetId: running.targetId, bornMs: running.bornMs};
-			guard.note(crash);
-			onCrash(crash);
+			onBroken({fingerprint, targetId: running.targetId, bornMs: running.bornMs}, running.address);
 		}
 
 		const step = nextStep({
--- a/packages/gateway/src/gateway.test.ts
+++ b/packages/gateway/src/gateway.test.ts
@@ -176,8 +176,9 @@
 			random: Math.random,
 			table: () => table,
 			entryCount: () => 1,
-			onCrash(crash) {
+			onBroken(crash) {
 				crashes.push(crash);
+				context.guard.note(crash);
 			},
 		};
 	}
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -9,11 +9,12 @@
 import {
 	AdmissionQueue, CrashGuard, type RetryAllowance, RetryBudget, TargetBoard,
 } from '@rattanspring/placement';
-import type {TargetExchange} from '@rattanspring/target-connection';
+import {isReachable, type TargetExchange} from '@rattanspring/target-connection';
 import {TargetTable} from '@rattanspring/target-table';
 import type {Clock} from '@rattanspring/types';
 import type {CallDialect} from './call-dialect.js';
 import {CallerServer} from './caller-server.js';
+import {CrashWatch} from './crash-watch.js';
 import {DocumentFollower} from './document-follower.js';
 import type {FlowContext} from './flow-context.js';
 import {serveRequest} from './request-flow.js';
@@ -69,6 +70,14 @@
 		const nowMs = () => options.clock.monotonicMs();
 		const {random, logger, metrics, dialect, exchange, failureDomain} = options;
 		this.#board = new TargetBoard({failureDomain, entryCount: () => Math.max(1, this.#entries.length)});
+		const crashWatch = new CrashWatch({
+			isReachable,
+			onCrash: crash => {
+				logger.log('warn', 'targetDied', {targetId: crash.targetId, bornMs: crash.bornMs, fingerprint: crash.fingerprint});
+				this.#context.guard.note(crash);
+				this.#links.send({type: 'crash', crash});
+			},
+		});
 		const inProgress = new Map<string, number>();
 		this.#context = {
 			dialect,
@@ -88,8 +97,8 @@
 			random,
 			table: () => this.#documents.table,
 			entryCount: () => Math.max(1, this.#entries.length),
-			onCrash: crash => {
-				this.#links.send({type: 'crash', crash});
+			onBroken(crash, address) {
+				crashWatch.suspect(crash, address);
 			},
 		};
 		this.#server = new CallerServer({
--- a/packages/target-connection/src/index.ts
+++ b/packages/target-connection/src/index.ts
@@ -1,4 +1,5 @@
 /** Connections straight to targets over HTTP/1.1, each carrying one request at a time. */
 export * from './connection-pool.js';
 export * from './event-splitter.js';
+export * from './reachability.js';
 export * from './target-exchange.js';
