Never take an answer without a length for whole when its connection was reset

Where a reset follows the bytes at once, the event loop reports a plain end, and undici ends the message. Change: the pool looks at the peer's address at the end, which a reset takes away; what may be repeated is repeated, or resumed, rather than to trust an answer that only the end of its connection ends. Ruled out: lengths and chunks that end early (found already); the error event (it does not come then).

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -10,6 +10,9 @@
 } from '@rattanspring/target-connection';
 import type {CallDialect} from './call-dialect.js';
 
+/** Detail of an answer that is whole only if its connection was not cut. */
+export const unframed = 'unframed';
+
 /** Bytes of an answer that is passed on as a whole. */
 const maxAnswerBytes = 33_554_432;
 
@@ -33,7 +36,8 @@
 	readonly requestId?: string;
 	/** Whether a good answer is a stream of events. */
 	readonly isStream: boolean;
-	readonly needsFreshConnection: boolean;
+	/** What may be repeated is, rather than to trust an answer that only the end of its connection ends. */
+	readonly isRepeatable: boolean;
 	readonly listener: AttemptListener;
 };
 
@@ -51,10 +55,10 @@
 
 	constructor(options: AttemptOptions) {
 		this.#options = options;
-		const {exchange, address, needsFreshConnection, request} = options;
+		const {exchange, address, isRepeatable, request} = options;
 		this.#exchange = exchange.send({
 			address,
-			needsFreshConnection,
+			needsFreshConnection: !isRepeatable,
 			request,
 			listener: {
 				onSending: () => {
@@ -66,8 +70,8 @@
 				onData: chunk => {
 					this.#onData(chunk);
 				},
-				onEnd: () => {
-					this.#onEnd();
+				onEnd: isFramed => {
+					this.#onEnd(isFramed);
 				},
 				onFailed: failure => {
 					this.#onFailed(failure);
@@ -138,7 +142,7 @@
 		return this.#options.isStream && this.#head?.status === 200;
 	}
 
-	#onEnd(): void {
+	#onEnd(isFramed: boolean): void {
 		if (this.#isOver || !this.#head) {
 			return;
 		}
@@ -147,6 +151,8 @@
 		const {listener} = this.#options;
 		if (this.#isNotRun) {
 			listener.onOutcome('notRun', `status ${this.#head.status}`);
+		} else if (!isFramed && this.#options.isRepeatable) {
+			listener.onOutcome('broken', unframed);
 		} else if (!this.#isStreaming) {
 			listener.onAnswer({head: this.#head, body: Buffer.concat(this.#chunks)});
 		} else if (this.#events.isAtBorder) {
--- a/packages/gateway/src/forward-flow.ts
+++ b/packages/gateway/src/forward-flow.ts
@@ -10,7 +10,7 @@
 } from '@rattanspring/placement';
 import type {AnswerHead} from '@rattanspring/target-connection';
 import type {AllowedCall} from './allowed-call.js';
-import {Attempt, type WholeAnswer} from './attempt.js';
+import {Attempt, unframed, type WholeAnswer} from './attempt.js';
 import type {CallerAnswer} from './caller-answer.js';
 import type {FlowContext} from './flow-context.js';
 
@@ -142,7 +142,7 @@
 			},
 			requestId: facts.requestId,
 			isStream: route.kind === 'streaming',
-			needsFreshConnection: !isRepeatable(route),
+			isRepeatable: isRepeatable(route),
 			listener: {
 				onAnswer: answer => {
 					this.#onAnswer(answer);
@@ -239,7 +239,7 @@
 			this.#mayHaveRun ||= outcome !== 'notRun';
 		}
 
-		if (outcome === 'broken' && detail !== 'silent') {
+		if (outcome === 'broken' && detail !== 'silent' && detail !== unframed) {
 			onBroken({fingerprint, targetId: running.targetId, bornMs: running.bornMs}, running.address);
 		}
 
--- a/packages/gateway/src/gateway.test.ts
+++ b/packages/gateway/src/gateway.test.ts
@@ -312,6 +312,20 @@
 			}
 		});
 
+		it('repeats what may be repeated rather than to trust an answer that only the end of its connection ends', async () => {
+			targets[0].handler = (request, response) => {
+				response.useChunkedEncodingByDefault = false;
+				response.shouldKeepAlive = false;
+				response.writeHead(200, {'x-id': request.headers['x-id'], 'x-signed': 'yes'});
+				response.end('par');
+			};
+
+			for (let index = 0; index < 4; index++) {
+				const got = await call('/lookup/x', {'x-id': `r${index}`});
+				expect([got.status, got.body]).toEqual([200, 'done']);
+			}
+		});
+
 		it('never passes on an answer to another request', async () => {
 			setHandlers((_request, response) => {
 				response.writeHead(200, {'x-id': 'other', 'x-signed': 'yes', 'content-length': 6});
--- a/packages/target-connection/src/connection-pool.ts
+++ b/packages/target-connection/src/connection-pool.ts
@@ -38,6 +38,7 @@
 		const client = (needsFreshConnection ? undefined : this.#takeIdle(address)) ?? this.#open(address);
 		let isSent = false;
 		let isOver = false;
+		let isFramed = true;
 		let abort: (() => void) | undefined;
 		const finish = () => {
 			const wasOver = isOver;
@@ -58,7 +59,9 @@
 			},
 			onHeaders(status, rawHeaders) {
 				if (!isOver && status >= 200) {
-					listener.onHead({status, ...readHeaders(rawHeaders)});
+					const head = {status, ...readHeaders(rawHeaders)};
+					isFramed = hasFraming(request.method, head);
+					listener.onHead(head);
 				}
 
 				return true;
@@ -79,7 +82,7 @@
 					listener.onFailed({type: 'broken', message: 'reset'});
 				} else {
 					this.#keep(address, client, needsFreshConnection);
-					listener.onEnd();
+					listener.onEnd(isFramed);
 				}
 			},
 			onError(error) {
@@ -132,7 +135,10 @@
 		return client;
 	}
 
-	/** Notes resets: undici takes an answer without a length for whole when its connection is reset, which it is not. */
+	/**
+	Notes resets: an answer without a length is not whole when its connection is reset. undici takes it for whole, and where
+	a reset follows bytes at once, the event loop reports a plain end; the peer's address is gone then.
+	*/
 	#connector(onReset: () => void): buildConnector.connector {
 		const connect = buildConnector({timeout: this.#options.connectTimeoutMs, noDelay: true});
 		return (options, callback) => {
@@ -142,6 +148,11 @@
 					socket.on('error', () => {
 						onReset();
 					});
+					socket.on('end', () => {
+						if (socket.remoteAddress === undefined) {
+							onReset();
+						}
+					});
 				}
 
 				callback(...result);
@@ -181,6 +192,11 @@
 	}
 }
 
+/** Whether an answer tells where it ends. */
+function hasFraming(method: string, {status, headers}: {readonly status: number; readonly headers: ReadonlyMap<string, string>}): boolean {
+	return headers.has('content-length') || headers.has('transfer-encoding') || method === 'HEAD' || status === 204 || status === 304;
+}
+
 function readHeaders(raw: readonly Buffer[]): {headers: Map<string, string>; rawHeaders: Array<readonly [string, string]>} {
 	const headers = new Map<string, string>();
 	const rawHeaders: Array<readonly [string, string]> = [];
--- a/packages/target-connection/src/target-connection.test.ts
+++ b/packages/target-connection/src/target-connection.test.ts
@@ -44,7 +44,7 @@
 	}
 }
 
-type Outcome = {readonly status?: number; readonly body: string; readonly failure?: ExchangeFailure; readonly isSent: boolean};
+type Outcome = {readonly status?: number; readonly body: string; readonly failure?: ExchangeFailure; readonly isSent: boolean; readonly isFramed?: boolean};
 
 async function exchange(pool: ConnectionPool, address: string, needsFreshConnection = false): Promise<Outcome> {
 	return new Promise(resolve => {
@@ -67,8 +67,10 @@
 				onData(chunk) {
 					body += chunk.toString();
 				},
-				onEnd() {
-					resolve({status, body, isSent});
+				onEnd(isFramed) {
+					resolve({
+						status, body, isSent, isFramed,
+					});
 				},
 				onFailed(failure) {
 					resolve({
@@ -168,6 +170,25 @@
 			expect(await failureType()).toEqual('broken');
 		});
 
+		it('does not take it for whole either when the reset follows the bytes at once', async () => {
+			target.script = socket => {
+				socket.write('HTTP/1.1 200 OK\r\n\r\npart', () => {
+					socket.resetAndDestroy();
+				});
+			};
+
+			expect(await failureType()).toEqual('broken');
+		});
+
+		it('says of an answer without a length that only its connection ends it', async () => {
+			target.script = socket => {
+				socket.end('HTTP/1.1 200 OK\r\n\r\nok');
+			};
+
+			const outcome = await exchange(pool, target.address);
+			expect([outcome.body, outcome.isFramed]).toEqual(['ok', false]);
+		});
+
 		it('never uses a connection again on which bytes followed a whole answer', async () => {
 			target.script = (socket, _request, count) => {
 				socket.write(count === 1 ? wholeAnswer + 'HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong' : wholeAnswer);
--- a/packages/target-connection/src/target-exchange.ts
+++ b/packages/target-connection/src/target-exchange.ts
@@ -22,7 +22,8 @@
 	readonly onSending: () => void;
 	readonly onHead: (head: AnswerHead) => void;
 	readonly onData: (chunk: Buffer) => void;
-	readonly onEnd: () => void;
+	/** The answer is whole. `isFramed` is false if only the end of the connection says so, which a cut may look like. */
+	readonly onEnd: (isFramed: boolean) => void;
 	readonly onFailed: (failure: ExchangeFailure) => void;
 };
 
