Use more of the retry budget, and count entries that went within the window

Change: 0.85 of the allowance, over the most entries seen within the window, so that the sum holds when entries go (test).

--- a/packages/placement/src/placement.test.ts
+++ b/packages/placement/src/placement.test.ts
@@ -282,6 +282,27 @@
 	});
 });
 
+describe('RetryBudget with entries that go', () => {
+	it('keeps the sum within the allowance when most entries are gone within a window', () => {
+		const allowance = {ratio: 0.2, slack: 98, windowMs: 10_000};
+		const entries = Array.from({length: 11}, () => new RetryBudget(allowance));
+		let taken = 0;
+		for (const [index, entry] of entries.entries()) {
+			for (let tries = 0; tries < 200; tries++) {
+				taken += entry.take('s', index, entries.length) ? 1 : 0;
+			}
+		}
+
+		for (const entry of entries.slice(0, 4)) {
+			for (let tries = 0; tries < 200; tries++) {
+				taken += entry.take('s', 2000, 4) ? 1 : 0;
+			}
+		}
+
+		expect(taken > 50 && taken <= allowance.slack).toEqual(true);
+	});
+});
+
 describe('CrashGuard', () => {
 	it('refuses a request after three targets died under it, and counts each death once', () => {
 		const guard = new CrashGuard();
--- a/packages/placement/src/retry-budget.ts
+++ b/packages/placement/src/retry-budget.ts
@@ -12,15 +12,19 @@
 	readonly windowMs: number;
 };
 
-/** Part of the allowance that is used, since entries see different spans and the number of entries may be out of date. */
-const usedShare = 0.6;
+/** Part of the allowance that is used: entries learn a little late that another one has come. */
+const usedShare = 0.85;
 
 type Window = {requests: number[]; retries: number[]};
 
+type Count = {readonly entryCount: number; readonly atMs: number};
+
 /** The part of one entry. */
 export class RetryBudget {
 	readonly #allowance: RetryAllowance;
 	readonly #windows = new Map<string, Window>();
+	/** Falling numbers of entries, each with the time of its last use: entries that went have used their parts of the window. */
+	#counts: Count[] = [];
 
 	constructor(allowance: RetryAllowance) {
 		this.#allowance = allowance;
@@ -35,7 +39,7 @@
 	take(service: string, nowMs: number, entryCount: number): boolean {
 		const {ratio, slack} = this.#allowance;
 		const {requests, retries} = this.#window(service, nowMs);
-		const allowed = usedShare * ((ratio * requests.length) + (slack / Math.max(1, entryCount)));
+		const allowed = usedShare * ((ratio * requests.length) + (slack / this.#mostEntries(entryCount, nowMs)));
 		if (retries.length + 1 > allowed) {
 			return false;
 		}
@@ -44,6 +48,14 @@
 		return true;
 	}
 
+	/** The most entries within the window. */
+	#mostEntries(entryCount: number, nowMs: number): number {
+		const sinceMs = nowMs - this.#allowance.windowMs;
+		this.#counts = this.#counts.filter(count => count.atMs > sinceMs && count.entryCount > entryCount);
+		this.#counts.push({entryCount: Math.max(1, entryCount), atMs: nowMs});
+		return this.#counts[0].entryCount;
+	}
+
 	#window(service: string, nowMs: number): Window {
 		const window = this.#windows.get(service) ?? {requests: [], retries: []};
 		this.#windows.set(service, window);
