Leave a quarter of the places to requests that can be on time, and spread the return after an outage

Change: late requests take at most three quarters of the places; callers are told 1.2 to 2.6 s, drawn at random; a request that goes on at another target waits before all others, as its caller holds a part of the answer. Ruled out: longer pauses (callers keep at most a third of the time they have left).

--- a/packages/gateway/src/forward-flow.ts
+++ b/packages/gateway/src/forward-flow.ts
@@ -96,10 +96,10 @@
 
 	#admit(): void {
 		const {service, route, arrivedAtMs, deadlineAtMs, account, facts} = this.#call;
-		const isReturning = this.#sentCount > 0 || (facts.timeLeftMs !== undefined && facts.timeLeftMs < route.timeoutMs * returningShare);
+		const isReturning = facts.timeLeftMs !== undefined && facts.timeLeftMs < route.timeoutMs * returningShare;
 		let isSettled = false;
 		const waiting = this.#context.admission.admit({
-			service, priority: account?.priority ?? route.priority, accountName: this.#accountName, arrivedAtMs, objectiveMs: route.objectiveMs, deadlineAtMs, isReturning, excluded: this.#tried,
+			service, priority: account?.priority ?? route.priority, accountName: this.#accountName, arrivedAtMs, objectiveMs: route.objectiveMs, deadlineAtMs, isReturning, isRepeat: this.#sentCount > 0, excluded: this.#tried,
 		}, this.#nowMs, admission => {
 			isSettled = true;
 			this.#waiting = undefined;
--- a/packages/gateway/src/request-flow.ts
+++ b/packages/gateway/src/request-flow.ts
@@ -14,7 +14,8 @@
 import {readBody} from './read-body.js';
 
 /** Pause told to callers while no desired state is known. */
-const startingPauseMs = 2000;
+const startingPauseMs = 1200;
+const startingSpreadMs = 1400;
 
 /** Serves one request. */
 export async function serveRequest(context: FlowContext, request: IncomingMessage, response: ServerResponse): Promise<void> {
@@ -22,7 +23,7 @@
 	const answer = new CallerAnswer(response, context.dialect);
 	const table = context.table();
 	if (!table) {
-		answer.refuse('starting', startingPauseMs);
+		answer.refuse('starting', startingPauseMs + (context.random() * startingSpreadMs));
 		return;
 	}
 
--- a/packages/placement/src/admission.ts
+++ b/packages/placement/src/admission.ts
@@ -3,7 +3,8 @@
 
 A request waits in one of two lanes. One that can still be answered on time goes first and is refused within an eighth
 of its objective, early enough for its caller to come back in time. One that came back, or that cannot be on time any
-more, is served from what is left, and waits longer, since its caller has no other try.
+more, is served from what is left, and waits longer, since its caller has no other try. It leaves a part of the places free,
+so that the callers who come back after an outage do not make those late who come then.
 */
 
 import type {Choice, TargetBoard, TargetView} from './target-board.js';
@@ -15,6 +16,9 @@
 const lateWaitShare = 0.5;
 const maxLateWaitMs = 1200;
 
+/** Share of the places that late requests may take: after an outage all callers come back at once. */
+const latePlaceShare = 0.75;
+
 /** Requests waiting for one service at one entry. */
 const maxWaiting = 64;
 
@@ -23,7 +27,8 @@
 const pauseSpreadMs = 120;
 
 /** Pause where a service has no target at all: it takes seconds until one has reported. */
-const noTargetPauseMs = 1500;
+const noTargetPauseMs = 1200;
+const noTargetSpreadMs = 1200;
 
 /** A request to be admitted. */
 export type AdmissionRequest = {
@@ -37,6 +42,8 @@
 	readonly deadlineAtMs: number;
 	/** Whether it came back after a refusal, as far as can be told from the time it has left. */
 	readonly isReturning: boolean;
+	/** Whether it goes on at another target: its caller holds a part of the answer, or has no other try. */
+	readonly isRepeat?: boolean;
 	readonly excluded?: ReadonlySet<string>;
 };
 
@@ -84,9 +91,9 @@
 
 	/** Admits, refuses, or lets wait; `settle` is called once, at once or later, unless the wait is cancelled. */
 	admit(request: AdmissionRequest, nowMs: number, settle: (admission: Admission) => void): Waiting {
-		const isLate = request.isReturning || nowMs - request.arrivedAtMs > request.objectiveMs * onTimeWaitShare;
+		const isLate = !request.isRepeat && (request.isReturning || nowMs - request.arrivedAtMs > request.objectiveMs * onTimeWaitShare);
 		const isFirst = !this.#line.some(other => other.request.service === request.service && (isLate || !other.isLate));
-		const choice = isFirst ? this.#choose(request, nowMs) : {kind: 'full' as const};
+		const choice = isFirst ? this.#choose(request, isLate, nowMs) : {kind: 'full' as const};
 		if (choice.kind === 'target') {
 			settle({kind: 'admitted', view: choice.view, isLate});
 			return noWait;
@@ -113,22 +120,24 @@
 	pump(nowMs: number): void {
 		const order = this.#line.toSorted((left, right) => this.#compare(left, right));
 		const full = new Set<string>();
+		const fullForLate = new Set<string>();
 		for (const line of order) {
 			const {service} = line.request;
-			const choice = full.has(service) ? {kind: 'full' as const} : this.#choose(line.request, nowMs);
+			const isFull = full.has(service) || (line.isLate && fullForLate.has(service));
+			const choice = isFull ? {kind: 'full' as const} : this.#choose(line.request, line.isLate, nowMs);
 			if (choice.kind === 'target') {
 				this.#end(line, {kind: 'admitted', view: choice.view, isLate: line.isLate});
 			} else if (nowMs >= line.refuseAtMs) {
 				this.#end(line, this.#refusal('full'));
 			} else {
-				full.add(service);
+				(line.isLate ? fullForLate : full).add(service);
 			}
 		}
 	}
 
-	#choose(request: AdmissionRequest, nowMs: number): Choice {
+	#choose(request: AdmissionRequest, isLate: boolean, nowMs: number): Choice {
 		return this.#options.board.choose({
-			service: request.service, nowMs, excluded: request.excluded, random: this.#options.random,
+			service: request.service, nowMs, excluded: request.excluded, placeShare: isLate ? latePlaceShare : 1, random: this.#options.random,
 		});
 	}
 
@@ -145,12 +154,17 @@
 	}
 
 	#refusal(reason: 'full' | 'noTarget' | 'lineFull'): Admission {
-		return {kind: 'refused', reason, retryAfterMs: (reason === 'noTarget' ? noTargetPauseMs : minPauseMs) + (this.#options.random() * pauseSpreadMs)};
+		return {kind: 'refused', reason, retryAfterMs: pauseMs(reason, this.#options.random())};
 	}
 }
 
-function refuseAtMs({arrivedAtMs, objectiveMs, deadlineAtMs}: AdmissionRequest, isLate: boolean, nowMs: number): number {
-	return isLate
+/** The pause a caller is told, spread so that the return is no new peak. */
+function pauseMs(reason: 'full' | 'noTarget' | 'lineFull', random: number): number {
+	return reason === 'noTarget' ? noTargetPauseMs + (random * noTargetSpreadMs) : minPauseMs + (random * pauseSpreadMs);
+}
+
+function refuseAtMs({arrivedAtMs, objectiveMs, deadlineAtMs, isRepeat = false}: AdmissionRequest, isLate: boolean, nowMs: number): number {
+	return isLate || isRepeat
 		? nowMs + Math.min(maxLateWaitMs, (deadlineAtMs - nowMs) * lateWaitShare)
 		: arrivedAtMs + (objectiveMs * onTimeWaitShare);
 }
--- a/packages/placement/src/target-board.ts
+++ b/packages/placement/src/target-board.ts
@@ -70,6 +70,8 @@
 	readonly service: string;
 	readonly nowMs: number;
 	readonly excluded?: ReadonlySet<string>;
+	/** Share of each target's places that may be taken; all by default. */
+	readonly placeShare?: number;
 	/** Random numbers in [0, 1). */
 	readonly random: () => number;
 };
@@ -162,7 +164,7 @@
 	}
 
 	/** Chooses among the targets with room the least busy one, with a random part. */
-	choose({service, nowMs, excluded, random}: ChoiceInput): Choice {
+	choose({service, nowMs, excluded, random, placeShare = 1}: ChoiceInput): Choice {
 		let best: TargetView | undefined;
 		let bestRank = Number.POSITIVE_INFINITY;
 		let isAnyReady = false;
@@ -176,7 +178,7 @@
 			const view = this.#view(entry, nowMs);
 			const crowd = Math.max(0, view.busy - (entry.report.slots * comfortableShare));
 			const rank = entry.readingPasses + crowd + this.#penalty(entry, nowMs, paces) + (random() * drawSpread);
-			if (!view.isPaused && view.busy < view.limit && rank < bestRank) {
+			if (!view.isPaused && view.busy < view.limit * placeShare && rank < bestRank) {
 				best = view;
 				bestRank = rank;
 			}
