--- a/packages/gateway/src/forward-flow.ts
+++ b/packages/gateway/src/forward-flow.ts
@@ -99,7 +99,15 @@
 		const isReturning = facts.timeLeftMs !== undefined && facts.timeLeftMs < route.timeoutMs * returningShare;
 		let isSettled = false;
 		const waiting = this.#context.admission.admit({
-			service, priority: account?.priority ?? route.priority, accountName: this.#accountName, arrivedAtMs, objectiveMs: route.objectiveMs, deadlineAtMs, isReturning, isRepeat: this.#sentCount > 0, excluded: this.#tried,
+			service,
+			priority: account?.priority ?? route.priority,
+			accountName: this.#accountName,
+			arrivedAtMs,
+			objectiveMs: route.objectiveMs,
+			deadlineAtMs,
+			isReturning,
+			isRepeat: this.#sentCount > 0,
+			excluded: this.#tried,
 		}, this.#nowMs, admission => {
 			isSettled = true;
 			this.#waiting = undefined;
