--- a/packages/placement/src/placement.test.ts
+++ b/packages/placement/src/placement.test.ts
@@ -193,8 +193,10 @@
 			expect(order).toEqual(['fresh admitted']);
 			queue.pump(300);
 			expect(order).toEqual(['fresh admitted']);
-			board.ended('t0', 'answered', 400);
-			board.ended('t0', 'answered', 400);
+			for (let index = 0; index < 3; index++) {
+				board.ended('t0', 'answered', 400);
+			}
+
 			queue.pump(400);
 			expect(order).toEqual(['fresh admitted', 'returned admitted']);
 		});
