--- a/packages/placement/src/admission.ts
+++ b/packages/placement/src/admission.ts
@@ -17,7 +17,7 @@
 const maxLateWaitMs = 1200;
 
 /** Share of the places that late requests may take: after an outage all callers come back at once. */
-const latePlaceShare = 0.5;
+const latePlaceShare = 0.75;
 
 /** Requests waiting for one service at one entry. */
 const maxWaiting = 64;
