--- a/packages/gateway/src/forward-flow.ts
+++ b/packages/gateway/src/forward-flow.ts
@@ -287,20 +287,11 @@
 	#watchSilence(timeoutMs: number): void {
 		clearTimeout(this.#silence);
 		this.#silence = setTimeout(() => {
-			if (this.#mayTakeUpElsewhere()) {
-				this.#running?.attempt.abandon();
-				this.#onOutcome('broken', 'silent');
-			}
+			this.#running?.attempt.abandon();
+			this.#onOutcome('broken', 'silent');
 		}, timeoutMs);
 	}
 
-	/** Whether giving a silent target up brings the stream anywhere; if not, the target may still go on. */
-	#mayTakeUpElsewhere(): boolean {
-		const {budget, entryCount} = this.#context;
-		const {route, service} = this.#call;
-		return this.#sentCount + 1 < route.maxAttempts && budget.hasRoom(service, this.#nowMs, entryCount());
-	}
-
 	#onDeadline(): void {
 		const {running, mayHaveRun} = {running: this.#running, mayHaveRun: this.#mayHaveRun || this.#running?.attempt.isSent === true};
 		if (running) {
--- a/packages/gateway/src/gateway.test.ts
+++ b/packages/gateway/src/gateway.test.ts
@@ -408,20 +408,6 @@
 			expect(sent()).toEqual(2);
 		});
 
-		it('does not give up a silent target when no other may be tried: it may still go on', async () => {
-			setHandlers((request, response) => {
-				response.writeHead(200, head(request));
-				response.write(events(1, 2));
-				setTimeout(() => {
-					response.end(events(3, 4));
-				}, 1400);
-			});
-			table = new RouteTable({...state, routes: state.routes.map(route => ({...route, maxAttempts: 1}))});
-			const got = await call('/draft/x');
-			expect([got.body, got.isWhole]).toEqual([events(1, 4), true]);
-			expect(sent()).toEqual(1);
-		});
-
 		it('ends the connection where it cannot be resumed, so that it does not look complete', async () => {
 			setHandlers((request, response) => {
 				response.writeHead(200, head(request));
--- a/packages/placement/src/retry-budget.ts
+++ b/packages/placement/src/retry-budget.ts
@@ -37,22 +37,17 @@
 
 	/** Takes one send beyond the first; false if the part of this entry is used up. */
 	take(service: string, nowMs: number, entryCount: number): boolean {
-		if (!this.hasRoom(service, nowMs, entryCount)) {
+		const {ratio, slack} = this.#allowance;
+		const {requests, retries} = this.#window(service, nowMs);
+		const allowed = usedShare * ((ratio * requests.length) + (slack / this.#mostEntries(entryCount, nowMs)));
+		if (retries.length + 1 > allowed) {
 			return false;
 		}
 
-		this.#window(service, nowMs).retries.push(nowMs);
+		retries.push(nowMs);
 		return true;
 	}
 
-	/** Whether a send beyond the first could be taken now. */
-	hasRoom(service: string, nowMs: number, entryCount: number): boolean {
-		const {ratio, slack} = this.#allowance;
-		const {requests, retries} = this.#window(service, nowMs);
-		const allowed = usedShare * ((ratio * requests.length) + (slack / this.#mostEntries(entryCount, nowMs)));
-		return retries.length + 1 <= allowed;
-	}
-
 	/** The most entries within the window. */
 	#mostEntries(entryCount: number, nowMs: number): number {
 		const sinceMs = nowMs - this.#allowance.windowMs;
--- a/packages/rank-agent/src/group-ranks.ts
+++ b/packages/rank-agent/src/group-ranks.ts
@@ -6,7 +6,7 @@
 	EngineDoor, type EngineOrder, type EngineState, type ExpertCounts, type HeldExperts, type OrderOutcome,
 } from './engine-door.js';
 
-const callTimeoutMs = 350;
+const callTimeoutMs = 700;
 
 /** The engine behind another agent. */
 export class RemoteEngine extends EngineDoor {
--- a/packages/rank-agent/src/map-keeper.ts
+++ b/packages/rank-agent/src/map-keeper.ts
@@ -32,11 +32,6 @@
 
 const defaults = {forgetPerSecond: 0.7, minStepGain: 0.045, minGainPerCopy: 0.012};
 
-/** After a switch that did not go through, none is tried for a while, and the next ones look further ahead. */
-const pauseAfterFailureMs = 4000;
-const cautiousForMs = 20_000;
-const cautiousPasses = 16;
-
 /** Weight of the newest look at how many requests a rank writes. */
 const activeWeight = 0.4;
 
@@ -51,7 +46,6 @@
 	#lastAtMs = 0;
 	#loads: number[] = [];
 	#active = 0;
-	#failedAtMs = Number.NEGATIVE_INFINITY;
 
 	constructor(options: MapKeeperOptions) {
 		this.#options = {...defaults, ...options};
@@ -124,21 +118,10 @@
 			return;
 		}
 
-		const sinceFailureMs = nowMs() - this.#failedAtMs;
-		if (sinceFailureMs < pauseAfterFailureMs) {
-			return;
-		}
-
-		const mapSwitch = new MapSwitch({
-			ranks, holdingRank, nowMs, ...(sinceFailureMs < cautiousForMs && {marginPasses: cautiousPasses}),
-		});
 		const version = this.#options.versions.next();
 		const startedAtMs = nowMs();
+		const mapSwitch = new MapSwitch({ranks, holdingRank, nowMs});
 		const outcome = await mapSwitch.run(version, plan.lists);
-		if (outcome === 'left') {
-			this.#failedAtMs = nowMs();
-		}
-
 		logger.log('info', 'mapSwitch', {
 			group: ranks.group,
 			epoch: ranks.epoch,
--- a/packages/rank-agent/src/map-switch.ts
+++ b/packages/rank-agent/src/map-switch.ts
@@ -19,7 +19,7 @@
 export type SwitchOutcome = 'switched' | 'notPrepared' | 'left' | 'aborted' | 'groupChanged' | 'unsettled';
 
 /** Passes between the last one begun and the one at which the ranks switch. */
-const defaultMarginPasses = 6;
+const marginPasses = 6;
 
 /** Passes that tell switches apart which start from the same pass. */
 const passSpread = 3;
@@ -43,8 +43,6 @@
 	/** The rank at which the group is held: not the coordinator's own, so that its agent can take over. */
 	readonly holdingRank: number;
 	readonly nowMs: () => number;
-	/** More passes ahead leave more time for orders that have to be repeated, before the group stands still. */
-	readonly marginPasses?: number;
 };
 
 /** One switch of one formation of a group. */
@@ -52,12 +50,10 @@
 	readonly #ranks: GroupRanks;
 	readonly #holding: EngineDoor;
 	readonly #nowMs: () => number;
-	readonly #marginPasses: number;
 	#fencing = 0;
 	#firstRefusal: string | undefined;
 
-	constructor({ranks, holdingRank, nowMs, marginPasses = defaultMarginPasses}: MapSwitchOptions) {
-		this.#marginPasses = marginPasses;
+	constructor({ranks, holdingRank, nowMs}: MapSwitchOptions) {
 		this.#ranks = ranks;
 		this.#holding = ranks.engines[holdingRank];
 		this.#nowMs = nowMs;
@@ -83,7 +79,7 @@
 			return 'groupChanged';
 		}
 
-		const step = Math.max(...states.map(state => state.step)) + this.#marginPasses + (version % passSpread);
+		const step = Math.max(...states.map(state => state.step)) + marginPasses + (version % passSpread);
 		const untilMs = this.#nowMs() + armLimitMs;
 		if (!await this.#orderUntilTaken(this.#holding, {kind: 'hold', step}, untilMs)) {
 			return 'left';
