Bind link addresses in one place, and drop an order count nobody reads

Control and agents wrote the same binding of a gRPC server; fleet-link's listen serves both. Behaviour as before.

--- a/packages/fleet-control/src/fleet-control.ts
+++ b/packages/fleet-control/src/fleet-control.ts
@@ -6,7 +6,7 @@
 
 import type {ReplaceOutcome, StoredDocument} from '@rattanspring/desired-state';
 import {
-	ControlLinks, type CrashReport, type DownMessage, LinkServer, linkService, type NodeCard, type NodeRole, type UpMessage,
+	ControlLinks, type CrashReport, type DownMessage, LinkServer, linkService, listen, type NodeCard, type NodeRole, type UpMessage,
 } from '@rattanspring/fleet-link';
 import type {FatalPort} from '@rattanspring/log-storage';
 import type {Logger} from '@rattanspring/logger';
@@ -14,7 +14,7 @@
 import {type TargetLoad, type TargetReport, TargetTable} from '@rattanspring/target-table';
 import type {Clock} from '@rattanspring/types';
 import {
-	type handleUnaryCall, type sendUnaryData, Server, ServerCredentials, type ServerDuplexStream, type UntypedServiceImplementation,
+	type handleUnaryCall, type sendUnaryData, Server, type ServerDuplexStream, type UntypedServiceImplementation,
 } from '@grpc/grpc-js';
 import {DocumentGroup} from './document-group.js';
 
@@ -91,15 +91,7 @@
 	async start(): Promise<void> {
 		this.#server.addService(this.#group.service.definition, this.#group.service.implementation);
 		this.#server.addService(controlMethods, this.#handlers());
-		await new Promise<void>((resolve, reject) => {
-			this.#server.bindAsync(this.#options.linkAddress, ServerCredentials.createInsecure(), error => {
-				if (error) {
-					reject(error);
-				} else {
-					resolve();
-				}
-			});
-		});
+		await listen(this.#server, this.#options.linkAddress);
 		this.#every(loadBatchIntervalMs, () => {
 			this.#flushLoads();
 		});
--- a/packages/fleet-link/src/index.ts
+++ b/packages/fleet-link/src/index.ts
@@ -4,4 +4,5 @@
 export * from './link-client.js';
 export * from './link-server.js';
 export * from './link-service.js';
+export * from './listen.js';
 export * from './messages.js';
--- a/packages/rank-agent/src/engine-door.ts
+++ b/packages/rank-agent/src/engine-door.ts
@@ -12,8 +12,6 @@
 	readonly queued: number;
 	readonly memoryShare: number;
 	readonly pace: number;
-	/** Orders that the engine has begun since its start. */
-	readonly orderSequence: number;
 	/** The last pass that was begun. */
 	readonly step: number;
 	readonly rankPlace?: RankPlace;
--- a/packages/rank-agent/src/lockstep-group.ts
+++ b/packages/rank-agent/src/lockstep-group.ts
@@ -104,7 +104,6 @@
 			queued: 0,
 			memoryShare: 0,
 			pace: 1,
-			orderSequence: 0,
 			step: this.step,
 			rankPlace: {
 				group: 'g', epoch: this.epoch, rank, size: this.#states.length, isOpen: true,
--- a/packages/rank-agent/src/rank-agent.ts
+++ b/packages/rank-agent/src/rank-agent.ts
@@ -4,10 +4,10 @@
 */
 
 import {
-	type handleUnaryCall, Server, ServerCredentials,
+	type handleUnaryCall, Server,
 } from '@grpc/grpc-js';
 import {
-	ControlLinks, LinkCalls, linkService, type NodeCard, type RankReply, type RankRequest,
+	ControlLinks, LinkCalls, linkService, listen, type NodeCard, type RankReply, type RankRequest,
 } from '@rattanspring/fleet-link';
 import type {Logger} from '@rattanspring/logger';
 import {serverOptions} from '@rattanspring/protocol';
@@ -113,15 +113,7 @@
 	async start(): Promise<void> {
 		const {follow: _follow, document: _document, submit: _submit, join: _join, ...agentMethods} = linkService;
 		this.#server.addService(agentMethods, {rank: this.#rankHandler()});
-		await new Promise<void>((resolve, reject) => {
-			this.#server.bindAsync(this.#options.linkAddress, ServerCredentials.createInsecure(), error => {
-				if (error) {
-					reject(error);
-				} else {
-					resolve();
-				}
-			});
-		});
+		await listen(this.#server, this.#options.linkAddress);
 		this.#timers.push(setInterval(() => {
 			void this.#measure();
 		}, measureIntervalMs), setInterval(() => {
