Name setting and address when a port is occupied, list models, end npm start at TERM

Cause, seen by hand: an address in use ended the embedded daemon with a stack trace, since only the program caught failed starts and gRPC's text names no setting; npm start left its node process, as the shell between did not pass the signal on; GET /v1/models fell through to the services and was asked for an idempotency key; client libraries of model services read an error object that problem+json lacks.

Found by the new test, which hung: a failed start left the roles that had started running. They are stopped now.

Ruled out: catching the error in each listener; the daemon knows the settings' names, and one place serves all.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -2,10 +2,12 @@
 
 import {readFile} from 'node:fs/promises';
 import {setTimeout as sleep} from 'node:timers/promises';
-import type {DaemonSettings} from '@rattanspring/settings';
+import type {DaemonSettings, ListenSettings} from '@rattanspring/settings';
 import type {ConfigurationChange} from '@rattanspring/types';
 import type {DependencyContainer} from 'tsyringe';
 import {compose, tokens} from './composition.js';
+import {listening} from './listening.js';
+import type {Role} from './ports/role.js';
 
 /** Pause between offers of the initial configuration. */
 const initialConfigurationPauseMs = 100;
@@ -15,7 +17,13 @@
 	/** Starts a daemon of these settings. */
 	static async start(settings: DaemonSettings): Promise<Daemon> {
 		const daemon = new Daemon(compose(settings));
-		await daemon.#start(settings);
+		try {
+			await daemon.#start(settings);
+		} catch (error) {
+			await daemon.#undoStart();
+			throw error;
+		}
+
 		return daemon;
 	}
 
@@ -40,11 +48,11 @@
 	async #start(settings: DaemonSettings): Promise<void> {
 		const logger = this.#scope.resolve(tokens.logger);
 		for (const role of this.#scope.resolve(tokens.roles)) {
-			await role.start();
+			await startRole(role, settings);
 			logger.log('info', 'roleStarted', {role: role.name});
 		}
 
-		await this.#scope.resolve(tokens.adminServer).start();
+		await listening('admin.listen', settings.admin.listen, async () => this.#scope.resolve(tokens.adminServer).start());
 		const file = settings.roles.control?.initialConfigurationFile;
 		if (file) {
 			const change = JSON.parse(await readFile(file, 'utf8')) as ConfigurationChange;
@@ -52,6 +60,13 @@
 		}
 	}
 
+	/** Stops whatever runs after a start that failed. */
+	async #undoStart(): Promise<void> {
+		this.#stopping = Promise.resolve();
+		await Promise.allSettled(this.#scope.resolve(tokens.roles).map(async role => role.stop()));
+		this.#scope.resolve(tokens.controlAccess).close();
+	}
+
 	/** Offers the change until it was answered here or the log has a configuration, whichever voter took it. */
 	async #applyInitialConfiguration(change: ConfigurationChange): Promise<void> {
 		const log = this.#scope.resolve(tokens.fleetLog);
@@ -88,3 +103,10 @@
 		await this.#scope.resolve(tokens.adminServer).stop();
 	}
 }
+
+/** Starts a role; one that listens says so by its settings. */
+async function startRole(role: Role, {roles}: DaemonSettings): Promise<void> {
+	const start = async (): Promise<void> => role.start();
+	const listen = (Object.entries(roles) as Array<[string, {listen: ListenSettings} | undefined]>).find(([name]) => name === role.name)?.[1]?.listen;
+	return listen ? listening(`roles.${role.name}.listen`, listen, start) : start();
+}
--- a/packages/daemon/src/embedded.ts
+++ b/packages/daemon/src/embedded.ts
@@ -10,7 +10,7 @@
 import {parseSettings} from '@rattanspring/settings';
 import {EngineServer, PlainService} from '@rattanspring/stand-ins';
 import {FailureError, type ConfigurationChange} from '@rattanspring/types';
-import {Daemon} from './daemon.js';
+import {startOrExit, stopAtSignal} from './run-daemon.js';
 
 const host = '127.0.0.1';
 const ports = {
@@ -74,7 +74,7 @@
 	throw new FailureError(settings.failure[0]);
 }
 
-const daemon = await Daemon.start(settings.value);
+const daemon = await startOrExit(settings.value);
 while (!daemon.isReady) {
 	await new Promise(resolve => {
 		setTimeout(resolve, readyPollMs);
@@ -93,14 +93,7 @@
   curl -H 'Authorization: Bearer ${callerSecret}' -H 'Content-Type: application/json' -H 'Idempotency-Key: order-1' -d '{"reference":"tray-8"}' ${entryUrl}/orders/orders
 `);
 
-const stop = async (): Promise<void> => {
+stopAtSignal(async () => {
 	await daemon.stop();
 	await Promise.all([engine.stop(), orders.stop()]);
-	process.exit(0);
-};
-
-for (const signal of ['SIGTERM', 'SIGINT'] as const) {
-	process.once(signal, () => {
-		void stop();
-	});
-}
+});
--- a/packages/daemon/src/roles/entry/entry-role.ts
+++ b/packages/daemon/src/roles/entry/entry-role.ts
@@ -33,6 +33,7 @@
 import {entriesMaxAgeMs, EntryAddresses} from './entry-addresses.js';
 import {HttpCallerAnswer} from './http-caller-answer.js';
 import {MeasuredAnswer} from './measured-answer.js';
+import {modelList} from './model-list.js';
 import {notRun, problemOf} from './problem.js';
 import {RequestRunner} from './request-runner.js';
 import {SuspectFollower} from './suspect-follower.js';
@@ -185,6 +186,7 @@
 		this.#server.route({
 			method: 'GET', path: '/v1/requests/{requestId}', handler: (request, toolkit) => this.#resume(request, toolkit),
 		});
+		this.#server.route({method: 'GET', path: '/v1/models', handler: (request, toolkit) => this.#models(request, toolkit)});
 		this.#server.route({method: 'GET', path: '/v1/targets', handler: (request, toolkit) => this.#targets(request, toolkit)});
 		this.#server.route({method: 'GET', path: '/v1/service-level', handler: (request, toolkit) => this.#serviceLevel(request, toolkit)});
 		this.#server.route({
@@ -261,6 +263,12 @@
 		return toolkit.abandon;
 	}
 
+	/** The models that targets serve now, in the shape that client libraries ask for first. */
+	#models(request: Request, toolkit: ResponseToolkit): ResponseObject {
+		const account = this.#accountOf(request);
+		return account.ok ? toolkit.response(modelList(this.#directory)) : respond(toolkit, account.failure);
+	}
+
 	/** The targets that this entry knows; for operators. */
 	#targets(request: Request, toolkit: ResponseToolkit): ResponseObject {
 		const {inForce, clock} = this.#options;
--- a/packages/daemon/src/roles/entry/problem.ts
+++ b/packages/daemon/src/roles/entry/problem.ts
@@ -1,4 +1,4 @@
-/** The final answer to a request without an answer from a target: problem+json. */
+/** The final answer to a request without an answer from a target: problem+json, with the `error` object that client libraries of model services read. */
 
 import type {RequestFailure, RequestFailureType} from '@rattanspring/types';
 
@@ -42,7 +42,7 @@
 	}
 
 	const body = JSON.stringify({
-		type: failure.type, title: failure.message, status, execution: failure.execution, retryAfterMs: failure.retryAfterMs,
+		type: failure.type, title: failure.message, status, execution: failure.execution, retryAfterMs: failure.retryAfterMs, error: {message: failure.message, type: failure.type, code: failure.type},
 	});
 	return {status, headers, body};
 }
--- a/packages/daemon/src/whole-path.test.ts
+++ b/packages/daemon/src/whole-path.test.ts
@@ -88,6 +88,29 @@
 		});
 	});
 
+	describe('the list of models', () => {
+		it('names what targets serve, without an idempotency key', async () => {
+			const answer = await fetch(`${fleet.entryUrls[0]}/v1/models`, {headers: {authorization}});
+			const {object, data} = await answer.json() as {object: string; data: Array<{id: string; object: string}>};
+			expect([answer.status, object]).toEqual([200, 'list']);
+			expect(data.map(({id, object}) => [id, object])).toEqual([['draft-model', 'model']]);
+		});
+
+		it('is refused without a key', async () => {
+			const answer = await fetch(`${fleet.entryUrls[0]}/v1/models`);
+			expect(answer.status).toEqual(401);
+		});
+	});
+
+	describe('a failure', () => {
+		it('carries the error object that client libraries show', async () => {
+			const answer = await order('e');
+			const {error} = await answer.json() as {error: {message: string; type: string}};
+			expect(error.type).toEqual('idempotencyKeyMissing');
+			expect(error.message.length).toBeGreaterThan(0);
+		});
+	});
+
 	describe('a caller without a valid key', () => {
 		it('is refused', async () => {
 			const answer = await fetch(`${fleet.entryUrls[0]}/orders/orders/a`, {headers: {authorization: 'Bearer wrong'}});
