Divide free places among entries; order engines past an agent that is silent

Now every free place of a report belongs to one entry; figures come every 100 ms from targets that are nearly full, and are passed on within 50 ms; requests that came back take own places only until their wait ends.

Orders now go straight to an engine whose agent does not answer, within the coordinator's time, counted by a clock that sees standstills; taken orders count without a look at states, which are old there. The six new tests fail without the way past the agent.

--- a/packages/fleet-control/src/fleet-control.ts
+++ b/packages/fleet-control/src/fleet-control.ts
@@ -18,8 +18,8 @@
 } from '@grpc/grpc-js';
 import {DocumentGroup} from './document-group.js';
 
-/** Time between batches of load figures. */
-const loadBatchIntervalMs = 200;
+/** Load figures that come within this time are told together. */
+const loadBatchMs = 50;
 
 /** Time between batches of reports that change nothing but the time of the last one. */
 const reportBatchIntervalMs = 1000;
@@ -54,6 +54,7 @@
 	readonly #server = new Server(serverOptions);
 	readonly #timers: NodeJS.Timeout[] = [];
 	readonly #waitingLoads = new Map<string, TargetLoad>();
+	#loadsTimer: NodeJS.Timeout | undefined;
 	readonly #waitingReports = new Map<string, TargetReport>();
 	readonly #crashes: CrashReport[] = [];
 	#isLeaving = false;
@@ -92,9 +93,6 @@
 		this.#server.addService(this.#group.service.definition, this.#group.service.implementation);
 		this.#server.addService(controlMethods, this.#handlers());
 		await listen(this.#server, this.#options.linkAddress);
-		this.#every(loadBatchIntervalMs, () => {
-			this.#flushLoads();
-		});
 		this.#every(reportBatchIntervalMs, () => {
 			this.#flushReports();
 		});
@@ -162,6 +160,7 @@
 			clearInterval(timer);
 		}
 
+		clearTimeout(this.#loadsTimer);
 		this.#others.close();
 		this.#links.close();
 		await this.#group.stop();
@@ -189,6 +188,9 @@
 	#onMessage(message: UpMessage): void {
 		if (message.type === 'load') {
 			this.#waitingLoads.set(message.load.address, message.load);
+			this.#loadsTimer ??= setTimeout(() => {
+				this.#flushLoads();
+			}, loadBatchMs);
 		} else if (message.type === 'crash') {
 			this.#crashes.push(message.crash);
 			this.#crashes.splice(0, Math.max(0, this.#crashes.length - maxRememberedCrashes));
@@ -220,10 +222,9 @@
 	}
 
 	#flushLoads(): void {
-		if (this.#waitingLoads.size > 0) {
-			this.#links.broadcast({type: 'loads', loads: [...this.#waitingLoads.values()]}, ['entry']);
-			this.#waitingLoads.clear();
-		}
+		this.#loadsTimer = undefined;
+		this.#links.broadcast({type: 'loads', loads: [...this.#waitingLoads.values()]}, ['entry']);
+		this.#waitingLoads.clear();
 	}
 
 	#flushReports(): void {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -7,7 +7,7 @@
 import type {Logger} from '@rattanspring/logger';
 import type {DaemonMetrics} from '@rattanspring/metrics';
 import {
-	AdmissionQueue, CrashGuard, type RetryAllowance, RetryBudget, TargetBoard,
+	AdmissionQueue, CrashGuard, type EntryPlace, type RetryAllowance, RetryBudget, TargetBoard,
 } from '@rattanspring/placement';
 import {isReachable, type TargetExchange} from '@rattanspring/target-connection';
 import {TargetTable} from '@rattanspring/target-table';
@@ -63,13 +63,14 @@
 	#active = 0;
 	#isPumping = false;
 	#entries: readonly NodeCard[] = [];
+	#entryPlace: EntryPlace = {index: 0, count: 1};
 	#isLeaving = false;
 
 	constructor(options: GatewayOptions) {
 		this.#options = options;
 		const nowMs = () => options.clock.monotonicMs();
 		const {random, logger, metrics, dialect, exchange, failureDomain} = options;
-		this.#board = new TargetBoard({failureDomain, entryCount: () => Math.max(1, this.#entries.length)});
+		this.#board = new TargetBoard({failureDomain, entryPlace: () => this.#entryPlace});
 		const crashWatch = new CrashWatch({
 			isReachable,
 			onCrash: crash => {
@@ -129,7 +130,7 @@
 				this.#onMessage(message, address);
 			},
 			onNodes: cards => {
-				this.#entries = cards.filter(card => card.role === 'entry');
+				this.#noteEntries(cards.filter(card => card.role === 'entry'));
 			},
 			onState(linkAddress, isUp) {
 				logger.log(isUp ? 'info' : 'warn', isUp ? 'controlReached' : 'controlLost', {linkAddress});
@@ -208,6 +209,13 @@
 		this.#timers.push(setInterval(work, intervalMs));
 	}
 
+	#noteEntries(cards: readonly NodeCard[]): void {
+		const {nodeId} = this.#options;
+		this.#entries = cards;
+		const ids = [...new Set([nodeId, ...cards.filter(card => !card.isLeaving).map(card => card.nodeId)])].toSorted();
+		this.#entryPlace = {index: ids.indexOf(nodeId), count: ids.length};
+	}
+
 	#card(): NodeCard {
 		const {nodeId, failureDomain, callerHost, callerPort} = this.#options;
 		return {
--- a/packages/placement/src/admission.ts
+++ b/packages/placement/src/admission.ts
@@ -4,7 +4,8 @@
 A request waits in one of two lanes. One that can still be answered on time goes first and is refused within an eighth
 of its objective, early enough for its caller to come back in time. One that came back, or that cannot be on time any
 more, is served from what is left, and waits longer, since its caller has no other try. It leaves a part of the places free,
-so that the callers who come back after an outage do not make those late who come then.
+so that the callers who come back after an outage do not make those late who come then; and it takes no places that belong to
+other entries before its wait ends, or all entries would send those who wait to the first target that gets a place free.
 */
 
 import type {Choice, TargetBoard, TargetView} from './target-board.js';
@@ -124,10 +125,11 @@
 		for (const line of order) {
 			const {service} = line.request;
 			const isFull = full.has(service) || (line.isLate && fullForLate.has(service));
-			const choice = isFull ? {kind: 'full' as const} : this.#choose(line.request, line.isLate, nowMs);
+			const isLastLook = nowMs >= line.refuseAtMs;
+			const choice = isFull ? {kind: 'full' as const} : this.#choose(line.request, line.isLate, nowMs, line.isLate && !isLastLook);
 			if (choice.kind === 'target') {
 				this.#end(line, {kind: 'admitted', view: choice.view, isLate: line.isLate});
-			} else if (nowMs >= line.refuseAtMs) {
+			} else if (isLastLook) {
 				this.#end(line, this.#refusal('full'));
 			} else {
 				(line.isLate ? fullForLate : full).add(service);
@@ -135,9 +137,9 @@
 		}
 	}
 
-	#choose(request: AdmissionRequest, isLate: boolean, nowMs: number): Choice {
+	#choose(request: AdmissionRequest, isLate: boolean, nowMs: number, ownOnly = isLate): Choice {
 		return this.#options.board.choose({
-			service: request.service, nowMs, excluded: request.excluded, placeShare: isLate ? latePlaceShare : 1, random: this.#options.random,
+			service: request.service, nowMs, excluded: request.excluded, placeShare: isLate ? latePlaceShare : 1, ownOnly, random: this.#options.random,
 		});
 	}
 
--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -2,5 +2,6 @@
 export * from './admission.js';
 export * from './crash-guard.js';
 export * from './retry-budget.js';
+export * from './place-shares.js';
 export * from './target-board.js';
 export * from './retry-policy.js';
--- a/packages/placement/src/target-board.ts
+++ b/packages/placement/src/target-board.ts
@@ -4,10 +4,13 @@
 A first event waits for the prompts that its target still reads, far more than for the streams that it writes. Load figures
 do not tell what is being read, are some hundred milliseconds old, and are shared by all entries: ranked by them alone,
 all entries send to the same target at once. So an entry goes by the prompts that it has sent itself and that have not begun to be
-answered; the load figures only steer away from targets that are nearly full, slow or broken.
+answered, and takes the free places of a report that are its own first; otherwise the load figures only steer away from targets that
+are nearly full, slow or broken.
 */
 
+import {createHash} from 'node:crypto';
 import type {TargetLoad, TargetReport} from '@rattanspring/target-table';
+import {type EntryPlace, ownPlaces} from './place-shares.js';
 
 /** How an exchange with a target ended. */
 export type ExchangeOutcome = 'answered' | 'abandoned' | 'refused' | 'failed' | 'unreachable';
@@ -24,6 +27,16 @@
 /** Random part of a target's rank, so that entries with the same view do not all choose the same target. */
 const drawSpread = 1;
 
+/** Figures that are at most this many behind are late ones of the same agent. */
+const overtakenWithin = 20;
+
+/** How much busier a target counts whose free places belong to other entries, and the random part of its rank. */
+const othersPlacePenalty = 4;
+const othersDrawSpread = 4;
+
+/** Hexadecimal digits of a digest that make a target's number. */
+const numberDigits = 8;
+
 /** Share of the slots up to which targets count as equally busy. */
 const comfortableShare = 0.6;
 
@@ -49,6 +62,7 @@
 
 type Entry = {
 	report: TargetReport;
+	readonly targetNumber: number;
 	load?: TargetLoad;
 	loadAtMs: number;
 	inFlight: number;
@@ -72,6 +86,8 @@
 	readonly excluded?: ReadonlySet<string>;
 	/** Share of each target's places that may be taken; all by default. */
 	readonly placeShare?: number;
+	/** Whether only places that belong to this entry may be taken. */
+	readonly ownOnly?: boolean;
 	/** Random numbers in [0, 1). */
 	readonly random: () => number;
 };
@@ -82,10 +98,12 @@
 /** Options of a board. */
 export type TargetBoardOptions = {
 	readonly failureDomain: string;
-	/** Entries that send to the same targets. */
-	readonly entryCount?: () => number;
+	/** Where this entry stands among those that send to the same targets; alone by default. */
+	readonly entryPlace?: () => EntryPlace;
 };
 
+const alone: EntryPlace = {index: 0, count: 1};
+
 /** The board of one entry. */
 export class TargetBoard {
 	readonly #options: TargetBoardOptions;
@@ -117,7 +135,9 @@
 	/** Takes load figures. */
 	setLoads(loads: readonly TargetLoad[], nowMs: number): void {
 		for (const load of loads) {
-			this.#loads.set(load.address, {load, atMs: nowMs});
+			if (!isOvertaken(load, this.#loads.get(load.address)?.load)) {
+				this.#loads.set(load.address, {load, atMs: nowMs});
+			}
 		}
 
 		for (const entry of this.#entries.values()) {
@@ -164,11 +184,12 @@
 	}
 
 	/** Chooses among the targets with room the least busy one, with a random part. */
-	choose({service, nowMs, excluded, random, placeShare = 1}: ChoiceInput): Choice {
+	choose({service, nowMs, excluded, random, placeShare = 1, ownOnly = false}: ChoiceInput): Choice {
 		let best: TargetView | undefined;
 		let bestRank = Number.POSITIVE_INFINITY;
 		let isAnyReady = false;
 		const paces = this.#groupPaces(nowMs);
+		const place = this.#entryPlace;
 		for (const [targetId, entry] of this.#entries) {
 			if (!isUsable(entry, service, nowMs) || excluded?.has(targetId)) {
 				continue;
@@ -177,8 +198,11 @@
 			isAnyReady = true;
 			const view = this.#view(entry, nowMs);
 			const crowd = Math.max(0, view.busy - (entry.report.slots * comfortableShare));
-			const rank = entry.readingPasses + crowd + this.#penalty(entry, nowMs, paces) + (random() * drawSpread);
-			if (!view.isPaused && view.busy < view.limit * placeShare && rank < bestRank) {
+			const isOwn = ownPlacesLeft(entry, nowMs, place) > 0;
+			const draw = isOwn ? random() * drawSpread : othersPlacePenalty + (random() * othersDrawSpread);
+			const rank = entry.readingPasses + crowd + this.#penalty(entry, nowMs, paces) + draw;
+			const hasRoom = !view.isPaused && view.busy < view.limit * placeShare && (isOwn || !ownOnly);
+			if (hasRoom && rank < bestRank) {
 				best = view;
 				bestRank = rank;
 			}
@@ -201,6 +225,10 @@
 		return this.#entries.get(targetId)?.report.state === 'ready';
 	}
 
+	get #entryPlace(): EntryPlace {
+		return this.#options.entryPlace?.() ?? alone;
+	}
+
 	#setTarget(report: TargetReport): void {
 		const known = this.#entries.get(report.targetId);
 		if (known?.report.bornMs === report.bornMs) {
@@ -209,7 +237,16 @@
 		}
 
 		this.#entries.set(report.targetId, {
-			report, loadAtMs: Number.NEGATIVE_INFINITY, inFlight: 0, readingPasses: 0, sentAtMs: [], pausedUntilMs: 0, pauseMs: 0, failureShare: 0, failureAtMs: 0,
+			report,
+			targetNumber: numberOf(report.targetId),
+			loadAtMs: Number.NEGATIVE_INFINITY,
+			inFlight: 0,
+			readingPasses: 0,
+			sentAtMs: [],
+			pausedUntilMs: 0,
+			pauseMs: 0,
+			failureShare: 0,
+			failureAtMs: 0,
 		});
 	}
 
@@ -218,7 +255,7 @@
 		const loadAgeMs = nowMs - loadAtMs;
 		return {
 			report,
-			busy: busyOf(entry, loadAgeMs, this.#options.entryCount?.() ?? 1),
+			busy: busyOf(entry, loadAgeMs, this.#entryPlace.count),
 			limit: report.slots,
 			isPaused: nowMs < pausedUntilMs,
 			inFlight,
@@ -247,6 +284,12 @@
 	}
 }
 
+/** Whether other figures of the same target came first. A sequence far below the known one is that of an agent that started anew. */
+function isOvertaken({bornMs, sequence}: TargetLoad, known: TargetLoad | undefined): boolean {
+	return sequence !== undefined && known?.sequence !== undefined && known.bornMs === bornMs
+		&& sequence <= known.sequence && sequence > known.sequence - overtakenWithin;
+}
+
 /** Whether a target takes work: it is ready, and its group of ranks is whole by the newest word of it. */
 function isUsable({report, load, loadAtMs}: Entry, service: string, nowMs: number): boolean {
 	const place = load && nowMs - loadAtMs < maxLoadAgeMs ? load.rankPlace : report.rankPlace;
@@ -263,6 +306,22 @@
 	return Math.max(inFlight, load.active + load.queued + sentAtMs.length);
 }
 
+/** Places of the newest report that belong to this entry and were not used since; all places while there is no fresh report. */
+function ownPlacesLeft({report, targetNumber, load, loadAtMs, sentAtMs}: Entry, nowMs: number, entry: EntryPlace): number {
+	if (!load || nowMs - loadAtMs > maxLoadAgeMs) {
+		return report.slots;
+	}
+
+	const own = ownPlaces({
+		targetNumber, sequence: load.sequence ?? 0, freePlaces: report.slots - load.active - load.queued, entry,
+	});
+	return own - sentAtMs.filter(atMs => atMs > loadAtMs).length;
+}
+
+function numberOf(targetId: string): number {
+	return Number.parseInt(createHash('sha256').update(targetId).digest('hex').slice(0, numberDigits), 16);
+}
+
 function passesOf(promptTokens: number | undefined): number {
 	return promptTokens === undefined ? 1 : Math.max(1, promptTokens / tokensPerPass);
 }
--- a/packages/rank-agent/src/group-ranks.ts
+++ b/packages/rank-agent/src/group-ranks.ts
@@ -6,44 +6,70 @@
 	EngineDoor, type EngineOrder, type EngineState, type ExpertCounts, type HeldExperts, type OrderOutcome,
 } from './engine-door.js';
 
-const callTimeoutMs = 700;
+/** Orders and states are answered at once by an agent that runs. */
+const orderTimeoutMs = 200;
 
-/** The engine behind another agent. */
+/** Counts and lists are long. */
+const readTimeoutMs = 700;
+
+type Question = {readonly kind: 'state' | 'counts' | 'experts'} | {readonly kind: 'order'; readonly order: EngineOrder};
+
+/** Options of an engine behind another agent. */
+export type RemoteEngineOptions = {
+	readonly calls: Pick<LinkCalls, 'call'>;
+	readonly linkAddress: string;
+	readonly targetAddress: string;
+	/** Reaches the engine past its agent: its state is some hundred milliseconds old then, and orders and counts have a price. */
+	readonly direct?: (targetAddress: string) => EngineDoor;
+};
+
+/**
+The engine behind another agent. Where the agent does not answer, orders go straight to the engine, which checks no fencing numbers: a group
+must not stand still for as long as the agent does.
+*/
 export class RemoteEngine extends EngineDoor {
-	readonly #calls: LinkCalls;
-	readonly #linkAddress: string;
-	readonly #targetAddress: string;
+	readonly #options: RemoteEngineOptions;
+	#isSilent = false;
 
-	constructor(calls: LinkCalls, linkAddress: string, targetAddress: string) {
+	constructor(options: RemoteEngineOptions) {
 		super();
-		this.#calls = calls;
-		this.#linkAddress = linkAddress;
-		this.#targetAddress = targetAddress;
+		this.#options = options;
 	}
 
 	async state(): Promise<EngineState | undefined> {
-		return this.#ask<EngineState>({kind: 'state'});
+		return this.#ask({kind: 'state'}, orderTimeoutMs, async door => door.state());
 	}
 
 	async counts(): Promise<ExpertCounts | undefined> {
-		return this.#ask<ExpertCounts>({kind: 'counts'});
+		return this.#ask({kind: 'counts'}, readTimeoutMs);
 	}
 
 	async experts(): Promise<HeldExperts | undefined> {
-		return this.#ask<HeldExperts>({kind: 'experts'});
+		return this.#ask({kind: 'experts'}, readTimeoutMs, async door => door.experts());
 	}
 
 	async order(order: EngineOrder): Promise<OrderOutcome> {
-		return await this.#ask<OrderOutcome>({kind: 'order', order}) ?? 'unknown';
+		const past = async (door: EngineDoor): Promise<OrderOutcome> => order.kind === 'fence' ? 'done' : door.order(order);
+		return await this.#ask({kind: 'order', order}, orderTimeoutMs, past) ?? 'unknown';
 	}
 
 	close(): void {
 		// The calls are shared.
 	}
 
-	async #ask<Answer>(question: {readonly kind: 'state' | 'counts' | 'experts'} | {readonly kind: 'order'; readonly order: EngineOrder}): Promise<Answer | undefined> {
-		const reply = await this.#calls.call(this.#linkAddress, linkService.rank, {targetAddress: this.#targetAddress, ...question}, callTimeoutMs);
-		return reply?.answer as Answer | undefined;
+	/** Asks the agent, or the engine itself once the agent has not answered. */
+	async #ask<Answer>(question: Question, timeoutMs: number, past?: (door: EngineDoor) => Promise<Answer | undefined>): Promise<Answer | undefined> {
+		const {calls, linkAddress, targetAddress, direct} = this.#options;
+		if (!this.#isSilent) {
+			const reply = await calls.call(linkAddress, linkService.rank, {targetAddress, ...question}, timeoutMs);
+			if (reply) {
+				return reply.answer as Answer | undefined;
+			}
+
+			this.#isSilent = direct !== undefined;
+		}
+
+		return direct && past?.(direct(targetAddress));
 	}
 }
 
--- a/packages/rank-agent/src/index.ts
+++ b/packages/rank-agent/src/index.ts
@@ -6,3 +6,4 @@
 export * from './map-switch.js';
 export * from './map-versions.js';
 export * from './rank-agent.js';
+export * from './standstill-clock.js';
--- a/packages/rank-agent/src/lockstep-group.ts
+++ b/packages/rank-agent/src/lockstep-group.ts
@@ -37,7 +37,10 @@
 
 /** A group whose passes are driven by `advance`. */
 export class LockstepGroup {
+	/** The ranks as their agents let others reach them. */
 	readonly engines: EngineDoor[];
+	/** The engines themselves, which check no fencing numbers. */
+	readonly bareEngines: EngineDoor[];
 	/** Passes that began with mixed maps. */
 	mixedPasses = 0;
 	step = 0;
@@ -53,7 +56,8 @@
 		this.#states = Array.from({length: options.ranks}, (_, rank) => ({
 			map: {version: 0, experts: options.lists.map(ranks => ranks[rank])}, newestVersion: 0, counts: [],
 		}));
-		this.engines = this.#states.map((_, rank) => new FencedDoor(new GroupEngine(this, rank)));
+		this.bareEngines = this.#states.map((_, rank) => new GroupEngine(this, rank));
+		this.engines = this.bareEngines.map(engine => new FencedDoor(engine));
 	}
 
 	/** Versions in use, by rank. */
--- a/packages/rank-agent/src/map-switch.ts
+++ b/packages/rank-agent/src/map-switch.ts
@@ -6,7 +6,9 @@
 An order that got no answer may still be carried out seconds later, and a coordinator may stand still for as long. Neither
 does harm: versions and passes are never used twice; a rank on which a switch was given up prepares a higher version, after
 which it can no longer be armed for the one given up; and the agent of the holding rank, which takes over, first shuts
-the earlier coordinator out at every rank.
+the earlier coordinator out at every rank whose agent answers.
+
+An order that a rank has taken counts, without a look at its state: the state of a rank whose agent does not answer is old.
 */
 
 import {setTimeout as sleep} from 'node:timers/promises';
@@ -85,9 +87,7 @@
 			return 'left';
 		}
 
-		await this.#toAll({kind: 'arm', version, step}, untilMs);
-		const armed = await this.#states();
-		if (!areAlike(armed, version, step) || this.#nowMs() > untilMs) {
+		if (!await this.#toAll({kind: 'arm', version, step}, untilMs) || this.#nowMs() > untilMs) {
 			return 'left';
 		}
 
@@ -131,7 +131,10 @@
 		return isReleased ? (isWhole ? 'switched' : 'aborted') : undefined;
 	}
 
-	/** Disarms all ranks and lets them prepare the map they use under a higher version, so that none can be armed late. */
+	/**
+	Disarms all ranks and lets them prepare the map they use under a higher version. A rank that takes it is not armed, and can not be armed
+	late.
+	*/
 	async #undo(states: readonly EngineState[], version: number, untilMs: number): Promise<boolean> {
 		await Promise.all(this.#ranks.engines.map(async (engine, rank) => {
 			const {armed} = states[rank];
@@ -144,10 +147,7 @@
 		}
 
 		const lists = known[0].experts.map((_, set) => known.map(({experts}) => experts[set]));
-		const isPrepared = await this.#toAll({kind: 'prepare', version, map: lists}, untilMs);
-		const after = await this.#states();
-		const isDisarmed = after?.every(state => state.armed === undefined) ?? false;
-		return isPrepared && isDisarmed;
+		return this.#toAll({kind: 'prepare', version, map: lists}, untilMs);
 	}
 
 	/** Takes a fencing number above all that the ranks have seen. */
--- a/packages/rank-agent/src/rank-agent.ts
+++ b/packages/rank-agent/src/rank-agent.ts
@@ -19,14 +19,19 @@
 import {MapKeeper} from './map-keeper.js';
 import {MapSwitch} from './map-switch.js';
 import {MapVersions} from './map-versions.js';
+import {StandstillClock} from './standstill-clock.js';
 
-/** Time between measurements. */
+/** Time between measurements, and while the target is nearly full: entries then have to know of each place that gets free. */
 const measureIntervalMs = 200;
+const busyMeasureIntervalMs = 100;
+
+/** Share of its slots from which a target counts as nearly full. */
+const busyShare = 0.6;
 
 /** Unchanged figures are told again after this time. */
 const repeatAfterMs = 900;
 
-/** Control processes that load figures are sent to: one of them may stand still. */
+/** Control processes that load figures are sent to in turn: one of them may stand still. */
 const toldControls = 2;
 
 /** Time between looks at what the group's requests choose. */
@@ -58,8 +63,12 @@
 	readonly targetAddress: string;
 	readonly seeds: () => readonly string[];
 	readonly door: EngineDoor;
+	/** Reaches the engine on another VM. */
+	readonly doorTo: (targetAddress: string) => EngineDoor;
 	/** The places that the desired state names; undefined while none is known, or without experts. */
 	readonly expertPlaces: () => ExpertPlaces | undefined;
+	/** Requests that the target works on at once, as the desired state says. */
+	readonly slots: () => number | undefined;
 	/** Called when a control process tells of a version of the document. */
 	readonly onVersion: (linkAddress: string, version: number) => void;
 	readonly clock: Clock;
@@ -73,22 +82,28 @@
 	readonly #door: FencedDoor;
 	readonly #versions: MapVersions;
 	readonly #calls = new LinkCalls();
+	/** Doors to engines on other VMs, by address; used while their agents do not answer. */
+	readonly #directDoors = new Map<string, EngineDoor>();
+	readonly #standstill: StandstillClock;
 	readonly #server = new Server(serverOptions);
-	readonly #timers: NodeJS.Timeout[] = [];
+	#measureTimer: NodeJS.Timeout | undefined;
+	#mapTimer: NodeJS.Timeout | undefined;
+	#isClosed = false;
 	#keeper: MapKeeper | undefined;
 	#place: RankPlace | undefined;
 	#isKeeping = false;
 	#heldSinceMs: number | undefined;
-	#isMeasuring = false;
 	#isReachable = true;
 	#told: TargetLoad | undefined;
 	#toldAtMs = Number.NEGATIVE_INFINITY;
+	#toldCount = 0;
 	#isLeaving = false;
 
 	constructor(options: RankAgentOptions) {
 		this.#options = options;
 		this.#door = new FencedDoor(options.door);
 		this.#versions = new MapVersions(() => options.clock.wallMs());
+		this.#standstill = new StandstillClock(options.clock);
 		this.#links = new ControlLinks({
 			nowMs: () => options.clock.monotonicMs(),
 			seeds: options.seeds,
@@ -114,11 +129,10 @@
 		const {follow: _follow, document: _document, submit: _submit, join: _join, ...agentMethods} = linkService;
 		this.#server.addService(agentMethods, {rank: this.#rankHandler()});
 		await listen(this.#server, this.#options.linkAddress);
-		this.#timers.push(setInterval(() => {
-			void this.#measure();
-		}, measureIntervalMs), setInterval(() => {
+		this.#measureSoon(measureIntervalMs);
+		this.#mapTimer = setInterval(() => {
 			void this.#keepMap();
-		}, mapIntervalMs));
+		}, mapIntervalMs);
 	}
 
 	/** Tells control that this agent is about to stop. */
@@ -129,24 +143,28 @@
 
 	/** Stops. */
 	close(): void {
-		for (const timer of this.#timers) {
-			clearInterval(timer);
-		}
+		this.#isClosed = true;
+		clearTimeout(this.#measureTimer);
+		clearInterval(this.#mapTimer);
 
 		this.#links.close();
 		this.#calls.close();
 		this.#server.forceShutdown();
 		this.#options.door.close();
+		for (const door of this.#directDoors.values()) {
+			door.close();
+		}
 	}
 
-	async #measure(): Promise<void> {
-		if (this.#isMeasuring) {
-			return;
-		}
+	#measureSoon(pauseMs: number): void {
+		this.#measureTimer = setTimeout(() => {
+			void this.#measure();
+		}, pauseMs);
+	}
 
-		this.#isMeasuring = true;
+	async #measure(): Promise<void> {
+		const startedAtMs = this.#options.clock.monotonicMs();
 		const state = await this.#options.door.state();
-		this.#isMeasuring = false;
 		if ((state !== undefined) !== this.#isReachable) {
 			this.#isReachable = state !== undefined;
 			this.#options.logger.log(this.#isReachable ? 'info' : 'warn', this.#isReachable ? 'engineReached' : 'engineLost', {});
@@ -156,6 +174,15 @@
 			this.#tell(state);
 			void this.#releaseIfAbandoned(state);
 		}
+
+		if (!this.#isClosed) {
+			const intervalMs = state && this.#isNearlyFull(state) ? busyMeasureIntervalMs : measureIntervalMs;
+			this.#measureSoon(Math.max(0, startedAtMs + intervalMs - this.#options.clock.monotonicMs()));
+		}
+	}
+
+	#isNearlyFull({active, queued}: EngineState): boolean {
+		return active + queued >= (this.#options.slots() ?? Number.POSITIVE_INFINITY) * busyShare;
 	}
 
 	#rankHandler(): handleUnaryCall<RankRequest, RankReply> {
@@ -182,11 +209,11 @@
 			return;
 		}
 
-		const {clock, logger} = this.#options;
+		const {logger} = this.#options;
 		const ranks = this.#ranks();
 		if (ranks) {
 			this.#keeper ??= new MapKeeper({
-				...places, nowMs: () => clock.monotonicMs(), versions: this.#versions, logger,
+				...places, nowMs: () => this.#standstill.nowMs(), versions: this.#versions, logger,
 			});
 			this.#isKeeping = true;
 			await this.#keeper.round(ranks, Math.min(holdingRank, ranks.engines.length - 1));
@@ -205,7 +232,7 @@
 		const ranks = this.#ranks();
 		if (ranks && rankPlace) {
 			this.#isKeeping = true;
-			const outcome = await new MapSwitch({ranks, holdingRank: rankPlace.rank, nowMs: () => this.#options.clock.monotonicMs()}).recover(heldStep, () => this.#versions.next());
+			const outcome = await new MapSwitch({ranks, holdingRank: rankPlace.rank, nowMs: () => this.#standstill.nowMs()}).recover(heldStep, () => this.#versions.next());
 			this.#isKeeping = false;
 			this.#heldSinceMs = undefined;
 			this.#options.logger.log('warn', 'abandonedGroupReleased', {
@@ -218,10 +245,22 @@
 		const place = this.#place;
 		const {nodeId} = this.#options;
 		return place?.isOpen
-			? ranksOf(place, this.#links.nodes.values(), card => card.nodeId === nodeId ? this.#door : new RemoteEngine(this.#calls, card.linkAddress!, card.targetAddress!))
+			? ranksOf(place, this.#links.nodes.values(), card => card.nodeId === nodeId ? this.#door : this.#engineOf(card))
 			: undefined;
 	}
 
+	#engineOf({linkAddress, targetAddress}: NodeCard): EngineDoor {
+		return new RemoteEngine({
+			calls: this.#calls, linkAddress: linkAddress!, targetAddress: targetAddress!, direct: address => this.#directDoor(address),
+		});
+	}
+
+	#directDoor(targetAddress: string): EngineDoor {
+		const door = this.#directDoors.get(targetAddress) ?? this.#options.doorTo(targetAddress);
+		this.#directDoors.set(targetAddress, door);
+		return door;
+	}
+
 	#notePlace(place: RankPlace | undefined): void {
 		const isSame = JSON.stringify(place) === JSON.stringify(this.#place);
 		this.#place = place;
@@ -236,16 +275,18 @@
 	#tell(state: EngineState): void {
 		this.#notePlace(state.rankPlace);
 		this.#versions.note(Math.max(state.mapVersion ?? 0, state.preparedVersion ?? 0));
-		const load = loadOf(this.#options.targetAddress, state);
+		const load = loadOf(this.#options.targetAddress, state, this.#toldCount);
 		const nowMs = this.#options.clock.monotonicMs();
 		if (nowMs - this.#toldAtMs < repeatAfterMs && this.#told && isSameLoad(load, this.#told)) {
 			return;
 		}
 
-		for (const address of this.controlAddresses.slice(0, toldControls)) {
-			this.#links.send({type: 'load', load}, address);
+		const addresses = this.controlAddresses.slice(0, toldControls);
+		if (addresses.length > 0) {
+			this.#links.send({type: 'load', load}, addresses[this.#toldCount % addresses.length]);
 			this.#told = load;
 			this.#toldAtMs = nowMs;
+			this.#toldCount++;
 		}
 	}
 
@@ -257,9 +298,9 @@
 	}
 }
 
-function loadOf(address: string, {bornMs, active, queued, memoryShare, pace, rankPlace}: EngineState): TargetLoad {
+function loadOf(address: string, {bornMs, active, queued, memoryShare, pace, rankPlace}: EngineState, sequence: number): TargetLoad {
 	return {
-		address, bornMs, active, queued, memoryShare, pace, ...(rankPlace && {rankPlace}),
+		address, bornMs, sequence, active, queued, memoryShare, pace, ...(rankPlace && {rankPlace}),
 	};
 }
 
--- /dev/null
+++ b/packages/rank-agent/src/silent-agent.test.ts
@@ -0,0 +1,126 @@
+import {after, describe, it} from 'node:test';
+import type {LinkCalls, RankReply, RankRequest} from '@rattanspring/fleet-link';
+import {expect} from 'earl';
+import type {EngineDoor, EngineOrder} from './engine-door.js';
+import {RemoteEngine} from './group-ranks.js';
+import {LockstepGroup} from './lockstep-group.js';
+import {MapSwitch} from './map-switch.js';
+import {StandstillClock} from './standstill-clock.js';
+
+const lists = [[[0, 4], [1, 5], [2, 6], [3, 7]]];
+const nextMap = [[[0, 5], [1, 4], [2, 7], [3, 6]]];
+
+/** Longest time for which a group may stand still for one silent agent. */
+const longestStandstillMs = 500;
+
+const timers: NodeJS.Timeout[] = [];
+
+after(() => {
+	for (const timer of timers) {
+		clearInterval(timer);
+	}
+});
+
+/** Answers for a door like the agent on its VM, until it falls silent. */
+class AgentCalls {
+	isSilent = false;
+	readonly #door: EngineDoor;
+	/** Orders after whose carrying out the agent falls silent, without an answer. */
+	readonly #lastOrder: EngineOrder['kind'] | undefined;
+
+	constructor(door: EngineDoor, lastOrder?: EngineOrder['kind']) {
+		this.#door = door;
+		this.#lastOrder = lastOrder;
+	}
+
+	get calls(): Pick<LinkCalls, 'call'> {
+		const call = async (_address: string, _method: unknown, request: RankRequest<EngineOrder>, timeoutMs: number) => this.answer(request, timeoutMs);
+		return {call: call as unknown as LinkCalls['call']};
+	}
+
+	async answer(request: RankRequest<EngineOrder>, timeoutMs: number): Promise<RankReply | undefined> {
+		if (!this.isSilent) {
+			const answer = request.kind === 'order' ? await this.#door.order(request.order) : await this.#door[request.kind]();
+			this.isSilent = request.kind === 'order' && request.order.kind === this.#lastOrder;
+			if (!this.isSilent) {
+				return answer === undefined ? {} : {answer};
+			}
+		}
+
+		await pause(timeoutMs);
+		return undefined;
+	}
+}
+
+async function pause(timeoutMs: number): Promise<void> {
+	await new Promise(resolve => {
+		setTimeout(resolve, timeoutMs);
+	});
+}
+
+type Bed = {readonly group: LockstepGroup; readonly engines: EngineDoor[]; readonly longestHeldMs: () => number};
+
+/** A group of which one rank's agent falls silent right after it has carried out an order. */
+function bedWith(silentRank: number, lastOrder: EngineOrder['kind']): Bed {
+	const nowMs = (): number => performance.now();
+	const group = new LockstepGroup({
+		ranks: 4, lists, copyMs: 10, passMs: 5, fateOf: () => 'prompt', lateMs: () => 0, nowMs,
+	});
+	let heldSinceMs: number | undefined;
+	let longestMs = 0;
+	timers.push(setInterval(() => {
+		group.advance();
+		heldSinceMs = group.isHeld ? heldSinceMs ?? nowMs() : undefined;
+		longestMs = Math.max(longestMs, heldSinceMs === undefined ? 0 : nowMs() - heldSinceMs);
+	}, 1));
+	const engines = group.engines.map((engine, rank) => rank === silentRank
+		? new RemoteEngine({
+			calls: new AgentCalls(engine, lastOrder).calls, linkAddress: 'agent', targetAddress: 'engine', direct: () => group.bareEngines[rank],
+		})
+		: engine);
+	return {group, engines, longestHeldMs: () => longestMs};
+}
+
+describe('a group of which one agent falls silent', () => {
+	for (const [rank, order] of [[1, 'hold'], [1, 'arm'], [2, 'arm'], [1, 'go'], [3, 'prepare']] as const) {
+		it(`is switched all the same: rank ${rank} after ${order}`, async () => {
+			const {group, engines, longestHeldMs} = bedWith(rank, order);
+			const outcome = await new MapSwitch({ranks: {group: 'g', epoch: 1, engines}, holdingRank: 1, nowMs: () => performance.now()}).run(10, nextMap);
+			await pause(100);
+			expect(outcome).toEqual('switched');
+			expect(group.versions).toEqual([10, 10, 10, 10]);
+			expect([group.isHeld, group.mixedPasses]).toEqual([false, 0]);
+			expect(longestHeldMs()).toBeLessThan(longestStandstillMs);
+		});
+	}
+
+	it('is released by the holding rank when the coordinator that held it is the silent one', async () => {
+		const {group, engines} = bedWith(0, 'fence');
+		const step = group.step + 3;
+		await group.engines[1].order({
+			kind: 'hold', step, fencing: 1, epoch: 1,
+		});
+		await pause(50);
+		expect(group.isHeld).toEqual(true);
+		const outcome = await new MapSwitch({ranks: {group: 'g', epoch: 1, engines}, holdingRank: 1, nowMs: () => performance.now()}).recover(step, () => 20);
+		expect([outcome, group.isHeld, group.mixedPasses]).toEqual(['aborted', false, 0]);
+	});
+});
+
+describe('StandstillClock', () => {
+	const steady = {monotonicMs: 1000, wallMs: 50_000};
+	const clock = new StandstillClock({monotonicMs: () => steady.monotonicMs, wallMs: () => steady.wallMs});
+
+	it('counts time in which the steady clock stood still, and never goes back', () => {
+		const startMs = clock.nowMs();
+		steady.monotonicMs += 10;
+		steady.wallMs += 10;
+		expect(clock.nowMs() - startMs).toEqual(10);
+		steady.monotonicMs += 5;
+		steady.wallMs += 4005;
+		expect(clock.nowMs() - startMs).toEqual(4015);
+		steady.monotonicMs += 5;
+		steady.wallMs -= 90_000;
+		expect(clock.nowMs() - startMs).toEqual(4020);
+	});
+});
--- a/packages/target-table/src/target-report.ts
+++ b/packages/target-table/src/target-report.ts
@@ -35,6 +35,8 @@
 export type TargetLoad = {
 	readonly address: string;
 	readonly bornMs: number;
+	/** Counts the figures that are told. */
+	readonly sequence?: number;
 	readonly active: number;
 	readonly queued: number;
 	/** Part of the context memory in use, in [0, 1]. */
--- a/spec/map-switch.pml
+++ b/spec/map-switch.pml
@@ -3,12 +3,15 @@
  * stop or stand still anywhere, the agent of the holding rank that takes over, and passes that begin whenever they may.
  * Proves: no pass begins with ranks on different maps, and no rank is armed once the group is released after a switch
  * that was given up.
+ * An agent may fall silent at any time; orders then go to its engine past it, without a fence, for as long as the
+ * coordinator's time allows. The holding agent takes over after that time.
  */
 // search-depth: 200000
 // fault: NO_HOLD
 // fault: NO_FENCE
 // fault: NO_SUPERSEDE
 // fault: RELEASES_UNSEEN
+// fault: NO_TIME_LIMIT
 
 #define RANKS 3
 #define AIM 2
@@ -20,7 +23,15 @@
 byte armed[RANKS];
 byte fence[RANKS];
 byte lateArms[RANKS];
-bool isGivenUp = false;
+bool silent[RANKS];
+bool isLateGo = false;
+bool isTakenOver = false;
+
+#ifdef NO_TIME_LIMIT
+#define hasTime true
+#else
+#define hasTime (!isTakenOver)
+#endif
 
 inline takeArm(r) {
 	if
@@ -29,6 +40,26 @@
 	fi
 }
 
+inline release() {
+	if
+	:: held == AIM -> held = 0
+	:: else -> skip
+	fi
+}
+
+/* An agent that answers refuses what a fence shuts out; past a silent one there is only the time limit. */
+inline stopIfShutOut(r) {
+#ifndef NO_FENCE
+	if
+	:: !silent[r] && fence[r] > 1 -> goto stopped
+	:: silent[r] && !hasTime -> goto stopped
+	:: else -> skip
+	fi
+#else
+	skip
+#endif
+}
+
 /* Passes begin whenever the group is not held before them; an idle group begins none for as long as it likes. */
 active proctype Passes() {
 	byte r;
@@ -57,56 +88,59 @@
 	:: atomic { lateArms[0] > 0 -> lateArms[0]--; takeArm(0) }
 	:: atomic { lateArms[1] > 0 -> lateArms[1]--; takeArm(1) }
 	:: atomic { lateArms[2] > 0 -> lateArms[2]--; takeArm(2) }
+	:: atomic { isLateGo -> isLateGo = false; release() }
 	od
 }
 
+/* Each agent may fall silent once, and may answer again. */
+active proctype Silence() {
+	if
+	:: silent[0] = true
+	:: silent[1] = true
+	:: silent[2] = true
+	:: skip
+	fi;
+	if
+	:: silent[0] = false
+	:: silent[1] = false
+	:: silent[2] = false
+	:: silent[1] = true
+	:: silent[2] = true
+	:: skip
+	fi
+}
+
 active proctype Coordinator() {
 	byte r = 0;
 	bool isWhole = true;
 	d_step { prepared[0] = 1; prepared[1] = 1; prepared[2] = 1 };
 #ifndef NO_HOLD
-	if
-	:: atomic { step < AIM && fence[1] <= 1 -> held = AIM }
-	:: atomic { step >= AIM || fence[1] > 1 -> goto stopped }
-	fi;
+	atomic {
+		stopIfShutOut(1);
+		if
+		:: step < AIM -> held = AIM
+		:: else -> goto stopped
+		fi
+	};
 #endif
 	do
 	:: r < RANKS ->
 		if
-		:: atomic { true ->
-#ifndef NO_FENCE
-			if
-			:: fence[r] > 1 -> goto stopped
-			:: else -> skip
-			fi;
-#endif
-			takeArm(r); r++ }
+		:: atomic { true -> stopIfShutOut(r); takeArm(r); isWhole = isWhole && armed[r] == 1; r++ }
 		/* No answer: it is sent again, or time is up for this rank. */
 		:: atomic { lateArms[r] == 0 -> lateArms[r]++ }
-		:: atomic { lateArms[r] == 0 -> lateArms[r]++; r++ }
+		:: atomic { lateArms[r] == 0 -> lateArms[r]++; isWhole = false; r++ }
 		:: goto stopped
 		fi
 	:: else -> break
 	od;
-#ifndef RELEASES_UNSEEN
-	r = 0;
-	do
-	:: r < RANKS -> isWhole = isWhole && armed[r] == 1; r++
-	:: else -> break
-	od;
+#ifdef RELEASES_UNSEEN
+	isWhole = true;
 #endif
 	if
-	:: atomic { isWhole ->
-#ifndef NO_FENCE
-		if
-		:: fence[1] > 1 -> goto stopped
-		:: else -> skip
-		fi;
-#endif
-		if
-		:: held == AIM -> held = 0
-		:: else -> skip
-		fi }
+	:: atomic { isWhole -> stopIfShutOut(1); release() }
+	/* No answer to the release either: it may come late. */
+	:: atomic { isWhole -> stopIfShutOut(1); isLateGo = true }
 	:: !isWhole -> skip
 	fi;
 stopped: skip
@@ -117,9 +151,15 @@
 	byte r;
 	byte seen;
 endWait:	held != 0;
+	isTakenOver = true;
 again:	r = 0;
 	do
-	:: r < RANKS -> fence[r] = 2; r++
+	:: r < RANKS ->
+		if
+		:: atomic { !silent[r] -> fence[r] = 2 }
+		:: silent[r] -> skip
+		fi;
+		r++
 	:: else -> break
 	od;
 	r = 0;
@@ -132,36 +172,21 @@
 	:: held == 0 -> goto done
 	:: held != 0 && seen == RANKS -> skip
 	:: held != 0 && seen < RANKS ->
-		isGivenUp = true;
 		r = 0;
 		do
 		:: r < RANKS ->
 			armed[r] = 0;
 #ifndef NO_SUPERSEDE
-			d_step {
-				if
-				:: armed[r] == 0 -> prepared[r] = 2
-				:: else -> skip
-				fi
-			};
+			/* A rank that is armed again refuses to prepare. */
+			if
+			:: atomic { armed[r] == 0 -> prepared[r] = 2 }
+			:: armed[r] == 1 -> goto again
+			fi;
 #endif
 			r++
 		:: else -> break
-		od;
-		r = 0;
-		seen = 0;
-		do
-		:: r < RANKS -> seen = seen + armed[r]; r++
-		:: else -> break
-		od;
-		if
-		:: seen > 0 -> goto again
-		:: else -> skip
-		fi
-	fi;
-	if
-	:: held == AIM -> held = 0
-	:: else -> skip
+		od
 	fi;
+	atomic { release() };
 done:	skip
 }
