--- a/packages/placement/src/admission.ts
+++ b/packages/placement/src/admission.ts
@@ -5,7 +5,7 @@
 of its objective, early enough for its caller to come back in time. One that came back, or that cannot be on time any
 more, is served from what is left, and waits longer, since its caller has no other try. It leaves a part of the places free,
 so that the callers who come back after an outage do not make those late who come then; and it takes no places that belong to
-other entries before its wait ends, or all entries would send those who wait to the first target that gets a place free.
+other entries at first, or all entries would send those who wait to the first target that gets a place free.
 */
 
 import type {Choice, TargetBoard, TargetView} from './target-board.js';
@@ -20,6 +20,9 @@
 /** Share of the places that late requests may take: after an outage all callers come back at once. */
 const latePlaceShare = 0.75;
 
+/** A late request takes only places of its own entry for this long, about two reports of every target. */
+const ownPlacesMs = 150;
+
 /** Requests waiting for one service at one entry. */
 const maxWaiting = 64;
 
@@ -63,7 +66,10 @@
 	},
 };
 
-type Line = {readonly request: AdmissionRequest; readonly isLate: boolean; readonly refuseAtMs: number; readonly settle: (admission: Admission) => void};
+type Line = {readonly request: AdmissionRequest; readonly isLate: boolean; readonly sinceMs: number; readonly refuseAtMs: number; readonly settle: (admission: Admission) => void};
+
+/** Which places a request may take: all, the share left to late ones, or of that share only those of its own entry. */
+type Lane = 'onTime' | 'late' | 'lateOwn';
 
 /** Options of the admission. */
 export type AdmissionOptions = {
@@ -94,7 +100,7 @@
 	admit(request: AdmissionRequest, nowMs: number, settle: (admission: Admission) => void): Waiting {
 		const isLate = !request.isRepeat && (request.isReturning || nowMs - request.arrivedAtMs > request.objectiveMs * onTimeWaitShare);
 		const isFirst = !this.#line.some(other => other.request.service === request.service && (isLate || !other.isLate));
-		const choice = isFirst ? this.#choose(request, isLate, nowMs) : {kind: 'full' as const};
+		const choice = isFirst ? this.#choose(request, isLate ? 'lateOwn' : 'onTime', nowMs) : {kind: 'full' as const};
 		if (choice.kind === 'target') {
 			settle({kind: 'admitted', view: choice.view, isLate});
 			return noWait;
@@ -106,7 +112,7 @@
 		}
 
 		const line: Line = {
-			request, isLate, refuseAtMs: refuseAtMs(request, isLate, nowMs), settle,
+			request, isLate, sinceMs: nowMs, refuseAtMs: refuseAtMs(request, isLate, nowMs), settle,
 		};
 		this.#line.push(line);
 		this.#options.onWaiting();
@@ -121,25 +127,24 @@
 	pump(nowMs: number): void {
 		const order = this.#line.toSorted((left, right) => this.#compare(left, right));
 		const full = new Set<string>();
-		const fullForLate = new Set<string>();
 		for (const line of order) {
 			const {service} = line.request;
-			const isFull = full.has(service) || (line.isLate && fullForLate.has(service));
-			const isLastLook = nowMs >= line.refuseAtMs;
-			const choice = isFull ? {kind: 'full' as const} : this.#choose(line.request, line.isLate, nowMs, line.isLate && !isLastLook);
+			const lanes = lanesFor(line, nowMs);
+			const isFull = lanes.some(lane => full.has(`${service} ${lane}`));
+			const choice = isFull ? {kind: 'full' as const} : this.#choose(line.request, lanes[0], nowMs);
 			if (choice.kind === 'target') {
 				this.#end(line, {kind: 'admitted', view: choice.view, isLate: line.isLate});
-			} else if (isLastLook) {
+			} else if (nowMs >= line.refuseAtMs) {
 				this.#end(line, this.#refusal('full'));
 			} else {
-				(line.isLate ? fullForLate : full).add(service);
+				full.add(`${service} ${lanes[0]}`);
 			}
 		}
 	}
 
-	#choose(request: AdmissionRequest, isLate: boolean, nowMs: number, ownOnly = isLate): Choice {
+	#choose({service, excluded}: AdmissionRequest, lane: Lane, nowMs: number): Choice {
 		return this.#options.board.choose({
-			service: request.service, nowMs, excluded: request.excluded, placeShare: isLate ? latePlaceShare : 1, ownOnly, random: this.#options.random,
+			service, nowMs, excluded, placeShare: lane === 'onTime' ? 1 : latePlaceShare, ownOnly: lane === 'lateOwn', random: this.#options.random,
 		});
 	}
 
@@ -160,6 +165,15 @@
 	}
 }
 
+/** The lane of a request, and those that have more places: where they are full, it is too. */
+function lanesFor({isLate, sinceMs}: Line, nowMs: number): [Lane, ...Lane[]] {
+	if (!isLate) {
+		return ['onTime'];
+	}
+
+	return nowMs - sinceMs < ownPlacesMs ? ['lateOwn', 'late', 'onTime'] : ['late', 'onTime'];
+}
+
 /** The pause a caller is told, spread so that the return is no new peak. */
 function pauseMs(reason: 'full' | 'noTarget' | 'lineFull', random: number): number {
 	return reason === 'noTarget' ? noTargetPauseMs + (random * noTargetSpreadMs) : minPauseMs + (random * pauseSpreadMs);
--- a/packages/rank-agent/src/group-ranks.ts
+++ b/packages/rank-agent/src/group-ranks.ts
@@ -74,7 +74,13 @@
 }
 
 /** One formation of a group, with an engine for each rank. */
-export type GroupRanks = {readonly group: string; readonly epoch: number; readonly engines: readonly EngineDoor[]};
+export type GroupRanks = {
+	readonly group: string;
+	readonly epoch: number;
+	readonly engines: readonly EngineDoor[];
+	/** Orders the engine of the holding rank through an agent outside the group: if that VM stands still, no rank of the group does. */
+	readonly holdThrough?: EngineDoor;
+};
 
 /** The ranks of the group, if the agents of all of them are known and its formation is whole. */
 export function ranksOf({group, epoch, size}: RankPlace, cards: Iterable<NodeCard>, engineOf: (card: NodeCard) => EngineDoor): GroupRanks | undefined {
@@ -88,3 +94,9 @@
 	const ordered = Array.from({length: size}, (_, rank) => byRank.get(rank));
 	return ordered.every(card => card !== undefined) ? {group, epoch, engines: ordered.map(card => engineOf(card))} : undefined;
 }
+
+/** An agent that has no rank in the group; another one for each turn. */
+export function outsiderOf(group: string, cards: Iterable<NodeCard>, turn: number): NodeCard | undefined {
+	const outsiders = [...cards].filter(card => card.role === 'agent' && card.rankPlace !== undefined && card.rankPlace.group !== group && !card.isLeaving);
+	return outsiders.toSorted((left, right) => left.nodeId < right.nodeId ? -1 : 1)[turn % Math.max(1, outsiders.length)];
+}
--- a/packages/rank-agent/src/map-keeper.ts
+++ b/packages/rank-agent/src/map-keeper.ts
@@ -1,9 +1,10 @@
 /**
 Keeps the expert map of a group in step with what its requests choose. The agent of the group's first rank does so: it
-sums up all ranks' counts, forecasts from the last seconds, and switches the map where that pays.
+sums up all ranks' counts, forecasts from the last looks, and switches the map where that pays. A sudden change of demand starts the forecast
+afresh, so that one switch meets it.
 */
 
-import {planEvenShares, type RankLists} from '@rattanspring/expert-map';
+import {ExponentialAverageForecast, planEvenShares, type RankLists} from '@rattanspring/expert-map';
 import type {Logger} from '@rattanspring/logger';
 import type {EngineDoor} from './engine-door.js';
 import type {GroupRanks} from './group-ranks.js';
@@ -18,8 +19,6 @@
 	/** Experts a rank can hold of a set, and those new to it that one change may add. */
 	readonly placesPerRank: number;
 	readonly newPerRank: number;
-	/** Share of the counts that is forgotten in a second. */
-	readonly forgetPerSecond?: number;
 	/** Published figures of the engines. */
 	readonly stepMs: number;
 	readonly perSequenceMs: number;
@@ -30,21 +29,24 @@
 	readonly minGainPerCopy?: number;
 };
 
-const defaults = {forgetPerSecond: 0.7, minStepGain: 0.045, minGainPerCopy: 0.012};
+const defaults = {minStepGain: 0.045, minGainPerCopy: 0.012};
 
 /** Weight of the newest look at how many requests a rank writes. */
 const activeWeight = 0.4;
 
-/** Choices that have to be seen before a plan says anything. */
+/** Choices that make one look at the demand. */
 const minChoices = 2000;
 
+/** Weight of the newest look, and the share of a set's choices that has to move to other experts to count as a sudden change. */
+const newestLookWeight = 0.35;
+const suddenChangeShare = 0.2;
+
 /** Keeps the map of one group while it is asked to. */
 export class MapKeeper {
 	readonly #options: Required<MapKeeperOptions>;
 	#formation = '';
 	#last: ReadonlyArray<readonly number[]> | undefined;
-	#lastAtMs = 0;
-	#loads: number[] = [];
+	#forecast = newForecast();
 	#active = 0;
 
 	constructor(options: MapKeeperOptions) {
@@ -59,21 +61,14 @@
 		}
 
 		this.#active += (holding.active - this.#active) * activeWeight;
-		if (!await this.#count(ranks)) {
-			return;
-		}
-
 		const lists = await heldLists(ranks.engines);
-		if (!lists) {
-			return;
+		if (lists && await this.#count(ranks, lists.length)) {
+			await this.#plan(ranks, holdingRank, lists);
 		}
-
-		await this.#plan(ranks, holdingRank, lists);
 	}
 
-	/** Adds up what was chosen since the last round; false where that is too little to plan from. */
-	async #count(ranks: GroupRanks): Promise<boolean> {
-		const {nowMs, forgetPerSecond} = this.#options;
+	/** Looks at what was chosen since the last look; false where that is too little to plan from. */
+	async #count(ranks: GroupRanks, sets: number): Promise<boolean> {
 		const answers = await Promise.all(ranks.engines.map(async engine => engine.counts()));
 		const counts = answers.flatMap(answer => answer?.epoch === ranks.epoch ? [answer.counts] : []);
 		if (counts.length < ranks.engines.length) {
@@ -81,22 +76,21 @@
 		}
 
 		const formation = `${ranks.group} ${ranks.epoch}`;
-		const earlier = this.#formation === formation ? this.#last : undefined;
-		const atMs = nowMs();
-		const kept = (1 - forgetPerSecond) ** ((atMs - this.#lastAtMs) / 1000);
-		const loads = counts[0].map((_, index) => {
-			let chosen = 0;
-			for (const [rank, rankCounts] of counts.entries()) {
-				chosen += Math.max(0, rankCounts[index] - (earlier?.[rank][index] ?? rankCounts[index]));
-			}
-
-			return (earlier ? (this.#loads[index] ?? 0) * kept : 0) + chosen;
-		});
-		this.#formation = formation;
+		if (this.#formation !== formation || !this.#last) {
+			this.#formation = formation;
+			this.#last = counts;
+			this.#forecast = newForecast();
+			return false;
+		}
+
+		const chosen = chosenSince(this.#last, counts);
+		if (chosen.reduce((sum, count) => sum + count, 0) < minChoices) {
+			return false;
+		}
+
 		this.#last = counts;
-		this.#lastAtMs = atMs;
-		this.#loads = loads;
-		return loads.reduce((sum, load) => sum + load, 0) > minChoices;
+		this.#forecast.observe(sharesBySet(chosen, sets));
+		return true;
 	}
 
 	/** Share of a step's time that a lower skew saves, at the number of requests that ranks write now. */
@@ -109,8 +103,7 @@
 
 	async #plan(ranks: GroupRanks, holdingRank: number, current: RankLists): Promise<void> {
 		const {nowMs, logger, placesPerRank, newPerRank, minGainPerCopy} = this.#options;
-		const perSet = this.#loads.length / current.length;
-		const loads = current.map((_, set) => this.#loads.slice(set * perSet, (set + 1) * perSet));
+		const loads = this.#forecast.next().map(shares => [...shares]);
 		const plan = await inSlices(planEvenShares({
 			current, loads, placesPerRank, newPerRank, minGainPerCopy,
 		}));
@@ -136,6 +129,25 @@
 	}
 }
 
+function newForecast(): ExponentialAverageForecast {
+	return new ExponentialAverageForecast({newestWeight: newestLookWeight, changeLimit: suddenChangeShare});
+}
+
+/** Choices of all ranks between two looks, by set and expert. */
+function chosenSince(earlier: ReadonlyArray<readonly number[]>, counts: ReadonlyArray<readonly number[]>): number[] {
+	return counts[0].map((_, index) => counts.reduce((sum, rankCounts, rank) => sum + Math.max(0, rankCounts[index] - earlier[rank][index]), 0));
+}
+
+/** Share of each expert in the choices of its set. */
+function sharesBySet(chosen: readonly number[], sets: number): Float64Array[] {
+	const perSet = chosen.length / sets;
+	return Array.from({length: sets}, (_, set) => {
+		const counts = chosen.slice(set * perSet, (set + 1) * perSet);
+		const sum = counts.reduce((total, count) => total + count, 0);
+		return Float64Array.from(counts, count => count / Math.max(1, sum));
+	});
+}
+
 /** The experts of each rank, by set and rank, if all ranks use the same version. */
 async function heldLists(engines: readonly EngineDoor[]): Promise<RankLists | undefined> {
 	const held = await Promise.all(engines.map(async engine => engine.experts()));
--- a/packages/rank-agent/src/map-switch.ts
+++ b/packages/rank-agent/src/map-switch.ts
@@ -21,7 +21,7 @@
 export type SwitchOutcome = 'switched' | 'notPrepared' | 'left' | 'aborted' | 'groupChanged' | 'unsettled';
 
 /** Passes between the last one begun and the one at which the ranks switch. */
-const marginPasses = 6;
+const marginPasses = 3;
 
 /** Passes that tell switches apart which start from the same pass. */
 const passSpread = 3;
@@ -83,7 +83,9 @@
 
 		const step = Math.max(...states.map(state => state.step)) + marginPasses + (version % passSpread);
 		const untilMs = this.#nowMs() + armLimitMs;
-		if (!await this.#orderUntilTaken(this.#holding, {kind: 'hold', step}, untilMs)) {
+		if (!await this.#hold(step, untilMs)) {
+			// Nothing is armed yet: the group may go on, whether it is held or not.
+			await this.#orderUntilTaken(this.#holding, {kind: 'go', step}, untilMs);
 			return 'left';
 		}
 
@@ -109,6 +111,24 @@
 		return 'unsettled';
 	}
 
+	/** Holds the group, through an agent outside of it where there is one. */
+	async #hold(step: number, untilMs: number): Promise<boolean> {
+		const {holdThrough, epoch} = this.#ranks;
+		const body = {kind: 'hold', step} as const;
+		if (!holdThrough) {
+			return this.#orderUntilTaken(this.#holding, body, untilMs);
+		}
+
+		const outcome = await holdThrough.order({...body, fencing: this.#fencing, epoch});
+		const state = outcome === 'unknown' ? await this.#holding.state() : undefined;
+		const isHeld = outcome === 'begun' || outcome === 'done' || (state !== undefined && isTakenAlready(state, body));
+		if (!isHeld) {
+			this.#firstRefusal ??= `hold from outside: ${outcome}`;
+		}
+
+		return isHeld;
+	}
+
 	async #tryRecovery(step: number, versionOf: () => number, untilMs: number): Promise<SwitchOutcome | undefined> {
 		const isInOffice = await this.#takeOffice();
 		const states = isInOffice ? await this.#states() : undefined;
--- a/packages/rank-agent/src/rank-agent.ts
+++ b/packages/rank-agent/src/rank-agent.ts
@@ -15,7 +15,9 @@
 import type {Clock} from '@rattanspring/types';
 import type {EngineDoor, EngineOrder, EngineState} from './engine-door.js';
 import {FencedDoor} from './fenced-door.js';
-import {type GroupRanks, ranksOf, RemoteEngine} from './group-ranks.js';
+import {
+	type GroupRanks, outsiderOf, ranksOf, RemoteEngine,
+} from './group-ranks.js';
 import {MapKeeper} from './map-keeper.js';
 import {MapSwitch} from './map-switch.js';
 import {MapVersions} from './map-versions.js';
@@ -35,7 +37,7 @@
 const toldControls = 2;
 
 /** Time between looks at what the group's requests choose. */
-const mapIntervalMs = 700;
+const mapIntervalMs = 350;
 
 /** The rank whose agent keeps the map, and the one at which the group is held meanwhile, if there are several. */
 const keepingRank = 0;
@@ -97,6 +99,7 @@
 	#told: TargetLoad | undefined;
 	#toldAtMs = Number.NEGATIVE_INFINITY;
 	#toldCount = 0;
+	#holdCount = 0;
 	#isLeaving = false;
 
 	constructor(options: RankAgentOptions) {
@@ -196,7 +199,8 @@
 	async #answerRank(request: RankRequest<EngineOrder>): Promise<unknown> {
 		const door = this.#door;
 		if (request.targetAddress !== this.#options.targetAddress) {
-			return undefined;
+			const isHold = request.kind === 'order' && request.order.kind === 'hold';
+			return isHold ? this.#directDoor(request.targetAddress).order(request.order) : undefined;
 		}
 
 		return request.kind === 'order' ? door.order(request.order) : door[request.kind]();
@@ -244,9 +248,16 @@
 	#ranks(): GroupRanks | undefined {
 		const place = this.#place;
 		const {nodeId} = this.#options;
-		return place?.isOpen
-			? ranksOf(place, this.#links.nodes.values(), card => card.nodeId === nodeId ? this.#door : this.#engineOf(card))
-			: undefined;
+		const cards = [...this.#links.nodes.values()];
+		const ranks = place?.isOpen ? ranksOf(place, cards, card => card.nodeId === nodeId ? this.#door : this.#engineOf(card)) : undefined;
+		return ranks && {...ranks, holdThrough: this.#outsideDoor(ranks.group, cards)};
+	}
+
+	/** The engine of the holding rank, reached through an agent outside the group. */
+	#outsideDoor(group: string, cards: readonly NodeCard[]): EngineDoor | undefined {
+		const outsider = outsiderOf(group, cards, this.#holdCount++);
+		const holder = cards.find(({role, rankPlace}) => role === 'agent' && rankPlace?.group === group && rankPlace.rank === holdingRank);
+		return outsider && holder && new RemoteEngine({calls: this.#calls, linkAddress: outsider.linkAddress!, targetAddress: holder.targetAddress!});
 	}
 
 	#engineOf({linkAddress, targetAddress}: NodeCard): EngineDoor {
--- a/packages/rank-agent/src/silent-agent.test.ts
+++ b/packages/rank-agent/src/silent-agent.test.ts
@@ -94,6 +94,22 @@
 		});
 	}
 
+	it('does not stand still when the agent outside that held it stands still, with its VM', async () => {
+		const {group, engines, longestHeldMs} = bedWith(3, 'go');
+		const outside = new AgentCalls(group.bareEngines[1], 'hold');
+		const holdThrough = new RemoteEngine({calls: outside.calls, linkAddress: 'outside', targetAddress: 'engine'});
+		const ranks = {
+			group: 'g', epoch: 1, engines, holdThrough,
+		};
+		const switchOnce = async (version: number) => new MapSwitch({ranks, holdingRank: 1, nowMs: () => performance.now()}).run(version, nextMap);
+		expect(await switchOnce(10)).toEqual('switched');
+		await pause(100);
+		expect(await switchOnce(20)).toEqual('left');
+		await pause(300);
+		expect([group.isHeld, group.mixedPasses]).toEqual([false, 0]);
+		expect(longestHeldMs()).toBeLessThan(longestStandstillMs);
+	});
+
 	it('is released by the holding rank when the coordinator that held it is the silent one', async () => {
 		const {group, engines} = bedWith(0, 'fence');
 		const step = group.step + 3;
