Meet a shift of demand with one switch, and even out time instead of tokens

Not measured yet, with tests: a new formation is planned for with its first look; slow ranks get fewer tokens, by their pace, and streams last.

--- a/packages/expert-map/src/planner/even-share.test.ts
+++ b/packages/expert-map/src/planner/even-share.test.ts
@@ -41,6 +41,18 @@
 		});
 	});
 
+	describe('with a slow rank', () => {
+		it('takes tokens away from it until its time is near that of the others', () => {
+			const rankPaces = [1, 1, 1, 4, 1, 1, 1, 1];
+			const plan = runToEnd(planEvenShares({
+				current: [mapInTurn()], loads: [skewedLoads([])], ...rules, rankPaces,
+			}));
+			expect(plan.skewBefore).toEqual(4);
+			expect(plan.skewAfter).toBeLessThan(2);
+			expect(new Set(plan.lists[0].flat()).size).toEqual(experts);
+		});
+	});
+
 	describe('with even loads', () => {
 		it('changes nothing', () => {
 			const current = [mapInTurn()];
--- a/packages/expert-map/src/planner/even-share.ts
+++ b/packages/expert-map/src/planner/even-share.ts
@@ -1,6 +1,6 @@
 /**
-Plans a map for ranks that share each expert's tokens evenly among the ranks that hold it. It starts from the map in use
-and takes the change that evens the ranks of a set the most for each weight that has to be copied, as long as that pays.
+Plans a map for ranks that share each expert's tokens evenly among the ranks that hold it. What is evened out is time: a slow rank
+takes longer for the same tokens. It starts from the map in use and takes the change that evens the ranks of a set the most for each weight that has to be copied, as long as that pays.
 */
 
 /** Experts of each rank, by set and rank. */
@@ -15,6 +15,8 @@
 	readonly placesPerRank: number;
 	/** Experts of a set that are new to a rank in one change. */
 	readonly newPerRank: number;
+	/** Time a rank takes for a token against the published time; 1 for all by default. */
+	readonly rankPaces?: readonly number[];
 	/** Share of a set's mean load by which a copy has to lower the peak to be worth it. */
 	readonly minGainPerCopy: number;
 };
@@ -22,7 +24,7 @@
 /** A planned map, and what it does. */
 export type EvenSharePlan = {
 	readonly lists: RankLists;
-	/** Peak over mean, averaged over the sets. */
+	/** Longest time over the mean time of ranks at their published pace, averaged over the sets. */
 	readonly skewBefore: number;
 	readonly skewAfter: number;
 	readonly copies: number;
@@ -72,6 +74,7 @@
 	readonly #original: ReadonlyArray<ReadonlySet<number>>;
 	readonly #holders: number[];
 	readonly #rankLoads: number[];
+	readonly #paces: readonly number[];
 	readonly #mean: number;
 
 	constructor(current: ReadonlyArray<readonly number[]>, loads: readonly number[], input: EvenSharePlanInput) {
@@ -81,16 +84,18 @@
 		this.#original = current.map(experts => new Set(experts));
 		this.#holders = loads.map((_, expert) => current.filter(experts => experts.includes(expert)).length);
 		this.#rankLoads = rankLoads(this.lists, loads);
+		this.#paces = current.map((_, rank) => input.rankPaces?.[rank] ?? 1);
 		this.#mean = Math.max(1e-9, loads.reduce((sum, load) => sum + load, 0) / current.length);
 	}
 
 	get skew(): number {
-		return Math.max(...this.#rankLoads) / this.#mean;
+		return Math.max(...this.#times(this.#rankLoads)) / this.#mean;
 	}
 
 	/** Takes the best change that relieves the most loaded rank; false if none is worth it. */
 	improve(): boolean {
-		const peak = this.#rankLoads.indexOf(Math.max(...this.#rankLoads));
+		const times = this.#times(this.#rankLoads);
+		const peak = times.indexOf(Math.max(...times));
 		const score = this.#score(this.#rankLoads);
 		let best: Change | undefined;
 		let bestGain = this.#input.minGainPerCopy;
@@ -201,8 +206,12 @@
 		}
 	}
 
+	#times(loads: readonly number[]): number[] {
+		return loads.map((load, rank) => load * this.#paces[rank]);
+	}
+
 	#score(loads: readonly number[]): number {
-		const sum = loads.reduce((total, load) => total + ((load / this.#mean) ** peakExponent), 0);
+		const sum = this.#times(loads).reduce((total, time) => total + ((time / this.#mean) ** peakExponent), 0);
 		return (sum / loads.length) ** (1 / peakExponent);
 	}
 }
--- a/packages/placement/src/placement.test.ts
+++ b/packages/placement/src/placement.test.ts
@@ -65,6 +65,16 @@
 			expect(overflow.kind).toEqual('target');
 		});
 
+		it('within a slow group, sends to the slow rank last', () => {
+			const board = boardOf(2, 4);
+			board.setLoads([loadOf(0, 'g', 3), loadOf(1, 'g', 1)], 0);
+			for (let index = 0; index < 4; index++) {
+				const choice = board.choose({service: 's', nowMs: 0, random: () => 0.5});
+				expect(choice.kind === 'target' && choice.view.report.targetId).toEqual('t1');
+				board.sent('t1', 0);
+			}
+		});
+
 		it('uses no rank of a group that broke, by the newest word of it', () => {
 			const board = boardOf(2);
 			board.setLoads([{...loadOf(0, 'g', 1), rankPlace: {...place('g', 0), isOpen: false}}], 0);
--- a/packages/placement/src/target-board.ts
+++ b/packages/placement/src/target-board.ts
@@ -57,7 +57,10 @@
 /** How much busier a target counts that fails every request. */
 const failurePenalty = 12;
 
-/** Passes until a first event, about: a slow target or group counts as so much busier for each multiple of its published time. */
+/**
+Passes until a first event, about: a slow group counts as so much busier for each multiple of its published time. Its slow rank counts twice:
+what is sent there slows all others.
+*/
 const passesToFirstEvent = 3;
 
 type Entry = {
@@ -278,8 +281,9 @@
 
 	#penalty(entry: Entry, nowMs: number, paces: ReadonlyMap<string, number>): number {
 		const distance = entry.report.failureDomain === this.#options.failureDomain ? 0 : distancePenalty;
-		const pace = paces.get(entry.load?.rankPlace?.group ?? '') ?? entry.load?.pace ?? 1;
-		const slowness = Math.max(0, pace - 1) * passesToFirstEvent;
+		const ownPace = entry.load?.pace ?? 1;
+		const groupPace = paces.get(entry.load?.rankPlace?.group ?? '') ?? ownPace;
+		const slowness = (Math.max(0, groupPace - 1) + Math.max(0, ownPace - 1)) * passesToFirstEvent;
 		return distance + slowness + (failureShareAt(entry, nowMs) * failurePenalty);
 	}
 }
--- a/packages/rank-agent/src/engine-door.ts
+++ b/packages/rank-agent/src/engine-door.ts
@@ -27,7 +27,13 @@
 };
 
 /** How often requests of a rank chose each expert since the rank's start, by set. */
-export type ExpertCounts = {readonly step: number; readonly epoch: number; readonly counts: readonly number[]};
+export type ExpertCounts = {
+	readonly step: number;
+	readonly epoch: number;
+	readonly counts: readonly number[];
+	/** Slowness of the rank, as its agent saw it last: 1 is the published speed. */
+	readonly pace?: number;
+};
 
 /** Experts that a rank holds, by set, in the map in use. */
 export type HeldExperts = {readonly version: number; readonly experts: ReadonlyArray<readonly number[]>};
--- a/packages/rank-agent/src/fenced-door.ts
+++ b/packages/rank-agent/src/fenced-door.ts
@@ -11,6 +11,7 @@
 export class FencedDoor extends EngineDoor {
 	readonly #inner: EngineDoor;
 	#highest = 0;
+	#pace = 1;
 
 	constructor(inner: EngineDoor) {
 		super();
@@ -19,11 +20,13 @@
 
 	async state(): Promise<EngineState | undefined> {
 		const state = await this.#inner.state();
+		this.#pace = state?.pace ?? this.#pace;
 		return state && {...state, fencing: this.#highest};
 	}
 
 	async counts(): Promise<ExpertCounts | undefined> {
-		return this.#inner.counts();
+		const counts = await this.#inner.counts();
+		return counts && {...counts, pace: this.#pace};
 	}
 
 	async experts(): Promise<HeldExperts | undefined> {
--- a/packages/rank-agent/src/map-keeper.test.ts
+++ b/packages/rank-agent/src/map-keeper.test.ts
@@ -1,4 +1,5 @@
 import {after, describe, it} from 'node:test';
+import {evenShareSkew} from '@rattanspring/expert-map';
 import {expect} from 'earl';
 import {LockstepGroup} from './lockstep-group.js';
 import {MapKeeper} from './map-keeper.js';
@@ -8,6 +9,11 @@
 const expertCount = 16;
 const lists = [Array.from({length: rankCount}, (_, rank) => [rank, rank + 4, rank + 8, rank + 12])];
 
+/** Choices of one moment in which some experts are in demand. */
+function demandOf(hot: readonly number[]): number[] {
+	return Array.from({length: expertCount}, (_, expert) => hot.includes(expert) ? 4000 : 300);
+}
+
 const silent = {
 	log() {
 		// Nothing is looked at.
@@ -63,6 +69,48 @@
 		expect(group.mixedPasses).toEqual(0);
 	});
 
+	it('meets the demand of a new formation with its first look', async () => {
+		const {group, round} = bed(8);
+		choose(group, 1);
+		await round();
+		await new Promise(resolve => {
+			setTimeout(resolve, 80);
+		});
+		expect(group.versions[0] > 0).toEqual(true);
+	});
+
+	it('meets a sudden change of demand with its next switch', async () => {
+		const {group, round} = bed(8);
+		const turn = async (counts: readonly number[]): Promise<void> => {
+			for (let rank = 0; rank < rankCount; rank++) {
+				group.setCounts(rank, [...counts]);
+			}
+
+			await round();
+			await new Promise(resolve => {
+				setTimeout(resolve, 60);
+			});
+		};
+
+		const demand = Array.from({length: expertCount}, () => 0);
+		const add = (hot: readonly number[]): number[] => {
+			for (let expert = 0; expert < expertCount; expert++) {
+				demand[expert] += demandOf(hot)[expert];
+			}
+
+			return demand;
+		};
+
+		for (let moment = 0; moment < 5; moment++) {
+			await turn(add([0, 4]));
+		}
+
+		const before = group.versions[0];
+		await turn(add([3, 7]));
+		expect(group.versions[0] > before).toEqual(true);
+		expect(evenShareSkew([Array.from({length: rankCount}, (_, rank) => group.experts(rank).experts[0])], [demandOf([3, 7])])).toBeLessThan(1.3);
+	});
+
 	it('leaves the map alone while too little is written for a switch to pay', async () => {
 		const group = await play(0);
 		expect(group.versions).toEqual([0, 0, 0, 0]);
--- a/packages/rank-agent/src/map-keeper.ts
+++ b/packages/rank-agent/src/map-keeper.ts
@@ -37,6 +37,9 @@
 /** Choices that make one look at the demand. */
 const minChoices = 2000;
 
+/** In a formation with fewer passes than this, all counts are of now. */
+const newFormationSteps = 60;
+
 /** Weight of the newest look, and the share of a set's choices that has to move to other experts to count as a sudden change. */
 const newestLookWeight = 0.35;
 const suddenChangeShare = 0.2;
@@ -48,6 +51,7 @@
 	#last: ReadonlyArray<readonly number[]> | undefined;
 	#forecast = newForecast();
 	#active = 0;
+	#paces: readonly number[] = [];
 
 	constructor(options: MapKeeperOptions) {
 		this.#options = {...defaults, ...options};
@@ -70,17 +74,19 @@
 	/** Looks at what was chosen since the last look; false where that is too little to plan from. */
 	async #count(ranks: GroupRanks, sets: number): Promise<boolean> {
 		const answers = await Promise.all(ranks.engines.map(async engine => engine.counts()));
-		const counts = answers.flatMap(answer => answer?.epoch === ranks.epoch ? [answer.counts] : []);
-		if (counts.length < ranks.engines.length) {
+		const known = answers.flatMap(answer => answer?.epoch === ranks.epoch ? [answer] : []);
+		if (known.length < ranks.engines.length) {
 			return false;
 		}
 
+		const counts = known.map(answer => answer.counts);
+		this.#paces = known.map(({pace = 1}) => pace);
 		const formation = `${ranks.group} ${ranks.epoch}`;
 		if (this.#formation !== formation || !this.#last) {
+			const isNew = known.every(({step}) => step < newFormationSteps);
 			this.#formation = formation;
-			this.#last = counts;
+			this.#last = isNew ? counts.map(rankCounts => rankCounts.map(() => 0)) : counts;
 			this.#forecast = newForecast();
-			return false;
 		}
 
 		const chosen = chosenSince(this.#last, counts);
@@ -105,7 +111,7 @@
 		const {nowMs, logger, placesPerRank, newPerRank, minGainPerCopy} = this.#options;
 		const loads = this.#forecast.next().map(shares => [...shares]);
 		const plan = await inSlices(planEvenShares({
-			current, loads, placesPerRank, newPerRank, minGainPerCopy,
+			current, loads, placesPerRank, newPerRank, minGainPerCopy, rankPaces: this.#paces,
 		}));
 		if (this.#stepGain(plan.skewBefore, plan.skewAfter) < this.#options.minStepGain) {
 			return;
