--- a/packages/rank-agent/src/map-keeper.ts
+++ b/packages/rank-agent/src/map-keeper.ts
@@ -49,6 +49,7 @@
 	readonly #options: Required<MapKeeperOptions>;
 	#formation = '';
 	#last: ReadonlyArray<readonly number[]> | undefined;
+	#known: {readonly key: string; readonly lists: RankLists} | undefined;
 	#forecast = newForecast();
 	#active = 0;
 	#paces: readonly number[] = [];
@@ -65,12 +66,23 @@
 		}
 
 		this.#active += (holding.active - this.#active) * activeWeight;
-		const lists = await heldLists(ranks.engines);
+		const lists = await this.#listsOf(ranks, holding.mapVersion);
 		if (lists && await this.#count(ranks, lists.length)) {
 			await this.#plan(ranks, holdingRank, lists);
 		}
 	}
 
+	/** The lists of the map in use; asked for once a version. */
+	async #listsOf(ranks: GroupRanks, version: number | undefined): Promise<RankLists | undefined> {
+		const key = `${ranks.group} ${ranks.epoch} ${version}`;
+		if (this.#known?.key !== key) {
+			const lists = await heldLists(ranks.engines, version);
+			this.#known = lists && {key, lists};
+		}
+
+		return this.#known?.lists;
+	}
+
 	/** Looks at what was chosen since the last look; false where that is too little to plan from. */
 	async #count(ranks: GroupRanks, sets: number): Promise<boolean> {
 		const answers = await Promise.all(ranks.engines.map(async engine => engine.counts()));
@@ -154,11 +166,11 @@
 	});
 }
 
-/** The experts of each rank, by set and rank, if all ranks use the same version. */
-async function heldLists(engines: readonly EngineDoor[]): Promise<RankLists | undefined> {
+/** The experts of each rank, by set and rank, if all ranks use this version. */
+async function heldLists(engines: readonly EngineDoor[], version: number | undefined): Promise<RankLists | undefined> {
 	const held = await Promise.all(engines.map(async engine => engine.experts()));
 	const known = held.flatMap(experts => experts ? [experts] : []);
-	if (known.length < engines.length || known.some(({version}) => version !== known[0].version)) {
+	if (known.length < engines.length || known.some(held => held.version !== version)) {
 		return undefined;
 	}
 
