--- a/packages/rank-agent/src/map-keeper.ts
+++ b/packages/rank-agent/src/map-keeper.ts
@@ -7,7 +7,7 @@
 import {ExponentialAverageForecast, planEvenShares, type RankLists} from '@rattanspring/expert-map';
 import type {Logger} from '@rattanspring/logger';
 import type {EngineDoor} from './engine-door.js';
-import type {GroupRanks} from './group-ranks.js';
+import type {GroupRanks} from './group-doors.js';
 import {MapSwitch} from './map-switch.js';
 import type {MapVersions} from './map-versions.js';
 
--- a/packages/rank-agent/src/map-switch.ts
+++ b/packages/rank-agent/src/map-switch.ts
@@ -15,7 +15,7 @@
 import type {
 	EngineDoor, EngineOrder, EngineState, OrderOutcome,
 } from './engine-door.js';
-import type {GroupRanks} from './group-ranks.js';
+import type {GroupRanks} from './group-doors.js';
 
 /** How a switch ended. After `left` the group may be held, and the agent of the holding rank has to take over. */
 export type SwitchOutcome = 'switched' | 'notPrepared' | 'left' | 'aborted' | 'groupChanged' | 'unsettled';
--- a/packages/rank-agent/src/rank-agent.ts
+++ b/packages/rank-agent/src/rank-agent.ts
@@ -15,9 +15,7 @@
 import type {Clock} from '@rattanspring/types';
 import type {EngineDoor, EngineOrder, EngineState} from './engine-door.js';
 import {FencedDoor} from './fenced-door.js';
-import {
-	type GroupRanks, outsiderOf, ranksOf, RemoteEngine,
-} from './group-ranks.js';
+import {GroupDoors, type GroupRanks, holdingRank} from './group-doors.js';
 import {MapKeeper} from './map-keeper.js';
 import {MapSwitch} from './map-switch.js';
 import {MapVersions} from './map-versions.js';
@@ -39,9 +37,8 @@
 /** Time between looks at what the group's requests choose. */
 const mapIntervalMs = 350;
 
-/** The rank whose agent keeps the map, and the one at which the group is held meanwhile, if there are several. */
+/** The rank whose agent keeps the map. */
 const keepingRank = 0;
-const holdingRank = 1;
 
 /** A group held for longer than this was left by its keeper; the agent of the holding rank releases it. */
 const abandonedAfterMs = 600;
@@ -84,8 +81,7 @@
 	readonly #door: FencedDoor;
 	readonly #versions: MapVersions;
 	readonly #calls = new LinkCalls();
-	/** Doors to engines on other VMs, by address; used while their agents do not answer. */
-	readonly #directDoors = new Map<string, EngineDoor>();
+	readonly #doors: GroupDoors;
 	readonly #standstill: StandstillClock;
 	readonly #server = new Server(serverOptions);
 	#measureTimer: NodeJS.Timeout | undefined;
@@ -99,12 +95,12 @@
 	#told: TargetLoad | undefined;
 	#toldAtMs = Number.NEGATIVE_INFINITY;
 	#toldCount = 0;
-	#holdCount = 0;
 	#isLeaving = false;
 
 	constructor(options: RankAgentOptions) {
 		this.#options = options;
 		this.#door = new FencedDoor(options.door);
+		this.#doors = new GroupDoors({...options, own: this.#door, calls: this.#calls});
 		this.#versions = new MapVersions(() => options.clock.wallMs());
 		this.#standstill = new StandstillClock(options.clock);
 		this.#links = new ControlLinks({
@@ -153,10 +149,7 @@
 		this.#links.close();
 		this.#calls.close();
 		this.#server.forceShutdown();
-		this.#options.door.close();
-		for (const door of this.#directDoors.values()) {
-			door.close();
-		}
+		this.#doors.close();
 	}
 
 	#measureSoon(pauseMs: number): void {
@@ -200,7 +193,7 @@
 		const door = this.#door;
 		if (request.targetAddress !== this.#options.targetAddress) {
 			const isHold = request.kind === 'order' && request.order.kind === 'hold';
-			return isHold ? this.#directDoor(request.targetAddress).order(request.order) : undefined;
+			return isHold ? this.#doors.direct(request.targetAddress).order(request.order) : undefined;
 		}
 
 		return request.kind === 'order' ? door.order(request.order) : door[request.kind]();
@@ -246,30 +239,7 @@
 	}
 
 	#ranks(): GroupRanks | undefined {
-		const place = this.#place;
-		const {nodeId} = this.#options;
-		const cards = [...this.#links.nodes.values()];
-		const ranks = place?.isOpen ? ranksOf(place, cards, card => card.nodeId === nodeId ? this.#door : this.#engineOf(card)) : undefined;
-		return ranks && {...ranks, holdThrough: this.#outsideDoor(ranks.group, cards)};
-	}
-
-	/** The engine of the holding rank, reached through an agent outside the group. */
-	#outsideDoor(group: string, cards: readonly NodeCard[]): EngineDoor | undefined {
-		const outsider = outsiderOf(group, cards, this.#holdCount++);
-		const holder = cards.find(({role, rankPlace}) => role === 'agent' && rankPlace?.group === group && rankPlace.rank === holdingRank);
-		return outsider && holder && new RemoteEngine({calls: this.#calls, linkAddress: outsider.linkAddress!, targetAddress: holder.targetAddress!});
-	}
-
-	#engineOf({linkAddress, targetAddress}: NodeCard): EngineDoor {
-		return new RemoteEngine({
-			calls: this.#calls, linkAddress: linkAddress!, targetAddress: targetAddress!, direct: address => this.#directDoor(address),
-		});
-	}
-
-	#directDoor(targetAddress: string): EngineDoor {
-		const door = this.#directDoors.get(targetAddress) ?? this.#options.doorTo(targetAddress);
-		this.#directDoors.set(targetAddress, door);
-		return door;
+		return this.#place?.isOpen ? this.#doors.ranks(this.#place, [...this.#links.nodes.values()]) : undefined;
 	}
 
 	#notePlace(place: RankPlace | undefined): void {
--- a/packages/rank-agent/src/group-ranks.ts
+++ b/packages/rank-agent/src/remote-engine.ts
@@ -1,7 +1,6 @@
-/** The engines of all ranks of one group, each asked and ordered by the agent on its own VM. */
+/** An engine on another VM, asked and ordered by the agent there. */
 
-import {type LinkCalls, linkService, type NodeCard} from '@rattanspring/fleet-link';
-import type {RankPlace} from '@rattanspring/target-table';
+import {type LinkCalls, linkService} from '@rattanspring/fleet-link';
 import {
 	EngineDoor, type EngineOrder, type EngineState, type ExpertCounts, type HeldExperts, type OrderOutcome,
 } from './engine-door.js';
@@ -72,31 +71,3 @@
 		return direct && past?.(direct(targetAddress));
 	}
 }
-
-/** One formation of a group, with an engine for each rank. */
-export type GroupRanks = {
-	readonly group: string;
-	readonly epoch: number;
-	readonly engines: readonly EngineDoor[];
-	/** Orders the engine of the holding rank through an agent outside the group: if that VM stands still, no rank of the group does. */
-	readonly holdThrough?: EngineDoor;
-};
-
-/** The ranks of the group, if the agents of all of them are known and its formation is whole. */
-export function ranksOf({group, epoch, size}: RankPlace, cards: Iterable<NodeCard>, engineOf: (card: NodeCard) => EngineDoor): GroupRanks | undefined {
-	const byRank = new Map<number, NodeCard>();
-	for (const card of cards) {
-		if (card.role === 'agent' && card.rankPlace?.group === group && card.rankPlace.epoch === epoch && card.rankPlace.isOpen) {
-			byRank.set(card.rankPlace.rank, card);
-		}
-	}
-
-	const ordered = Array.from({length: size}, (_, rank) => byRank.get(rank));
-	return ordered.every(card => card !== undefined) ? {group, epoch, engines: ordered.map(card => engineOf(card))} : undefined;
-}
-
-/** An agent that has no rank in the group; another one for each turn. */
-export function outsiderOf(group: string, cards: Iterable<NodeCard>, turn: number): NodeCard | undefined {
-	const outsiders = [...cards].filter(card => card.role === 'agent' && card.rankPlace !== undefined && card.rankPlace.group !== group && !card.isLeaving);
-	return outsiders.toSorted((left, right) => left.nodeId < right.nodeId ? -1 : 1)[turn % Math.max(1, outsiders.length)];
-}
--- a/packages/rank-agent/src/silent-agent.test.ts
+++ b/packages/rank-agent/src/silent-agent.test.ts
@@ -2,9 +2,9 @@
 import type {LinkCalls, RankReply, RankRequest} from '@rattanspring/fleet-link';
 import {expect} from 'earl';
 import type {EngineDoor, EngineOrder} from './engine-door.js';
-import {RemoteEngine} from './group-ranks.js';
 import {LockstepGroup} from './lockstep-group.js';
 import {MapSwitch} from './map-switch.js';
+import {RemoteEngine} from './remote-engine.js';
 import {StandstillClock} from './standstill-clock.js';
 
 const lists = [[[0, 4], [1, 5], [2, 6], [3, 7]]];
