Take callers that are back in time among those on time

A caller that came back counted as late from 120 ms after its first try on, also where a first event could still be on time, and by the route's timeout, which operators change while callers keep their limits. Now it is on time within half of its objective, counted from the longest time left seen on its route; what is not admitted within an eighth waits on as a late one, since its caller has no other try.

--- a/packages/gateway/src/flow-context.ts
+++ b/packages/gateway/src/flow-context.ts
@@ -8,6 +8,7 @@
 } from '@rattanspring/placement';
 import type {TargetExchange} from '@rattanspring/target-connection';
 import type {CallDialect} from './call-dialect.js';
+import type {FirstTries} from './first-tries.js';
 
 /** Shared by the requests of one entry. */
 export type FlowContext = {
@@ -19,6 +20,7 @@
 	readonly guard: CrashGuard;
 	readonly logger: Logger;
 	readonly metrics: DaemonMetrics;
+	readonly firstTries: FirstTries;
 	readonly inProgress: Map<string, number>;
 	readonly nowMs: () => number;
 	/** Random numbers in [0, 1). */
--- a/packages/gateway/src/forward-flow.ts
+++ b/packages/gateway/src/forward-flow.ts
@@ -17,8 +17,8 @@
 /** The final answer goes out this long before the time is up. */
 const deadlineMarginMs = 15;
 
-/** A caller's time limit below this share of the route's timeout shows that it came back after a refusal. */
-const returningShare = 0.985;
+/** A caller that asked first longer ago than this came back after a refusal. */
+const shortestReturnMs = 50;
 
 /** A stream without a first event, or without a next one, for this long is taken up at another target. */
 const firstEventTimeoutMs = 1600;
@@ -37,6 +37,7 @@
 	readonly #answer: CallerAnswer;
 	readonly #call: AllowedCall;
 	readonly #tried = new Set<string>();
+	readonly #sinceFirstTryMs: number;
 	#waiting: Waiting | undefined;
 	#running: Running | undefined;
 	#deadline: NodeJS.Timeout | undefined;
@@ -64,6 +65,7 @@
 		this.#answer = answer;
 		this.#call = call;
 		this.#lastEventId = call.facts.lastEventId;
+		this.#sinceFirstTryMs = context.firstTries.sinceMs(call.route, call.facts.timeLeftMs);
 	}
 
 	/** Starts; the flow ends by itself. */
@@ -95,8 +97,7 @@
 	}
 
 	#admit(): void {
-		const {service, route, arrivedAtMs, deadlineAtMs, account, facts} = this.#call;
-		const isReturning = facts.timeLeftMs !== undefined && facts.timeLeftMs < route.timeoutMs * returningShare;
+		const {service, route, arrivedAtMs, deadlineAtMs, account} = this.#call;
 		let isSettled = false;
 		const waiting = this.#context.admission.admit({
 			service,
@@ -105,7 +106,7 @@
 			arrivedAtMs,
 			objectiveMs: route.objectiveMs,
 			deadlineAtMs,
-			isReturning,
+			...(this.#sinceFirstTryMs > shortestReturnMs && {sinceFirstTryMs: this.#sinceFirstTryMs}),
 			isRepeat: this.#sentCount > 0,
 			excluded: this.#tried,
 		}, this.#nowMs, admission => {
--- a/packages/gateway/src/gateway.test.ts
+++ b/packages/gateway/src/gateway.test.ts
@@ -13,6 +13,7 @@
 import {type AnswerHead, ConnectionPool} from '@rattanspring/target-connection';
 import type {TargetReport} from '@rattanspring/target-table';
 import {expect} from 'earl';
+import {FirstTries} from './first-tries.js';
 import type {FlowContext} from './flow-context.js';
 import {serveRequest} from './request-flow.js';
 import {
@@ -169,6 +170,7 @@
 			}),
 			budget: new RetryBudget({ratio: 0.2, slack: 100, windowMs: 10_000}),
 			guard: new CrashGuard(),
+			firstTries: new FirstTries(),
 			logger: new SilentLogger(),
 			metrics: new DaemonMetrics(),
 			inProgress,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -16,6 +16,7 @@
 import {CallerServer} from './caller-server.js';
 import {CrashWatch} from './crash-watch.js';
 import {DocumentFollower} from './document-follower.js';
+import {FirstTries} from './first-tries.js';
 import type {FlowContext} from './flow-context.js';
 import {serveRequest} from './request-flow.js';
 
@@ -93,6 +94,7 @@
 			}),
 			budget: new RetryBudget(options.allowance),
 			guard: new CrashGuard(),
+			firstTries: new FirstTries(),
 			inProgress,
 			nowMs,
 			random,
--- a/packages/placement/src/admission.ts
+++ b/packages/placement/src/admission.ts
@@ -2,8 +2,8 @@
 Admits requests to targets, lets them wait for a short time, or refuses them.
 
 A request waits in one of two lanes. One that can still be answered on time goes first and is refused within an eighth
-of its objective, early enough for its caller to come back in time. One that came back, or that cannot be on time any
-more, is served from what is left, and waits longer, since its caller has no other try. It leaves a part of the places free,
+of its objective, early enough for its caller to come back in time. One that came back too late for that, or after as long a
+wait on its return, is served from what is left, and waits longer, since its caller has no other try. It leaves a part of the places free,
 so that the callers who come back after an outage do not make those late who come then; and it takes no places that belong to
 other entries at first, or all entries would send those who wait to the first target that gets a place free.
 */
@@ -13,6 +13,9 @@
 /** Share of the objective after which a request that could be on time is refused. */
 const onTimeWaitShare = 1 / 8;
 
+/** Part of the objective within which a caller has to be back for its request to be on time still: a first event takes about as long. */
+const returnedOnTimeShare = 0.5;
+
 /** Part of the time left that a late request may wait, and its longest wait: callers give up on a silent stream after 2 s. */
 const lateWaitShare = 0.5;
 const maxLateWaitMs = 1200;
@@ -44,8 +47,8 @@
 	readonly objectiveMs: number;
 	/** End of the time the caller will wait. */
 	readonly deadlineAtMs: number;
-	/** Whether it came back after a refusal, as far as can be told from the time it has left. */
-	readonly isReturning: boolean;
+	/** Time since its caller first asked, as far as can be told from the time it has left: it came back after a refusal. */
+	readonly sinceFirstTryMs?: number;
 	/** Whether it goes on at another target: its caller holds a part of the answer, or has no other try. */
 	readonly isRepeat?: boolean;
 	readonly excluded?: ReadonlySet<string>;
@@ -98,7 +101,7 @@
 
 	/** Admits, refuses, or lets wait; `settle` is called once, at once or later, unless the wait is cancelled. */
 	admit(request: AdmissionRequest, nowMs: number, settle: (admission: Admission) => void): Waiting {
-		const isLate = !request.isRepeat && (request.isReturning || nowMs - request.arrivedAtMs > request.objectiveMs * onTimeWaitShare);
+		const isLate = !request.isRepeat && !mayBeOnTime(request, nowMs);
 		const isFirst = !this.#line.some(other => other.request.service === request.service && (isLate || !other.isLate));
 		const choice = isFirst ? this.#choose(request, isLate ? 'lateOwn' : 'onTime', nowMs) : {kind: 'full' as const};
 		if (choice.kind === 'target') {
@@ -118,7 +121,7 @@
 		this.#options.onWaiting();
 		return {
 			cancel: () => {
-				this.#line = this.#line.filter(other => other !== line);
+				this.#line = this.#line.filter(other => other.request !== request);
 			},
 		};
 	}
@@ -134,6 +137,8 @@
 			const choice = isFull ? {kind: 'full' as const} : this.#choose(line.request, lanes[0], nowMs);
 			if (choice.kind === 'target') {
 				this.#end(line, {kind: 'admitted', view: choice.view, isLate: line.isLate});
+			} else if (nowMs >= line.refuseAtMs && !line.isLate && line.request.sinceFirstTryMs !== undefined) {
+				this.#makeLate(line, nowMs);
 			} else if (nowMs >= line.refuseAtMs) {
 				this.#end(line, this.#refusal('full'));
 			} else {
@@ -142,6 +147,14 @@
 		}
 	}
 
+	/** A caller that came back has no other try: its request waits on among the late ones. */
+	#makeLate(line: Line, nowMs: number): void {
+		const late: Line = {
+			...line, isLate: true, sinceMs: nowMs, refuseAtMs: refuseAtMs(line.request, true, nowMs),
+		};
+		this.#line = this.#line.map(other => other === line ? late : other);
+	}
+
 	#choose({service, excluded}: AdmissionRequest, lane: Lane, nowMs: number): Choice {
 		return this.#options.board.choose({
 			service, nowMs, excluded, placeShare: lane === 'onTime' ? 1 : latePlaceShare, ownOnly: lane === 'lateOwn', random: this.#options.random,
@@ -165,6 +178,11 @@
 	}
 }
 
+/** Whether a request that is admitted within its wait can be answered on time. */
+function mayBeOnTime({arrivedAtMs, objectiveMs, sinceFirstTryMs}: AdmissionRequest, nowMs: number): boolean {
+	return sinceFirstTryMs === undefined ? nowMs - arrivedAtMs <= objectiveMs * onTimeWaitShare : sinceFirstTryMs < objectiveMs * returnedOnTimeShare;
+}
+
 /** The lane of a request, and those that have more places: where they are full, it is too. */
 function lanesFor({isLate, sinceMs}: Line, nowMs: number): [Lane, ...Lane[]] {
 	if (!isLate) {
--- a/packages/placement/src/herding.test.ts
+++ b/packages/placement/src/herding.test.ts
@@ -129,7 +129,7 @@
 		tell(1, 8, 0);
 		for (const {board, queue} of queues) {
 			queue.admit({
-				service: 's', priority: 1, accountName: 'a', arrivedAtMs: 0, objectiveMs: 400, deadlineAtMs: 8000, isReturning: true,
+				service: 's', priority: 1, accountName: 'a', arrivedAtMs: 0, objectiveMs: 400, deadlineAtMs: 8000, sinceFirstTryMs: 900,
 			}, 1, ({kind}) => {
 				if (kind === 'admitted') {
 					admitted.push(1);
--- a/packages/placement/src/placement.test.ts
+++ b/packages/placement/src/placement.test.ts
@@ -24,7 +24,7 @@
 }
 
 const request: AdmissionRequest = {
-	service: 's', priority: 1, accountName: 'a', arrivedAtMs: 0, objectiveMs: 400, deadlineAtMs: 8000, isReturning: false,
+	service: 's', priority: 1, accountName: 'a', arrivedAtMs: 0, objectiveMs: 400, deadlineAtMs: 8000,
 };
 
 /** Fills all places that a board allows. */
@@ -186,6 +186,32 @@
 			expect(refusal.kind === 'refused' && refusal.retryAfterMs > 0 && refusal.retryAfterMs < 400).toEqual(true);
 		});
 
+		it('serves a request that came back in time among those on time, and lets it wait on as a late one', () => {
+			const board = boardOf(1, 4);
+			fill(board);
+			const queue = queueOf(board);
+			const order: string[] = [];
+			const note = (name: string) => (admission: Admission) => {
+				order.push(`${name} ${admission.kind}`);
+				board.sent('t0', 0);
+			};
+
+			queue.admit({...request, sinceFirstTryMs: 900}, 0, note('late'));
+			queue.admit({...request, sinceFirstTryMs: 130}, 0, note('back in time'));
+			board.ended('t0', 'answered', 10);
+			queue.pump(10);
+			expect(order).toEqual(['back in time admitted']);
+			queue.admit({...request, sinceFirstTryMs: 130}, 20, note('second'));
+			queue.pump(80);
+			expect(order).toEqual(['back in time admitted']);
+			for (let index = 0; index < 3; index++) {
+				board.ended('t0', 'answered', 500);
+			}
+
+			queue.pump(500);
+			expect(order).toEqual(['back in time admitted', 'late admitted', 'second admitted']);
+		});
+
 		it('lets a request that came back wait longer, behind those that can be on time', () => {
 			const board = boardOf(1, 4);
 			fill(board);
@@ -196,7 +222,7 @@
 				board.sent('t0', 0);
 			};
 
-			queue.admit({...request, isReturning: true}, 0, note('returned'));
+			queue.admit({...request, sinceFirstTryMs: 900}, 0, note('returned'));
 			queue.admit(request, 0, note('fresh'));
 			board.ended('t0', 'answered', 10);
 			queue.pump(10);
@@ -261,10 +287,10 @@
 			};
 
 			for (let index = 0; index < 40; index++) {
-				admit('late', {isReturning: true});
+				admit('late', {sinceFirstTryMs: 900});
 			}
 
-			admit('repeat', {isReturning: true, isRepeat: true});
+			admit('repeat', {sinceFirstTryMs: 900, isRepeat: true});
 			for (let index = 0; index < 8; index++) {
 				admit('onTime', {});
 			}
