Copy no weights while streams are on time, and offer places to two late requests at most

Those who have waited 150 ms may now take a place that is offered to two entries; at their last look any.

--- a/packages/placement/src/admission.ts
+++ b/packages/placement/src/admission.ts
@@ -4,8 +4,8 @@
 A request waits in one of two lanes. One that can still be answered on time goes first and is refused within an eighth
 of its objective, early enough for its caller to come back in time. One that came back too late for that, or after as long a
 wait on its return, is served from what is left, and waits longer, since its caller has no other try. It leaves a part of the places free,
-so that the callers who come back after an outage do not make those late who come then; and it takes no places that belong to
-other entries at first, or all entries would send those who wait to the first target that gets a place free.
+so that the callers who come back after an outage do not make those late who come then. At first it takes only places of its own
+entry, then those that are offered to two: all entries would send those who wait to the first target that gets a place free.
 */
 
 import type {Choice, TargetBoard, TargetView} from './target-board.js';
@@ -23,7 +23,7 @@
 /** Share of the places that late requests may take: after an outage all callers come back at once. */
 const latePlaceShare = 0.75;
 
-/** A late request takes only places of its own entry for this long, about two reports of every target. */
+/** A late request takes only places of its own entry for this long, in which every target reports about once. */
 const ownPlacesMs = 150;
 
 /** Requests waiting for one service at one entry. */
@@ -71,8 +71,12 @@
 
 type Line = {readonly request: AdmissionRequest; readonly isLate: boolean; readonly sinceMs: number; readonly refuseAtMs: number; readonly settle: (admission: Admission) => void};
 
-/** Which places a request may take: all, the share left to late ones, or of that share only those of its own entry. */
-type Lane = 'onTime' | 'late' | 'lateOwn';
+/** Which places a request may take, from most to fewest: all; the share left to late ones; of that share those offered to some entries, or to one. */
+const lanes = ['onTime', 'lateLastLook', 'late', 'lateOwn'] as const;
+type Lane = typeof lanes[number];
+
+/** How many entries each free place is offered to, in the lanes in which not all may take it. */
+const offers: Readonly<Partial<Record<Lane, number>>> = {late: 2, lateOwn: 1};
 
 /** Options of the admission. */
 export type AdmissionOptions = {
@@ -132,9 +136,9 @@
 		const full = new Set<string>();
 		for (const line of order) {
 			const {service} = line.request;
-			const lanes = lanesFor(line, nowMs);
-			const isFull = lanes.some(lane => full.has(`${service} ${lane}`));
-			const choice = isFull ? {kind: 'full' as const} : this.#choose(line.request, lanes[0], nowMs);
+			const lane = laneOf(line, nowMs);
+			const isFull = lanes.slice(0, lanes.indexOf(lane) + 1).some(wider => full.has(`${service} ${wider}`));
+			const choice = isFull ? {kind: 'full' as const} : this.#choose(line.request, lane, nowMs);
 			if (choice.kind === 'target') {
 				this.#end(line, {kind: 'admitted', view: choice.view, isLate: line.isLate});
 			} else if (nowMs >= line.refuseAtMs && !line.isLate && line.request.sinceFirstTryMs !== undefined) {
@@ -142,7 +146,7 @@
 			} else if (nowMs >= line.refuseAtMs) {
 				this.#end(line, this.#refusal('full'));
 			} else {
-				full.add(`${service} ${lanes[0]}`);
+				full.add(`${service} ${lane}`);
 			}
 		}
 	}
@@ -157,7 +161,7 @@
 
 	#choose({service, excluded}: AdmissionRequest, lane: Lane, nowMs: number): Choice {
 		return this.#options.board.choose({
-			service, nowMs, excluded, placeShare: lane === 'onTime' ? 1 : latePlaceShare, ownOnly: lane === 'lateOwn', random: this.#options.random,
+			service, nowMs, excluded, placeShare: lane === 'onTime' ? 1 : latePlaceShare, offeredTo: offers[lane], random: this.#options.random,
 		});
 	}
 
@@ -183,13 +187,16 @@
 	return sinceFirstTryMs === undefined ? nowMs - arrivedAtMs <= objectiveMs * onTimeWaitShare : sinceFirstTryMs < objectiveMs * returnedOnTimeShare;
 }
 
-/** The lane of a request, and those that have more places: where they are full, it is too. */
-function lanesFor({isLate, sinceMs}: Line, nowMs: number): [Lane, ...Lane[]] {
+function laneOf({isLate, sinceMs, refuseAtMs}: Line, nowMs: number): Lane {
 	if (!isLate) {
-		return ['onTime'];
+		return 'onTime';
+	}
+
+	if (nowMs >= refuseAtMs) {
+		return 'lateLastLook';
 	}
 
-	return nowMs - sinceMs < ownPlacesMs ? ['lateOwn', 'late', 'onTime'] : ['late', 'onTime'];
+	return nowMs - sinceMs < ownPlacesMs ? 'lateOwn' : 'late';
 }
 
 /** The pause a caller is told, spread so that the return is no new peak. */
--- a/packages/placement/src/target-board.ts
+++ b/packages/placement/src/target-board.ts
@@ -89,8 +89,8 @@
 	readonly excluded?: ReadonlySet<string>;
 	/** Share of each target's places that may be taken; all by default. */
 	readonly placeShare?: number;
-	/** Whether only places that belong to this entry may be taken. */
-	readonly ownOnly?: boolean;
+	/** How many entries each free place is offered to, where only places that are offered to this one may be taken; all by default. */
+	readonly offeredTo?: number;
 	/** Random numbers in [0, 1). */
 	readonly random: () => number;
 };
@@ -187,7 +187,7 @@
 	}
 
 	/** Chooses among the targets with room the least busy one, with a random part. */
-	choose({service, nowMs, excluded, random, placeShare = 1, ownOnly = false}: ChoiceInput): Choice {
+	choose({service, nowMs, excluded, random, placeShare = 1, offeredTo}: ChoiceInput): Choice {
 		let best: TargetView | undefined;
 		let bestRank = Number.POSITIVE_INFINITY;
 		let isAnyReady = false;
@@ -201,10 +201,10 @@
 			isAnyReady = true;
 			const view = this.#view(entry, nowMs);
 			const crowd = Math.max(0, view.busy - (entry.report.slots * comfortableShare));
-			const isOwn = ownPlacesLeft(entry, nowMs, place) > 0;
+			const isOwn = placesLeft(entry, nowMs, place) > 0;
 			const draw = isOwn ? random() * drawSpread : othersPlacePenalty + (random() * othersDrawSpread);
 			const rank = entry.readingPasses + crowd + this.#penalty(entry, nowMs, paces) + draw;
-			const hasRoom = !view.isPaused && view.busy < view.limit * placeShare && (isOwn || !ownOnly);
+			const hasRoom = !view.isPaused && view.busy < view.limit * placeShare && (offeredTo === undefined || placesLeft(entry, nowMs, place, offeredTo) > 0);
 			if (hasRoom && rank < bestRank) {
 				best = view;
 				bestRank = rank;
@@ -310,14 +310,14 @@
 	return Math.max(inFlight, load.active + load.queued + sentAtMs.length);
 }
 
-/** Places of the newest report that belong to this entry and were not used since; all places while there is no fresh report. */
-function ownPlacesLeft({report, targetNumber, load, loadAtMs, sentAtMs}: Entry, nowMs: number, entry: EntryPlace): number {
+/** Places of the newest report that are offered to this entry and were not used since; all places while there is no fresh report. */
+function placesLeft({report, targetNumber, load, loadAtMs, sentAtMs}: Entry, nowMs: number, entry: EntryPlace, offeredTo = 1): number {
 	if (!load || nowMs - loadAtMs > maxLoadAgeMs) {
 		return report.slots;
 	}
 
 	const own = ownPlaces({
-		targetNumber, sequence: load.sequence ?? 0, freePlaces: report.slots - load.active - load.queued, entry,
+		targetNumber, sequence: load.sequence ?? 0, freePlaces: (report.slots - load.active - load.queued) * offeredTo, entry,
 	});
 	return own - sentAtMs.filter(atMs => atMs > loadAtMs).length;
 }
--- a/packages/rank-agent/src/rank-agent.ts
+++ b/packages/rank-agent/src/rank-agent.ts
@@ -14,6 +14,7 @@
 import type {RankPlace, TargetLoad} from '@rattanspring/target-table';
 import type {Clock} from '@rattanspring/types';
 import type {EngineDoor, EngineOrder, EngineState} from './engine-door.js';
+import type {ExpertPlaces} from './expert-places.js';
 import {FencedDoor} from './fenced-door.js';
 import {GroupDoors, type GroupRanks, holdingRank} from './group-doors.js';
 import {MapKeeper} from './map-keeper.js';
@@ -43,15 +44,6 @@
 /** A group held for longer than this was left by its keeper; the agent of the holding rank releases it. */
 const abandonedAfterMs = 600;
 
-/** Places of experts on the ranks of a group, and what their work costs. */
-export type ExpertPlaces = {
-	readonly placesPerRank: number;
-	readonly newPerRank: number;
-	readonly stepMs: number;
-	readonly perSequenceMs: number;
-	readonly expertShare: number;
-};
-
 /** Options of an agent. */
 export type RankAgentOptions = {
 	readonly nodeId: string;
@@ -210,7 +202,7 @@
 		const ranks = this.#ranks();
 		if (ranks) {
 			this.#keeper ??= new MapKeeper({
-				...places, nowMs: () => this.#standstill.nowMs(), versions: this.#versions, logger,
+				...places, slots: this.#options.slots() ?? 0, nowMs: () => this.#standstill.nowMs(), versions: this.#versions, logger,
 			});
 			this.#isKeeping = true;
 			await this.#keeper.round(ranks, Math.min(holdingRank, ranks.engines.length - 1));
