--- a/packages/cli/src/commands/config/apply.ts
+++ b/packages/cli/src/commands/config/apply.ts
@@ -8,7 +8,7 @@
 	err, ok, type ConfigurationEdit, type ConfigurationException, type FleetConfiguration, type Result,
 } from '@rattanspring/types';
 import type {Argv} from 'yargs';
-import {z} from 'zod';
+import * as z from 'zod';
 import type {Command} from '../../command.js';
 import {reportFailure, runCommand, type CommandContext} from '../../command-context.js';
 import {exitCodes, type ConnectionArguments} from '../../connection.js';
--- a/packages/daemon/src/adapters/order-messages.ts
+++ b/packages/daemon/src/adapters/order-messages.ts
@@ -5,7 +5,7 @@
 	ExpertMap, Order, OrderBody, RankReply, RankStatus,
 } from '@rattanspring/expert-map';
 import {ordersProtocol} from '@rattanspring/protocol';
-import {z} from 'zod';
+import * as z from 'zod';
 
 const count = z.int().min(0);
 const replica = z.object({expert: count, rank: count, share: z.number().min(0).max(1 + Number.EPSILON)});
--- a/packages/daemon/src/roles/agent/engine-load.ts
+++ b/packages/daemon/src/roles/agent/engine-load.ts
@@ -5,7 +5,7 @@
 import {Buffer} from 'node:buffer';
 import Wreck from '@hapi/wreck';
 import type {TargetSettings} from '@rattanspring/settings';
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** Time for one answer. */
 const askTimeoutMs = 400;
--- a/packages/daemon/src/roles/control/command-schema.ts
+++ b/packages/daemon/src/roles/control/command-schema.ts
@@ -5,7 +5,7 @@
 
 import type {FleetCommand} from '@rattanspring/fleet-state';
 import {err, ok, type Result} from '@rattanspring/types';
-import {z} from 'zod';
+import * as z from 'zod';
 
 const name = z.string().min(1).max(200);
 const text = z.string().max(2000);
--- a/packages/daemon/src/roles/entry/request-profile.ts
+++ b/packages/daemon/src/roles/entry/request-profile.ts
@@ -3,7 +3,7 @@
 */
 
 import {Buffer} from 'node:buffer';
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** Bytes of a prompt taken as one token. */
 const bytesPerToken = 4;
--- a/packages/settings/src/known-keys.ts
+++ b/packages/settings/src/known-keys.ts
@@ -2,7 +2,7 @@
 Looks up which keys the settings schema knows at a path, to say what is expected in place of an unknown key.
 */
 
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** Units a key may end with. */
 const unitSuffix = /(?:Ms|Milliseconds|Sec|Secs|Seconds|Minutes|Bytes|Kb|Mb|Kilobytes|Megabytes)$/;
--- a/packages/settings/src/schema.ts
+++ b/packages/settings/src/schema.ts
@@ -2,7 +2,7 @@
 The schema of a daemon's settings file. Every object is strict: an unknown key is an error.
 */
 
-import {z} from 'zod';
+import * as z from 'zod';
 
 const name = z.string().regex(/^[A-Za-z\d][\w.-]*$/, 'a name of letters, digits, ".", "_" and "-"');
 const host = z.union([z.ipv4(), z.ipv6()], 'an IP address');
--- a/packages/stand-ins/src/caller.ts
+++ b/packages/stand-ins/src/caller.ts
@@ -5,7 +5,7 @@
 
 import {Agent, type IncomingMessage} from 'node:http';
 import Wreck from '@hapi/wreck';
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** Options of a caller. */
 export type CallerOptions = {
--- a/packages/stand-ins/src/engine-server.ts
+++ b/packages/stand-ins/src/engine-server.ts
@@ -7,7 +7,7 @@
 import {
 	server as createServer, type Server, type Request, type ResponseToolkit,
 } from '@hapi/hapi';
-import {z} from 'zod';
+import * as z from 'zod';
 import {
 	defaultEngineOptions, EngineCore, type EngineEvent, type EngineLoad, type EngineOptions, type EngineRequest,
 } from './engine-core.js';
--- a/packages/stand-ins/src/rank-group-server.ts
+++ b/packages/stand-ins/src/rank-group-server.ts
@@ -4,7 +4,7 @@
 */
 
 import {type Server, server as createServer} from '@hapi/hapi';
-import {z} from 'zod';
+import * as z from 'zod';
 import {RankGroup, type RankGroupOptions, type RankWork} from './rank-group.js';
 
 /** Options of a group that listens. */
--- a/packages/stand-ins/src/weight-store.ts
+++ b/packages/stand-ins/src/weight-store.ts
@@ -1,7 +1,7 @@
 /** A weight store with a limited rate, shared by all that load from it in the order in which they ask. */
 
 import {type Server, server as createServer} from '@hapi/hapi';
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** Options of the store. */
 export type WeightStoreOptions = {readonly bytesPerMs: number};
