Elect soon after a restart where no lease binds

After a kill of all, 0.6 to 0.7 s of the two seconds without service went by between the start of the control processes and the first vote: a restarted replica counts as having just heard a leader, for the sake of leases. The group that keeps the document has none (its clock bound leaves no lease), so that its members now stand 120 to 240 ms after their start. A leader that is there keeps a restarted member from disturbing the group by the pre-vote, as before.

--- a/packages/replicated-log/src/replica-state.ts
+++ b/packages/replicated-log/src/replica-state.ts
@@ -6,7 +6,7 @@
 	LogSnapshot, Membership, VoterId, VoteState,
 } from './log-entry.js';
 import {isVoter, membershipsIn, type MembershipAt} from './membership.js';
-import {defaultReplicaOptions, type ReplicaOptions} from './options.js';
+import {defaultReplicaOptions, leaseDurationMs, type ReplicaOptions} from './options.js';
 import type {RecoveredLog} from './ports.js';
 
 /** What a leader knows of another member. */
@@ -82,14 +82,20 @@
 	};
 }
 
+/** Part of the election timeout after which a replica that no lease binds stands for the first time, and again as much at random. */
+const firstElectionShare = 0.2;
+
 /**
 Makes a replica from what its disk held. It counts as having just heard a leader, since it may have
-acknowledged one just before it stopped, and that leader's lease builds on it.
+acknowledged one just before it stopped, and that leader's lease builds on it. Where the options leave no lease it
+stands soon, as all may have started at once; a leader that is there keeps it from disturbing the group by the pre-vote.
 */
 export function createReplica(start: ReplicaStart): ReplicaState {
 	const options = {...defaultReplicaOptions, ...start.options};
 	const {snapshot, entries, voteState} = start.recovered;
 	const list = new EntryList(snapshot?.lastIndex ?? 0, snapshot?.lastTerm ?? 0, entries);
+	const isBound = leaseDurationMs(options) > 0;
+	const firstWaitMs = options.electionTimeoutMs * (isBound ? 1 : firstElectionShare);
 	const base: MembershipAt = {index: list.baseIndex, voters: snapshot?.voters ?? [], learners: snapshot?.learners ?? []};
 	return {
 		id: start.id,
@@ -102,8 +108,8 @@
 		leaderId: undefined,
 		commitIndex: list.baseIndex,
 		durableIndex: list.lastIndex,
-		lastContactMs: start.nowMs,
-		electionDeadlineMs: start.nowMs + (options.electionTimeoutMs * (1 + start.random)),
+		lastContactMs: isBound ? start.nowMs : start.nowMs - options.electionTimeoutMs,
+		electionDeadlineMs: start.nowMs + (firstWaitMs * (1 + start.random)),
 		votes: new Set(),
 		leader: undefined,
 	};
--- a/packages/replicated-log/src/replicated-log.test.ts
+++ b/packages/replicated-log/src/replicated-log.test.ts
@@ -52,6 +52,41 @@
 		});
 	});
 
+	describe('a group without leases', () => {
+		const replica = {clockDriftBound: 1, electionTimeoutMs: 600, heartbeatIntervalMs: 120};
+
+		it('has a leader again within half an election timeout after all have restarted', () => {
+			for (let seed = 1; seed <= 20; seed++) {
+				const group = new SimulatedGroup({voters: 3, random: randomFrom(seed), replica});
+				expect(group.advanceUntil(() => group.leader !== undefined)).toEqual(true);
+				commit(group, 2);
+				for (const member of group.members) {
+					member.crash(0);
+				}
+
+				for (const member of group.members) {
+					member.start();
+				}
+
+				expect(group.advanceUntil(() => group.leader !== undefined, replica.electionTimeoutMs / 2)).toEqual(true);
+				commit(group, 1);
+				expect(group.leader!.applied.length).toEqual(3);
+			}
+		});
+
+		it('keeps its leader when a member restarts', () => {
+			const group = new SimulatedGroup({voters: 3, random: randomFrom(3), replica});
+			expect(group.advanceUntil(() => group.leader !== undefined)).toEqual(true);
+			const leader = group.leader!;
+			const {term} = leader.state!.voteState;
+			const other = group.members.find(member => member !== leader)!;
+			other.crash(0);
+			other.start();
+			group.advance(3000);
+			expect([group.leader === leader, leader.state!.voteState.term]).toEqual([true, term]);
+		});
+	});
+
 	describe('reads', () => {
 		it('are not confirmed by an isolated leader whose lease ran out', () => {
 			const {group, leader} = groupWithLeader();
