--- a/packages/rank-agent/src/map-keeper.test.ts
+++ b/packages/rank-agent/src/map-keeper.test.ts
@@ -28,7 +28,7 @@
 		}
 	});
 
-	function bed(active: number, easyStepMs = 0): {readonly group: LockstepGroup; readonly keeper: MapKeeper; readonly round: () => Promise<void>} {
+	function bed(active: number): {readonly group: LockstepGroup; readonly keeper: MapKeeper; readonly round: () => Promise<void>} {
 		const group = new LockstepGroup({
 			ranks: rankCount, lists, copyMs: 5, passMs: 5, fateOf: () => 'prompt', lateMs: () => 0, nowMs: () => performance.now(), active,
 		});
@@ -39,7 +39,7 @@
 			nowMs: () => performance.now(),
 			versions: new MapVersions(() => Date.now()),
 			logger: silent,
-			placesPerRank: 6, newPerRank: 2, stepMs: 5.85, perSequenceMs: 0.5, expertShare: 0.85, slots: 12, easyStepMs,
+			placesPerRank: 6, newPerRank: 2, stepMs: 5.85, perSequenceMs: 0.5, expertShare: 0.85,
 		});
 		return {group, keeper, round: async () => keeper.round({group: 'g', epoch: group.epoch, engines: group.engines}, 1)};
 	}
@@ -52,8 +52,8 @@
 		}
 	}
 
-	async function play(active: number, easyStepMs = 0): Promise<LockstepGroup> {
-		const {group, round} = bed(active, easyStepMs);
+	async function play(active: number): Promise<LockstepGroup> {
+		const {group, round} = bed(active);
 		for (let moment = 1; moment <= 6; moment++) {
 			choose(group, moment);
 			await round();
@@ -114,13 +114,6 @@
 		expect(evenShareSkew([Array.from({length: rankCount}, (_, rank) => group.experts(rank).experts[0])], [demandOf([3, 7])])).toBeLessThan(1.3);
 	});
 
-	it('copies no weights while streams are on time with any map', async () => {
-		const calm = await play(4, 11);
-		expect(calm.versions).toEqual([0, 0, 0, 0]);
-		const busy = await play(8, 11);
-		expect(busy.versions[0] > 0).toEqual(true);
-	});
-
 	it('leaves the map alone while too little is written for a switch to pay', async () => {
 		const group = await play(0);
 		expect(group.versions).toEqual([0, 0, 0, 0]);
--- a/packages/rank-agent/src/map-keeper.ts
+++ b/packages/rank-agent/src/map-keeper.ts
@@ -23,17 +23,13 @@
 	readonly stepMs: number;
 	readonly perSequenceMs: number;
 	readonly expertShare: number;
-	/** Requests that a rank works on at once. */
-	readonly slots: number;
-	/** Time of a step below which streams are on time with any map. */
-	readonly easyStepMs?: number;
 	/** Share of a step's time that a switch has to save. */
 	readonly minStepGain?: number;
 	/** Lowering of a set's peak, in mean loads, for which one expert's weights are copied. */
 	readonly minGainPerCopy?: number;
 };
 
-const defaults = {easyStepMs: 0, minStepGain: 0.045, minGainPerCopy: 0.012};
+const defaults = {minStepGain: 0.045, minGainPerCopy: 0.012};
 
 /** Weight of the newest look at how many requests a rank writes. */
 const activeWeight = 0.4;
@@ -41,9 +37,6 @@
 /** Choices that make one look at the demand. */
 const minChoices = 2000;
 
-/** Share of its slots below which a rank has time. */
-const easyBusyShare = 0.6;
-
 /** In a formation with fewer passes than this, all counts are of now. */
 const newFormationSteps = 60;
 
@@ -118,17 +111,13 @@
 		return true;
 	}
 
-	/** Whether streams are on time with the map in use: weights copied then serve nobody. */
-	#isEasy(skew: number): boolean {
-		return this.#active < this.#options.slots * easyBusyShare && this.#stepMs(skew) < this.#options.easyStepMs;
-	}
-
+	/** Time of a step at the number of requests that ranks write now. */
 	#stepMs(skew: number): number {
 		const {stepMs, perSequenceMs, expertShare} = this.#options;
 		return stepMs + (perSequenceMs * this.#active * (1 - expertShare + (expertShare * skew)));
 	}
 
-	/** Share of a step's time that a lower skew saves, at the number of requests that ranks write now. */
+	/** Share of a step's time that a lower skew saves. */
 	#stepGain(skewBefore: number, skewAfter: number): number {
 		return 1 - (this.#stepMs(skewAfter) / this.#stepMs(skewBefore));
 	}
@@ -139,7 +128,7 @@
 		const plan = await inSlices(planEvenShares({
 			current, loads, placesPerRank, newPerRank, minGainPerCopy, rankPaces: this.#paces,
 		}));
-		if (this.#isEasy(plan.skewBefore) || this.#stepGain(plan.skewBefore, plan.skewAfter) < this.#options.minStepGain) {
+		if (this.#stepGain(plan.skewBefore, plan.skewAfter) < this.#options.minStepGain) {
 			return;
 		}
 
--- a/packages/rank-agent/src/rank-agent.ts
+++ b/packages/rank-agent/src/rank-agent.ts
@@ -202,7 +202,7 @@
 		const ranks = this.#ranks();
 		if (ranks) {
 			this.#keeper ??= new MapKeeper({
-				...places, slots: this.#options.slots() ?? 0, nowMs: () => this.#standstill.nowMs(), versions: this.#versions, logger,
+				...places, nowMs: () => this.#standstill.nowMs(), versions: this.#versions, logger,
 			});
 			this.#isKeeping = true;
 			await this.#keeper.round(ranks, Math.min(holdingRank, ranks.engines.length - 1));
