--- a/packages/rank-agent/src/group-doors.ts
+++ b/packages/rank-agent/src/group-doors.ts
@@ -25,6 +25,8 @@
 	readonly calls: LinkCalls;
 	/** Reaches the engine on another VM past its agent. */
 	readonly doorTo: (targetAddress: string) => EngineDoor;
+	/** Called when the agent of a target did not answer. */
+	readonly onSilent: (targetAddress: string) => void;
 };
 
 /** Doors to the engines of this agent's group, and past their agents. */
@@ -61,7 +63,11 @@
 
 	#remote({linkAddress, targetAddress}: NodeCard): EngineDoor {
 		return new RemoteEngine({
-			calls: this.#options.calls, linkAddress: linkAddress!, targetAddress: targetAddress!, direct: address => this.direct(address),
+			calls: this.#options.calls,
+			linkAddress: linkAddress!,
+			targetAddress: targetAddress!,
+			direct: address => this.direct(address),
+			onSilent: this.#options.onSilent,
 		});
 	}
 
--- a/packages/rank-agent/src/rank-agent.ts
+++ b/packages/rank-agent/src/rank-agent.ts
@@ -92,7 +92,14 @@
 	constructor(options: RankAgentOptions) {
 		this.#options = options;
 		this.#door = new FencedDoor(options.door);
-		this.#doors = new GroupDoors({...options, own: this.#door, calls: this.#calls});
+		this.#doors = new GroupDoors({
+			...options,
+			own: this.#door,
+			calls: this.#calls,
+			onSilent(targetAddress) {
+				options.logger.log('warn', 'agentSilent', {targetAddress});
+			},
+		});
 		this.#versions = new MapVersions(() => options.clock.wallMs());
 		this.#standstill = new StandstillClock(options.clock);
 		this.#links = new ControlLinks({
--- a/packages/rank-agent/src/remote-engine.ts
+++ b/packages/rank-agent/src/remote-engine.ts
@@ -20,6 +20,8 @@
 	readonly targetAddress: string;
 	/** Reaches the engine past its agent: its state is some hundred milliseconds old then, and orders and counts have a price. */
 	readonly direct?: (targetAddress: string) => EngineDoor;
+	/** Called when the agent did not answer. */
+	readonly onSilent?: (targetAddress: string) => void;
 };
 
 /**
@@ -58,7 +60,7 @@
 
 	/** Asks the agent, or the engine itself once the agent has not answered. */
 	async #ask<Answer>(question: Question, timeoutMs: number, past?: (door: EngineDoor) => Promise<Answer | undefined>): Promise<Answer | undefined> {
-		const {calls, linkAddress, targetAddress, direct} = this.#options;
+		const {calls, linkAddress, targetAddress, direct, onSilent} = this.#options;
 		if (!this.#isSilent) {
 			const reply = await calls.call(linkAddress, linkService.rank, {targetAddress, ...question}, timeoutMs);
 			if (reply) {
@@ -66,6 +68,7 @@
 			}
 
 			this.#isSilent = direct !== undefined;
+			onSilent?.(targetAddress);
 		}
 
 		return direct && past?.(direct(targetAddress));
