--- a/packages/rank-agent/src/map-switch.ts
+++ b/packages/rank-agent/src/map-switch.ts
@@ -111,7 +111,7 @@
 		return 'unsettled';
 	}
 
-	/** Holds the group, through an agent outside of it where there is one. */
+	/** Holds the group, through an agent outside of it where there is one; again, if no answer came and the group is not held. */
 	async #hold(step: number, untilMs: number): Promise<boolean> {
 		const {holdThrough, epoch} = this.#ranks;
 		const body = {kind: 'hold', step} as const;
@@ -119,14 +119,17 @@
 			return this.#orderUntilTaken(this.#holding, body, untilMs);
 		}
 
-		const outcome = await holdThrough.order({...body, fencing: this.#fencing, epoch});
-		const state = outcome === 'unknown' ? await this.#holding.state() : undefined;
-		const isHeld = outcome === 'begun' || outcome === 'done' || (state !== undefined && isTakenAlready(state, body));
-		if (!isHeld) {
-			this.#firstRefusal ??= `hold from outside: ${outcome}`;
+		let outcome: OrderOutcome = 'unknown';
+		while (outcome === 'unknown' && this.#nowMs() < untilMs) {
+			outcome = await holdThrough.order({...body, fencing: this.#fencing, epoch});
+			const state = outcome === 'unknown' ? await this.#holding.state() : undefined;
+			if (outcome === 'begun' || outcome === 'done' || (state !== undefined && isTakenAlready(state, body))) {
+				return true;
+			}
 		}
 
-		return isHeld;
+		this.#firstRefusal ??= `hold from outside: ${outcome}`;
+		return false;
 	}
 
 	async #tryRecovery(step: number, versionOf: () => number, untilMs: number): Promise<SwitchOutcome | undefined> {
--- a/packages/rank-agent/src/silent-agent.test.ts
+++ b/packages/rank-agent/src/silent-agent.test.ts
@@ -110,6 +110,23 @@
 		expect(longestHeldMs()).toBeLessThan(longestStandstillMs);
 	});
 
+	it('is held by a second order where the first got no answer and was lost', async () => {
+		const {group, engines} = bedWith(3, 'go');
+		const outcomes = ['unknown'];
+		const call = async (_address: string, _method: unknown, request: RankRequest<EngineOrder>): Promise<RankReply> => {
+			const lost = outcomes.pop();
+			return {answer: lost ?? (request.kind === 'order' ? await group.bareEngines[1].order(request.order) : undefined)};
+		};
+
+		const holdThrough = new RemoteEngine({calls: {call: call as unknown as LinkCalls['call']}, linkAddress: 'outside', targetAddress: 'engine'});
+		const ranks = {
+			group: 'g', epoch: 1, engines, holdThrough,
+		};
+		expect(await new MapSwitch({ranks, holdingRank: 1, nowMs: () => performance.now()}).run(10, nextMap)).toEqual('switched');
+		await pause(100);
+		expect([group.isHeld, group.mixedPasses]).toEqual([false, 0]);
+	});
+
 	it('is released by the holding rank when the coordinator that held it is the silent one', async () => {
 		const {group, engines} = bedWith(0, 'fence');
 		const step = group.step + 3;
