--- a/packages/gateway/src/forward-flow.ts
+++ b/packages/gateway/src/forward-flow.ts
@@ -92,6 +92,11 @@
 		return this.#context.nowMs();
 	}
 
+	/** Whether its caller asked before. */
+	get #isBack(): boolean {
+		return this.#sinceFirstTryMs > shortestReturnMs;
+	}
+
 	get #accountName(): string {
 		return this.#call.account?.name ?? '';
 	}
@@ -106,7 +111,7 @@
 			arrivedAtMs,
 			objectiveMs: route.objectiveMs,
 			deadlineAtMs,
-			...(this.#sinceFirstTryMs > shortestReturnMs && {sinceFirstTryMs: this.#sinceFirstTryMs}),
+			...(this.#isBack && {sinceFirstTryMs: this.#sinceFirstTryMs}),
 			isRepeat: this.#sentCount > 0,
 			excluded: this.#tried,
 		}, this.#nowMs, admission => {
@@ -361,6 +366,7 @@
 			limit: this.#lastView?.limit,
 			loadAgeMs: sinceMs(0, this.#lastView?.loadAgeMs),
 			sent: this.#sentCount,
+			sinceFirstTryMs: this.#isBack ? Math.round(this.#sinceFirstTryMs) : undefined,
 			waitedMs: sinceMs(arrivedAtMs, this.#admittedAtMs),
 			firstByteMs: sinceMs(arrivedAtMs, this.#firstByteAtMs),
 			pauseMs: sinceMs(0, this.#longestPauseMs),
