Do not take short limits for returns

Now a return counts as sure only beyond that spread; a request of which it is not sure has all places at first, and waits on instead of being refused, since it may have no other try.

--- a/packages/gateway/src/forward-flow.ts
+++ b/packages/gateway/src/forward-flow.ts
@@ -12,12 +12,13 @@
 import type {AllowedCall} from './allowed-call.js';
 import {Attempt, unframed, type WholeAnswer} from './attempt.js';
 import type {CallerAnswer} from './caller-answer.js';
+import type {SinceFirstTry} from './first-tries.js';
 import type {FlowContext} from './flow-context.js';
 
 /** The final answer goes out this long before the time is up. */
 const deadlineMarginMs = 15;
 
-/** A caller that asked first longer ago than this came back after a refusal. */
+/** A caller that asked first longer ago than this may have come back after a refusal. */
 const shortestReturnMs = 50;
 
 /** A stream without a first event, or without a next one, for this long is taken up at another target. */
@@ -37,7 +38,7 @@
 	readonly #answer: CallerAnswer;
 	readonly #call: AllowedCall;
 	readonly #tried = new Set<string>();
-	readonly #sinceFirstTryMs: number;
+	readonly #sinceFirstTry: SinceFirstTry;
 	#waiting: Waiting | undefined;
 	#running: Running | undefined;
 	#deadline: NodeJS.Timeout | undefined;
@@ -65,7 +66,7 @@
 		this.#answer = answer;
 		this.#call = call;
 		this.#lastEventId = call.facts.lastEventId;
-		this.#sinceFirstTryMs = context.firstTries.sinceMs(call.route, call.facts.timeLeftMs);
+		this.#sinceFirstTry = context.firstTries.since(call.route, call.facts.timeLeftMs);
 	}
 
 	/** Starts; the flow ends by itself. */
@@ -92,9 +93,9 @@
 		return this.#context.nowMs();
 	}
 
-	/** Whether its caller asked before. */
-	get #isBack(): boolean {
-		return this.#sinceFirstTryMs > shortestReturnMs;
+	/** Whether its caller may have asked before. */
+	get #mayBeBack(): boolean {
+		return this.#sinceFirstTry.atMostMs > shortestReturnMs;
 	}
 
 	get #accountName(): string {
@@ -111,7 +112,8 @@
 			arrivedAtMs,
 			objectiveMs: route.objectiveMs,
 			deadlineAtMs,
-			...(this.#isBack && {sinceFirstTryMs: this.#sinceFirstTryMs}),
+			sinceFirstTryMs: this.#sinceFirstTry.atLeastMs,
+			mayBeBack: this.#mayBeBack,
 			isRepeat: this.#sentCount > 0,
 			excluded: this.#tried,
 		}, this.#nowMs, admission => {
@@ -366,7 +368,7 @@
 			limit: this.#lastView?.limit,
 			loadAgeMs: sinceMs(0, this.#lastView?.loadAgeMs),
 			sent: this.#sentCount,
-			sinceFirstTryMs: this.#isBack ? Math.round(this.#sinceFirstTryMs) : undefined,
+			sinceFirstTryMs: this.#mayBeBack ? Math.round(this.#sinceFirstTry.atLeastMs) : undefined,
 			waitedMs: sinceMs(arrivedAtMs, this.#admittedAtMs),
 			firstByteMs: sinceMs(arrivedAtMs, this.#firstByteAtMs),
 			pauseMs: sinceMs(0, this.#longestPauseMs),
--- a/packages/placement/src/admission.ts
+++ b/packages/placement/src/admission.ts
@@ -47,8 +47,10 @@
 	readonly objectiveMs: number;
 	/** End of the time the caller will wait. */
 	readonly deadlineAtMs: number;
-	/** Time since its caller first asked, as far as can be told from the time it has left: it came back after a refusal. */
+	/** Time for sure since its caller first asked, which came back after a refusal; 0 by default. */
 	readonly sinceFirstTryMs?: number;
+	/** Whether its caller may have come back, and have no other try. */
+	readonly mayBeBack?: boolean;
 	/** Whether it goes on at another target: its caller holds a part of the answer, or has no other try. */
 	readonly isRepeat?: boolean;
 	readonly excluded?: ReadonlySet<string>;
@@ -141,7 +143,7 @@
 			const choice = isFull ? {kind: 'full' as const} : this.#choose(line.request, lane, nowMs);
 			if (choice.kind === 'target') {
 				this.#end(line, {kind: 'admitted', view: choice.view, isLate: line.isLate});
-			} else if (nowMs >= line.refuseAtMs && !line.isLate && line.request.sinceFirstTryMs !== undefined) {
+			} else if (nowMs >= line.refuseAtMs && !line.isLate && line.request.mayBeBack) {
 				this.#makeLate(line, nowMs);
 			} else if (nowMs >= line.refuseAtMs) {
 				this.#end(line, this.#refusal('full'));
@@ -151,7 +153,7 @@
 		}
 	}
 
-	/** A caller that came back has no other try: its request waits on among the late ones. */
+	/** A caller that came back has no other try: its request waits on among the late ones, as do those of which that is not sure. */
 	#makeLate(line: Line, nowMs: number): void {
 		const late: Line = {
 			...line, isLate: true, sinceMs: nowMs, refuseAtMs: refuseAtMs(line.request, true, nowMs),
@@ -183,8 +185,8 @@
 }
 
 /** Whether a request that is admitted within its wait can be answered on time. */
-function mayBeOnTime({arrivedAtMs, objectiveMs, sinceFirstTryMs}: AdmissionRequest, nowMs: number): boolean {
-	return sinceFirstTryMs === undefined ? nowMs - arrivedAtMs <= objectiveMs * onTimeWaitShare : sinceFirstTryMs < objectiveMs * returnedOnTimeShare;
+function mayBeOnTime({arrivedAtMs, objectiveMs, sinceFirstTryMs = 0}: AdmissionRequest, nowMs: number): boolean {
+	return sinceFirstTryMs < objectiveMs * returnedOnTimeShare && nowMs - arrivedAtMs <= objectiveMs * onTimeWaitShare;
 }
 
 function laneOf({isLate, sinceMs, refuseAtMs}: Line, nowMs: number): Lane {
--- a/packages/placement/src/placement.test.ts
+++ b/packages/placement/src/placement.test.ts
@@ -196,12 +196,12 @@
 				board.sent('t0', 0);
 			};
 
-			queue.admit({...request, sinceFirstTryMs: 900}, 0, note('late'));
-			queue.admit({...request, sinceFirstTryMs: 130}, 0, note('back in time'));
+			queue.admit({...request, sinceFirstTryMs: 900, mayBeBack: true}, 0, note('late'));
+			queue.admit({...request, sinceFirstTryMs: 130, mayBeBack: true}, 0, note('back in time'));
 			board.ended('t0', 'answered', 10);
 			queue.pump(10);
 			expect(order).toEqual(['back in time admitted']);
-			queue.admit({...request, sinceFirstTryMs: 130}, 20, note('second'));
+			queue.admit({...request, sinceFirstTryMs: 130, mayBeBack: true}, 20, note('second'));
 			queue.pump(80);
 			expect(order).toEqual(['back in time admitted']);
 			for (let index = 0; index < 3; index++) {
@@ -212,6 +212,33 @@
 			expect(order).toEqual(['back in time admitted', 'late admitted', 'second admitted']);
 		});
 
+		it('gives all places to a request of which it is not sure that it came back, and does not refuse it at once', () => {
+			const board = boardOf(1, 4);
+			for (let index = 0; index < 3; index++) {
+				board.sent('t0', 0);
+			}
+
+			const queue = queueOf(board);
+			const ended: string[] = [];
+			const note = ({kind}: Admission) => {
+				ended.push(kind);
+				board.sent('t0', 0);
+			};
+
+			queue.admit({...request, mayBeBack: true}, 0, note);
+			expect(ended).toEqual(['admitted']);
+			queue.admit({...request, mayBeBack: true}, 0, note);
+			queue.pump(60);
+			queue.pump(400);
+			expect(ended).toEqual(['admitted']);
+			for (let index = 0; index < 3; index++) {
+				board.ended('t0', 'answered', 450);
+			}
+
+			queue.pump(450);
+			expect(ended).toEqual(['admitted', 'admitted']);
+		});
+
 		it('lets a request that came back wait longer, behind those that can be on time', () => {
 			const board = boardOf(1, 4);
 			fill(board);
@@ -222,7 +249,7 @@
 				board.sent('t0', 0);
 			};
 
-			queue.admit({...request, sinceFirstTryMs: 900}, 0, note('returned'));
+			queue.admit({...request, sinceFirstTryMs: 900, mayBeBack: true}, 0, note('returned'));
 			queue.admit(request, 0, note('fresh'));
 			board.ended('t0', 'answered', 10);
 			queue.pump(10);
@@ -287,7 +314,7 @@
 			};
 
 			for (let index = 0; index < 40; index++) {
-				admit('late', {sinceFirstTryMs: 900});
+				admit('late', {sinceFirstTryMs: 900, mayBeBack: true});
 			}
 
 			admit('repeat', {sinceFirstTryMs: 900, isRepeat: true});
