--- a/packages/rank-agent/src/map-keeper.test.ts
+++ b/packages/rank-agent/src/map-keeper.test.ts
@@ -1,7 +1,7 @@
 import {after, describe, it} from 'node:test';
 import {evenShareSkew} from '@rattanspring/expert-map';
 import {expect} from 'earl';
-import {LockstepGroup} from './lockstep-group.js';
+import {LockstepGroup, type OrderFate} from './lockstep-group.js';
 import {MapKeeper} from './map-keeper.js';
 import {MapVersions} from './map-versions.js';
 
@@ -28,9 +28,9 @@
 		}
 	});
 
-	function bed(active: number): {readonly group: LockstepGroup; readonly keeper: MapKeeper; readonly round: () => Promise<void>} {
+	function bed(active: number, fateOf: () => OrderFate = () => 'prompt'): {readonly group: LockstepGroup; readonly keeper: MapKeeper; readonly round: () => Promise<void>} {
 		const group = new LockstepGroup({
-			ranks: rankCount, lists, copyMs: 5, passMs: 5, fateOf: () => 'prompt', lateMs: () => 0, nowMs: () => performance.now(), active,
+			ranks: rankCount, lists, copyMs: 5, passMs: 5, fateOf, lateMs: () => 0, nowMs: () => performance.now(), active,
 		});
 		timers.push(setInterval(() => {
 			group.advance();
@@ -114,6 +114,22 @@
 		expect(evenShareSkew([Array.from({length: rankCount}, (_, rank) => group.experts(rank).experts[0])], [demandOf([3, 7])])).toBeLessThan(1.3);
 	});
 
+	it('rests after a switch that left the group held, as the next one would end alike', async () => {
+		let orders = 0;
+		// Four prepares and the hold are taken; arms get no answer.
+		const {group, round} = bed(8, () => ++orders <= 5 ? 'prompt' : 'lost');
+		choose(group, 1);
+		await round();
+		const ordersOfFirst = orders;
+		expect(group.state(1).heldStep !== undefined).toEqual(true);
+		group.restart();
+		choose(group, 2);
+		await round();
+		choose(group, 3);
+		await round();
+		expect(orders).toEqual(ordersOfFirst);
+	});
+
 	it('leaves the map alone while too little is written for a switch to pay', async () => {
 		const group = await play(0);
 		expect(group.versions).toEqual([0, 0, 0, 0]);
--- a/packages/rank-agent/src/map-keeper.ts
+++ b/packages/rank-agent/src/map-keeper.ts
@@ -37,6 +37,9 @@
 /** Choices that make one look at the demand. */
 const minChoices = 2000;
 
+/** A group that was left held stood still for a second or more; while orders get no answer, the next switch would end alike. */
+const restAfterLeftMs = 3000;
+
 /** In a formation with fewer passes than this, all counts are of now. */
 const newFormationSteps = 60;
 
@@ -52,6 +55,7 @@
 	#known: {readonly key: string; readonly lists: RankLists} | undefined;
 	#forecast = newForecast();
 	#active = 0;
+	#restUntilMs = Number.NEGATIVE_INFINITY;
 	#paces: readonly number[] = [];
 
 	constructor(options: MapKeeperOptions) {
@@ -67,7 +71,7 @@
 
 		this.#active += (holding.active - this.#active) * activeWeight;
 		const lists = await this.#listsOf(ranks, holding.mapVersion);
-		if (lists && await this.#count(ranks, lists.length)) {
+		if (lists && await this.#count(ranks, lists.length) && this.#options.nowMs() >= this.#restUntilMs) {
 			await this.#plan(ranks, holdingRank, lists);
 		}
 	}
@@ -136,6 +140,10 @@
 		const startedAtMs = nowMs();
 		const mapSwitch = new MapSwitch({ranks, holdingRank, nowMs});
 		const outcome = await mapSwitch.run(version, plan.lists);
+		if (outcome === 'left') {
+			this.#restUntilMs = nowMs() + restAfterLeftMs;
+		}
+
 		logger.log('info', 'mapSwitch', {
 			group: ranks.group,
 			epoch: ranks.epoch,
--- a/packages/rank-agent/src/map-switch.ts
+++ b/packages/rank-agent/src/map-switch.ts
@@ -17,8 +17,8 @@
 } from './engine-door.js';
 import type {GroupRanks} from './group-doors.js';
 
-/** How a switch ended. After `left` the group may be held, and the agent of the holding rank has to take over. */
-export type SwitchOutcome = 'switched' | 'notPrepared' | 'left' | 'aborted' | 'groupChanged' | 'unsettled';
+/** How a switch ended. After `left` the group may be held, and the agent of the holding rank has to take over. After `notHeld` it went on. */
+export type SwitchOutcome = 'switched' | 'notPrepared' | 'notHeld' | 'left' | 'aborted' | 'groupChanged' | 'unsettled';
 
 /** Passes between the last one begun and the one at which the ranks switch. */
 const marginPasses = 3;
@@ -86,7 +86,7 @@
 		if (!await this.#hold(step, untilMs)) {
 			// Nothing is armed yet: the group may go on, whether it is held or not.
 			await this.#orderUntilTaken(this.#holding, {kind: 'go', step}, untilMs);
-			return 'left';
+			return 'notHeld';
 		}
 
 		if (!await this.#toAll({kind: 'arm', version, step}, untilMs) || this.#nowMs() > untilMs) {
--- a/packages/rank-agent/src/silent-agent.test.ts
+++ b/packages/rank-agent/src/silent-agent.test.ts
@@ -104,7 +104,7 @@
 		const switchOnce = async (version: number) => new MapSwitch({ranks, holdingRank: 1, nowMs: () => performance.now()}).run(version, nextMap);
 		expect(await switchOnce(10)).toEqual('switched');
 		await pause(100);
-		expect(await switchOnce(20)).toEqual('left');
+		expect(await switchOnce(20)).toEqual('notHeld');
 		await pause(300);
 		expect([group.isHeld, group.mixedPasses]).toEqual([false, 0]);
 		expect(longestHeldMs()).toBeLessThan(longestStandstillMs);
