Let one piece of code serve where the change had written it again

The 15 s bound of fleet-control's waits stays.

Product: LinkCalls uses the client pool of control-client; both logs over the driver pass leadership on and wait for an index by two methods of the driver, with one waitFor on the steady clock (polls every 5 ms; the fleet log had 10); the agent takes the engine's profile instead of a renamed part of it and its slots. Dead: RouteTable.service, TargetBoard.views and isReady. Times of sends to targets without load figures were kept for ever; those that no figure can count any more are dropped.

--- a/.dependency-cruiser.cjs
+++ b/.dependency-cruiser.cjs
@@ -38,6 +38,12 @@
 			from: {path: '^packages/(?!stand-ins/)', pathNot: `${testFile}|^packages/daemon/src/embedded`},
 			to: {path: '^packages/stand-ins/'},
 		},
+		{
+			name: 'the-test-kit-stays-in-tests',
+			severity: 'error',
+			from: {path: '^(packages/(?!test-kit/)|platform/)', pathNot: `${testFile}|^packages/daemon/src/test-fleet`},
+			to: {path: '^packages/test-kit/'},
+		},
 		{
 			name: 'a-package-is-used-through-its-face',
 			severity: 'error',
--- a/packages/control-client/src/grpc-clients.ts
+++ b/packages/control-client/src/grpc-clients.ts
@@ -40,10 +40,12 @@
 		return client;
 	}
 
-	/** Closes the client of an address, so that the next call opens a new connection. */
-	drop(address: string): void {
-		this.#clients.get(address)?.close();
-		this.#clients.delete(address);
+	/** Closes the client of an address, so that the next call opens a new connection; a client that was replaced already stays dropped. */
+	drop(address: string, client = this.#clients.get(address)): void {
+		if (client && this.#clients.get(address) === client) {
+			client.close();
+			this.#clients.delete(address);
+		}
 	}
 
 	/** Closes all clients. */
--- a/packages/daemon/src/adapters/replicated-fleet-log.ts
+++ b/packages/daemon/src/adapters/replicated-fleet-log.ts
@@ -27,9 +27,6 @@
 /** Time for the state here to reach a position that the leader confirmed. */
 const catchUpTimeoutMs = 1500;
 
-/** Pause between looks at a condition. */
-const pollMs = 10;
-
 /** Pause between attempts to confirm the first state. */
 const confirmPauseMs = 100;
 
@@ -163,8 +160,7 @@
 		this.#isStopped = true;
 		const driver = this.#driver;
 		if (driver) {
-			driver.transferLeadership();
-			await waitFor(() => driver.state.role !== 'leader' || membershipOf(driver.state).voters.length === 1, transferTimeoutMs);
+			await driver.passLeadershipOn(transferTimeoutMs);
 			await driver.stop();
 		}
 
@@ -226,7 +222,7 @@
 	async #catchUpWithLeader(driver: ReplicaDriver<FleetAnswer>): Promise<boolean> {
 		const leader = findMember(membershipOf(driver.state), driver.state.leaderId);
 		const index = leader && await this.#calls.confirmIndex(leader.address);
-		return index !== undefined && waitFor(() => driver.appliedIndex >= index, catchUpTimeoutMs);
+		return index !== undefined && driver.reaches(index, catchUpTimeoutMs);
 	}
 
 	/** After a start the state on disk may be old: nothing is told before a quorum confirmed it. */
@@ -273,16 +269,3 @@
 
 	return {type: type === 'lost' ? 'noQuorum' : 'notLeader', message, leaderAddress};
 }
-
-async function waitFor(condition: () => boolean, timeoutMs: number): Promise<boolean> {
-	const deadlineMs = Date.now() + timeoutMs;
-	while (!condition()) {
-		if (Date.now() > deadlineMs) {
-			return false;
-		}
-
-		await sleep(pollMs);
-	}
-
-	return true;
-}
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -107,6 +107,6 @@
 /** Starts a role; one that listens says so by its settings. */
 async function startRole(role: Role, {roles}: DaemonSettings): Promise<void> {
 	const start = async (): Promise<void> => role.start();
-	const listen = (Object.entries(roles) as Array<[string, {listen: ListenSettings} | undefined]>).find(([name]) => name === role.name)?.[1]?.listen;
+	const {listen} = (roles as Readonly<Partial<Record<string, {listen: ListenSettings}>>>)[role.name] ?? {};
 	return listen ? listening(`roles.${role.name}.listen`, listen, start) : start();
 }
--- a/packages/daemon/src/test-fleet.ts
+++ b/packages/daemon/src/test-fleet.ts
@@ -1,21 +1,21 @@
-/** A small fleet within one process, for tests and benches: free ports, settings and ready daemons. */
+/** A small fleet within one process, for tests and benches: settings and ready daemons. */
 
 import {createHash} from 'node:crypto';
-import {createServer} from 'node:net';
 import {mkdtemp, rm, writeFile} from 'node:fs/promises';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
 import {parseSettings} from '@rattanspring/settings';
 import {FailureError, type ConfigurationEdit} from '@rattanspring/types';
+import {freePorts, waitUntil} from '@rattanspring/test-kit';
 import {Daemon} from './daemon.js';
 
 const host = '127.0.0.1';
-const readyPollMs = 10;
-const readyTimeoutMs = 60_000;
 
 /** Secret of the caller key that every test fleet knows. */
 export const testCallerSecret = 'test-caller-key';
 
+export {freePorts, waitUntil} from '@rattanspring/test-kit';
+
 /** A target for a test fleet. */
 export type TestTarget = {
 	readonly targetId: string; readonly baseUrl: string; readonly kind: 'model' | 'plain'; readonly services: readonly string[]; readonly capacityRequests?: number;
@@ -44,21 +44,6 @@
 	stop(): Promise<void>;
 };
 
-/** Finds free ports on loopback. */
-export async function freePorts(count: number): Promise<number[]> {
-	const servers = Array.from({length: count}, () => createServer());
-	const ports = await Promise.all(servers.map(async server => new Promise<number>(resolve => {
-		server.listen(0, host, () => {
-			const address = server.address();
-			resolve(typeof address === 'object' && address ? address.port : 0);
-		});
-	})));
-	await Promise.all(servers.map(async server => new Promise(resolve => {
-		server.close(resolve);
-	})));
-	return ports;
-}
-
 /** Starts a daemon from plain settings. */
 export async function startDaemon(content: unknown): Promise<Daemon> {
 	const settings = parseSettings('test', JSON.stringify(content));
@@ -144,20 +129,6 @@
 	};
 }
 
-/** Waits until a condition holds. */
-export async function waitUntil(condition: () => boolean | Promise<boolean>): Promise<void> {
-	const deadline = Date.now() + readyTimeoutMs;
-	while (!await condition()) {
-		if (Date.now() > deadline) {
-			throw new FailureError({type: 'conditionNotMet', message: `The condition did not hold within ${readyTimeoutMs} ms.`});
-		}
-
-		await new Promise(resolve => {
-			setTimeout(resolve, readyPollMs);
-		});
-	}
-}
-
 function initialChange(edits: readonly ConfigurationEdit[]): unknown {
 	const secretDigest = createHash('sha256').update(testCallerSecret).digest('hex');
 	return {
--- a/packages/desired-state/src/route-table.ts
+++ b/packages/desired-state/src/route-table.ts
@@ -2,19 +2,17 @@
 
 import {createHash} from 'node:crypto';
 import type {
-	ClientAccount, DesiredState, Route, Service, WeightedService,
+	ClientAccount, DesiredState, Route, WeightedService,
 } from './desired-state.js';
 
 /** A desired state, prepared for look-ups. */
 export class RouteTable {
 	readonly state: DesiredState;
 	readonly #routesByHost = new Map<string, Route[]>();
-	readonly #services: ReadonlyMap<string, Service>;
 	readonly #accountsByDigest = new Map<string, ClientAccount>();
 
 	constructor(state: DesiredState) {
 		this.state = state;
-		this.#services = new Map(state.services.map(service => [service.name, service]));
 		for (const route of state.routes) {
 			const routes = this.#routesByHost.get(route.host) ?? [];
 			routes.push(route);
@@ -46,11 +44,6 @@
 	accountOf(key: string): ClientAccount | undefined {
 		return this.#accountsByDigest.get(digestOf(key));
 	}
-
-	/** The service of a name. */
-	service(name: string): Service | undefined {
-		return this.#services.get(name);
-	}
 }
 
 /** Draws a service by weight; `random` is in [0, 1). */
--- a/packages/fleet-control/src/document-group.ts
+++ b/packages/fleet-control/src/document-group.ts
@@ -36,7 +36,6 @@
 const joinTimeoutMs = 500;
 const joinPauseMs = 300;
 const upkeepIntervalMs = 1000;
-const pollMs = 5;
 const tickIntervalMs = 50;
 const transferTimeoutMs = 1000;
 const randomSteps = 2 ** 32;
@@ -200,8 +199,7 @@
 		clearInterval(this.#timer);
 		const driver = this.#driver;
 		if (driver) {
-			driver.transferLeadership();
-			await waitFor(() => driver.state.role !== 'leader' || membershipOf(driver.state).voters.length === 1, transferTimeoutMs);
+			await driver.passLeadershipOn(transferTimeoutMs);
 			await driver.stop();
 		}
 
@@ -285,7 +283,7 @@
 	async #catchUpWithLeader(driver: ReplicaDriver<ReplaceOutcome>): Promise<boolean> {
 		const leader = findMember(membershipOf(driver.state), driver.state.leaderId);
 		const index = leader && await this.#peerCalls.confirmIndex(leader.address);
-		return index !== undefined && waitFor(() => driver.appliedIndex >= index, catchUpTimeoutMs);
+		return index !== undefined && driver.reaches(index, catchUpTimeoutMs);
 	}
 
 	/** A member that is no voter asks the others to take it in, until it is one. */
@@ -362,15 +360,3 @@
 	clearTimeout(timer);
 	return value;
 }
-
-async function waitFor(condition: () => boolean, timeoutMs: number): Promise<boolean> {
-	for (let waitedMs = 0; !condition(); waitedMs += pollMs) {
-		if (waitedMs > timeoutMs) {
-			return false;
-		}
-
-		await sleep(pollMs);
-	}
-
-	return true;
-}
--- a/packages/fleet-control/src/fleet-control.test.ts
+++ b/packages/fleet-control/src/fleet-control.test.ts
@@ -1,5 +1,4 @@
 import {mkdtemp, rm} from 'node:fs/promises';
-import net, {type AddressInfo} from 'node:net';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
 import {
@@ -9,10 +8,14 @@
 import {FatalPort} from '@rattanspring/log-storage';
 import {SilentLogger} from '@rattanspring/logger';
 import type {TargetReport} from '@rattanspring/target-table';
+import {freePorts, waitUntil} from '@rattanspring/test-kit';
 import {SystemClock} from '@rattanspring/voter-group';
 import {expect} from 'earl';
 import {FleetControl, replacedBy, surplusVoter} from './index.js';
 
+/** Time for a group of processes to settle. */
+const settleTimeoutMs = 15_000;
+
 class ThrowingFatalPort extends FatalPort {
 	end(): void {
 		throw new Error('the storage failed');
@@ -30,10 +33,8 @@
 
 	beforeEach(async () => {
 		folder = await mkdtemp(path.join(tmpdir(), 'fleet-control-'));
-		addresses = [];
-		for (let index = 0; index < 4; index++) {
-			addresses.push(`127.0.0.1:${await freePort()}`);
-		}
+		const ports = await freePorts(4);
+		addresses = ports.map(port => `127.0.0.1:${port}`);
 	});
 	afterEach(async () => {
 		await Promise.all([...running.keys()].map(async index => stop(index)));
@@ -203,27 +204,6 @@
 	});
 });
 
-async function eventually(condition: () => Promise<boolean>, timeoutMs = 15_000): Promise<void> {
-	const untilMs = performance.now() + timeoutMs;
-	while (!await condition()) {
-		if (performance.now() > untilMs) {
-			throw new Error('it did not happen in time');
-		}
-
-		await new Promise(resolve => {
-			setTimeout(resolve, 30);
-		});
-	}
-}
-
-async function freePort(): Promise<number> {
-	const server = net.createServer();
-	await new Promise<void>(resolve => {
-		server.listen(0, '127.0.0.1', resolve);
-	});
-	const {port} = server.address() as AddressInfo;
-	await new Promise(resolve => {
-		server.close(resolve);
-	});
-	return port;
+async function eventually(condition: () => Promise<boolean>): Promise<void> {
+	await waitUntil(condition, {timeoutMs: settleTimeoutMs, pollMs: 30});
 }
--- a/packages/fleet-link/src/link-calls.ts
+++ b/packages/fleet-link/src/link-calls.ts
@@ -1,22 +1,20 @@
 /** Calls of the link that have an answer. Each call has a deadline; no answer is `undefined`, never a guess. */
 
-import {
-	Client, credentials, Metadata, type MethodDefinition,
-} from '@grpc/grpc-js';
-import {channelOptions, channelTarget} from '@rattanspring/protocol';
+import {Client, Metadata, type MethodDefinition} from '@grpc/grpc-js';
+import {GrpcClients} from '@rattanspring/control-client';
 
 /** Clients by address. A client that let a call time out is replaced: its connection may be dead. */
 export class LinkCalls {
-	readonly #clients = new Map<string, Client>();
+	readonly #clients = new GrpcClients({clientClass: Client});
 
 	/** Calls a method; resolves with `undefined` where no answer came in time. */
 	async call<Request, Reply>(address: string, method: MethodDefinition<Request, Reply>, request: Request, timeoutMs: number): Promise<Reply | undefined> {
-		const client = this.#at(address);
+		const client = this.#clients.at(address);
 		return new Promise(resolve => {
 			const {path, requestSerialize, responseDeserialize} = method;
 			client.makeUnaryRequest(path, requestSerialize, responseDeserialize, request, new Metadata(), {deadline: Date.now() + timeoutMs}, (error, reply) => {
 				if (error) {
-					this.#drop(address, client);
+					this.#clients.drop(address, client);
 				}
 
 				resolve(error ? undefined : reply);
@@ -26,27 +24,6 @@
 
 	/** Closes all connections. */
 	close(): void {
-		for (const client of this.#clients.values()) {
-			client.close();
-		}
-
-		this.#clients.clear();
-	}
-
-	#at(address: string): Client {
-		let client = this.#clients.get(address);
-		if (!client) {
-			client = new Client(channelTarget(address), credentials.createInsecure(), channelOptions);
-			this.#clients.set(address, client);
-		}
-
-		return client;
-	}
-
-	#drop(address: string, client: Client): void {
-		if (this.#clients.get(address) === client) {
-			this.#clients.delete(address);
-			client.close();
-		}
+		this.#clients.close();
 	}
 }
--- a/packages/gateway/src/gateway.test.ts
+++ b/packages/gateway/src/gateway.test.ts
@@ -4,6 +4,7 @@
 import {
 	after, afterEach, before, describe, it,
 } from 'node:test';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {type DesiredState, type Route, RouteTable} from '@rattanspring/desired-state';
 import {SilentLogger} from '@rattanspring/logger';
 import {DaemonMetrics} from '@rattanspring/metrics';
@@ -12,6 +13,7 @@
 } from '@rattanspring/placement';
 import {type AnswerHead, ConnectionPool} from '@rattanspring/target-connection';
 import type {TargetReport} from '@rattanspring/target-table';
+import {freePorts} from '@rattanspring/test-kit';
 import {expect} from 'earl';
 import {FirstTries} from './first-tries.js';
 import type {FlowContext} from './flow-context.js';
@@ -122,7 +124,7 @@
 
 	before(async () => {
 		await Promise.all(targets.map(async target => target.start()));
-		port = await freePort();
+		[port] = await freePorts(1);
 		server = new CallerServer({
 			host: '127.0.0.1', port, onRequest(request, response) {
 				void serveRequest(context, request, response);
@@ -133,7 +135,7 @@
 		setUp();
 	});
 	afterEach(async () => {
-		await pause(40);
+		await sleep(40);
 		setUp();
 	});
 	after(() => {
@@ -359,7 +361,7 @@
 			const tookMs = performance.now() - startMs;
 			expect(got.status).toEqual(504);
 			expect(tookMs > 500 && tookMs < 800).toEqual(true);
-			await pause(30);
+			await sleep(30);
 			expect(targets.reduce((sum, target) => sum + target.closedEarly, 0)).toEqual(1);
 		});
 
@@ -379,9 +381,9 @@
 			});
 			request.on('error', () => undefined);
 			request.end();
-			await pause(100);
+			await sleep(100);
 			request.destroy();
-			await pause(100);
+			await sleep(100);
 			expect(targets.reduce((sum, target) => sum + target.closedEarly, 0)).toEqual(1);
 			expect(sent()).toEqual(1);
 		});
@@ -443,21 +445,3 @@
 		});
 	});
 });
-
-async function pause(timeoutMs: number): Promise<void> {
-	await new Promise(resolve => {
-		setTimeout(resolve, timeoutMs);
-	});
-}
-
-async function freePort(): Promise<number> {
-	const server = net.createServer();
-	await new Promise<void>(resolve => {
-		server.listen(0, '127.0.0.1', resolve);
-	});
-	const {port} = server.address() as AddressInfo;
-	await new Promise(resolve => {
-		server.close(resolve);
-	});
-	return port;
-}
--- a/packages/placement/src/herding.test.ts
+++ b/packages/placement/src/herding.test.ts
@@ -1,5 +1,6 @@
 import {describe, it} from 'node:test';
 import type {TargetReport} from '@rattanspring/target-table';
+import {seededRandom} from '@rattanspring/test-kit';
 import {expect} from 'earl';
 import {AdmissionQueue, ownPlaces, TargetBoard} from './index.js';
 
@@ -10,22 +11,13 @@
 
 type Stream = {readonly target: number; readonly entry: number; startedAtMs: number};
 
-/** A repeatable source of numbers in [0, 1). */
-function randomOf(seed: number): () => number {
-	let state = seed;
-	return () => {
-		state = ((state * 1_103_515_245) + 12_345) % 2_147_483_648;
-		return state / 2_147_483_648;
-	};
-}
-
 const reports: TargetReport[] = Array.from({length: load.targetCount}, (_, index) => ({
 	targetId: `t${index}`, bornMs: 1, sequence: 1, service: 's', address: `10.0.0.${index}:80`, failureDomain: 'a', slots: load.slots, state: 'ready', coldLeftMs: 0,
 }));
 
 /** Plays the load; tells how many of all streams found every place of their target taken. */
 function play(seed: number, isDivided: boolean): {readonly sent: number; readonly behindOthers: number} {
-	const random = randomOf(seed);
+	const random = seededRandom(seed);
 	const boards = Array.from({length: load.entryCount}, (_, index) => new TargetBoard({failureDomain: 'a', ...(isDivided && {entryPlace: () => ({index, count: load.entryCount})})}));
 	for (const board of boards) {
 		board.setTargets(reports);
--- /dev/null
+++ b/packages/placement/src/sample-boards.ts
@@ -0,0 +1,43 @@
+/** Boards, queues and requests for the tests of this package. */
+
+import type {TargetReport} from '@rattanspring/target-table';
+import {AdmissionQueue, type AdmissionRequest} from './admission.js';
+import {TargetBoard} from './target-board.js';
+
+/** Targets of one service, all ready. */
+export function targets(count: number, slots = 2): TargetReport[] {
+	return Array.from({length: count}, (_, index) => ({
+		targetId: `t${index}`, bornMs: 1, sequence: 1, service: 's', address: `10.0.0.${index}:80`, failureDomain: 'a', slots, state: 'ready', coldLeftMs: 0,
+	}));
+}
+
+/** A board that knows these targets. */
+export function boardOf(count: number, slots = 2): TargetBoard {
+	const board = new TargetBoard({failureDomain: 'a'});
+	board.setTargets(targets(count, slots));
+	return board;
+}
+
+/** A queue before a board, in which the account `busy` has requests in progress. */
+export function queueOf(board: TargetBoard): AdmissionQueue {
+	return new AdmissionQueue({
+		board, random: () => 0.5, inProgressOf: name => name === 'busy' ? 5 : 0, onWaiting: () => undefined,
+	});
+}
+
+/** A request that just came. */
+export const request: AdmissionRequest = {
+	service: 's', priority: 1, accountName: 'a', arrivedAtMs: 0, objectiveMs: 400, deadlineAtMs: 8000,
+};
+
+/** Fills all places that a board allows. */
+export function fill(board: TargetBoard): void {
+	for (;;) {
+		const choice = board.choose({service: 's', nowMs: 0, random: () => 0});
+		if (choice.kind !== 'target') {
+			return;
+		}
+
+		board.sent(choice.view.report.targetId, 0);
+	}
+}
--- a/packages/placement/src/target-board.ts
+++ b/packages/placement/src/target-board.ts
@@ -159,6 +159,7 @@
 		if (entry) {
 			entry.inFlight++;
 			entry.readingPasses += passesOf(promptTokens);
+			entry.sentAtMs = entry.sentAtMs.filter(sentAtMs => sentAtMs > nowMs - maxLoadAgeMs - loadDelayMs);
 			entry.sentAtMs.push(nowMs);
 		}
 	}
@@ -218,16 +219,6 @@
 		return {kind: isAnyReady ? 'full' : 'none'};
 	}
 
-	/** All targets of a service. */
-	views(service: string, nowMs: number): TargetView[] {
-		return [...this.#entries.values()].filter(entry => isUsable(entry, service, nowMs)).map(entry => this.#view(entry, nowMs));
-	}
-
-	/** Whether this start of a target still takes new work. */
-	isReady(targetId: string): boolean {
-		return this.#entries.get(targetId)?.report.state === 'ready';
-	}
-
 	get #entryPlace(): EntryPlace {
 		return this.#options.entryPlace?.() ?? alone;
 	}
--- a/packages/rank-agent/src/index.ts
+++ b/packages/rank-agent/src/index.ts
@@ -1,6 +1,5 @@
 /** The agent on a target's VM: measures its load, carries out orders for its rank, and keeps its group's expert map. */
 export * from './engine-door.js';
-export * from './expert-places.js';
 export * from './fenced-door.js';
 export * from './group-doors.js';
 export * from './remote-engine.js';
--- a/packages/rank-agent/src/map-keeper.test.ts
+++ b/packages/rank-agent/src/map-keeper.test.ts
@@ -1,4 +1,5 @@
 import {after, describe, it} from 'node:test';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {evenShareSkew} from '@rattanspring/expert-map';
 import {expect} from 'earl';
 import {LockstepGroup, type OrderFate} from './lockstep-group.js';
@@ -39,7 +40,9 @@
 			nowMs: () => performance.now(),
 			versions: new MapVersions(() => Date.now()),
 			logger: silent,
-			placesPerRank: 6, newPerRank: 2, stepMs: 5.85, perSequenceMs: 0.5, expertShare: 0.85,
+			engine: {
+				placesPerRank: 6, newPlacesPerRank: 2, stepMs: 5.85, perSequenceMs: 0.5, expertShare: 0.85,
+			},
 		});
 		return {group, keeper, round: async () => keeper.round({group: 'g', epoch: group.epoch, engines: group.engines}, 1)};
 	}
@@ -57,9 +60,7 @@
 		for (let moment = 1; moment <= 6; moment++) {
 			choose(group, moment);
 			await round();
-			await new Promise(resolve => {
-				setTimeout(resolve, 60);
-			});
+			await sleep(60);
 		}
 
 		return group;
@@ -76,9 +77,7 @@
 		const {group, round} = bed(8);
 		choose(group, 1);
 		await round();
-		await new Promise(resolve => {
-			setTimeout(resolve, 80);
-		});
+		await sleep(80);
 		expect(group.versions[0] > 0).toEqual(true);
 	});
 
@@ -90,9 +89,7 @@
 			}
 
 			await round();
-			await new Promise(resolve => {
-				setTimeout(resolve, 60);
-			});
+			await sleep(60);
 		};
 
 		const demand = Array.from({length: expertCount}, () => 0);
--- a/packages/rank-agent/src/map-keeper.ts
+++ b/packages/rank-agent/src/map-keeper.ts
@@ -4,6 +4,7 @@
 afresh, so that one switch meets it.
 */
 
+import type {EngineProfile} from '@rattanspring/desired-state';
 import {ExponentialAverageForecast, planEvenShares, type RankLists} from '@rattanspring/expert-map';
 import type {Logger} from '@rattanspring/logger';
 import type {EngineDoor} from './engine-door.js';
@@ -16,13 +17,8 @@
 	readonly nowMs: () => number;
 	readonly versions: MapVersions;
 	readonly logger: Logger;
-	/** Experts a rank can hold of a set, and those new to it that one change may add. */
-	readonly placesPerRank: number;
-	readonly newPerRank: number;
 	/** Published figures of the engines. */
-	readonly stepMs: number;
-	readonly perSequenceMs: number;
-	readonly expertShare: number;
+	readonly engine: Pick<EngineProfile, 'placesPerRank' | 'newPlacesPerRank' | 'stepMs' | 'perSequenceMs' | 'expertShare'>;
 	/** Share of a step's time that a switch has to save. */
 	readonly minStepGain?: number;
 	/** Lowering of a set's peak, in mean loads, for which one expert's weights are copied. */
@@ -117,7 +113,7 @@
 
 	/** Time of a step at the number of requests that ranks write now. */
 	#stepMs(skew: number): number {
-		const {stepMs, perSequenceMs, expertShare} = this.#options;
+		const {stepMs, perSequenceMs, expertShare} = this.#options.engine;
 		return stepMs + (perSequenceMs * this.#active * (1 - expertShare + (expertShare * skew)));
 	}
 
@@ -127,10 +123,10 @@
 	}
 
 	async #plan(ranks: GroupRanks, holdingRank: number, current: RankLists): Promise<void> {
-		const {nowMs, logger, placesPerRank, newPerRank, minGainPerCopy} = this.#options;
+		const {nowMs, logger, engine, minGainPerCopy} = this.#options;
 		const loads = this.#forecast.next().map(shares => [...shares]);
 		const plan = await inSlices(planEvenShares({
-			current, loads, placesPerRank, newPerRank, minGainPerCopy, rankPaces: this.#paces,
+			current, loads, placesPerRank: engine.placesPerRank, newPerRank: engine.newPlacesPerRank, minGainPerCopy, rankPaces: this.#paces,
 		}));
 		if (this.#stepGain(plan.skewBefore, plan.skewAfter) < this.#options.minStepGain) {
 			return;
--- a/packages/rank-agent/src/map-switch.test.ts
+++ b/packages/rank-agent/src/map-switch.test.ts
@@ -1,4 +1,6 @@
 import {after, describe, it} from 'node:test';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {seededRandom} from '@rattanspring/test-kit';
 import {expect} from 'earl';
 import {
 	EngineDoor, type EngineOrder, type EngineState, type ExpertCounts, type HeldExperts, type OrderOutcome,
@@ -11,15 +13,6 @@
 const lists = [[[0, 4], [1, 5], [2, 6], [3, 7]]];
 const nextMap = [[[0, 5], [1, 4], [2, 7], [3, 6]]];
 
-/** Numbers in [0, 1) that depend on the seed only. */
-function randomOf(seed: number): () => number {
-	let state = seed;
-	return () => {
-		state = ((state * 1_103_515_245) + 12_345) % 2_147_483_648;
-		return state / 2_147_483_648;
-	};
-}
-
 type Bed = {readonly group: LockstepGroup; readonly timer: NodeJS.Timeout};
 
 const timers: NodeJS.Timeout[] = [];
@@ -55,12 +48,6 @@
 	}
 }
 
-async function pause(timeoutMs: number): Promise<void> {
-	await new Promise(resolve => {
-		setTimeout(resolve, timeoutMs);
-	});
-}
-
 /** An engine that is reached late now and then, as from a VM that stands still. */
 class SlowEngine extends EngineDoor {
 	readonly #inner: EngineDoor;
@@ -85,7 +72,7 @@
 	}
 
 	async order(order: EngineOrder): Promise<OrderOutcome> {
-		await pause(this.#delayMs());
+		await sleep(this.#delayMs());
 		return this.#inner.order(order);
 	}
 
@@ -105,7 +92,7 @@
 		it('switches all ranks with the same pass and leaves nothing held', async () => {
 			const {group} = groupWith(() => 'prompt', Math.random);
 			expect(await switchOf(group).run(10, nextMap)).toEqual('switched');
-			await pause(80);
+			await sleep(80);
 			expect(group.versions).toEqual([10, 10, 10, 10]);
 			expect(group.mixedPasses).toEqual(0);
 			expect(group.isHeld).toEqual(false);
@@ -115,7 +102,7 @@
 	describe('where orders are lost, unanswered or carried out late', () => {
 		for (let seed = 1; seed <= 24; seed++) {
 			it(`never mixes maps in a pass, and leaves no group held: seed ${seed}`, async () => {
-				const random = randomOf(seed * 7919);
+				const random = seededRandom(seed * 7919);
 				const {group, timer} = groupWith(() => fateOf(random()), random);
 				group.isBusy = seed % 3 !== 0;
 				for (let version = 10; version < 13; version++) {
@@ -125,7 +112,7 @@
 
 				group.isBusy = true;
 				for (let look = 0; look < 20; look++) {
-					await pause(20);
+					await sleep(20);
 					await releaseIfHeld(group, 1000 + (look * 10));
 				}
 
@@ -139,14 +126,14 @@
 	describe('where the coordinator stands still and another takes over', () => {
 		for (let seed = 1; seed <= 12; seed++) {
 			it(`never mixes maps in a pass, and leaves no group held: seed ${seed}`, async () => {
-				const random = randomOf(seed * 104_729);
+				const random = seededRandom(seed * 104_729);
 				const {group, timer} = groupWith(() => random() < 0.1 ? 'late' : 'prompt', random);
 				const slow = group.engines.map(engine => new SlowEngine(engine, () => random() < 0.15 ? 150 : 0));
 				const running = new MapSwitch({ranks: {group: 'g', epoch: 1, engines: slow}, holdingRank: 1, nowMs: () => performance.now()}).run(10, nextMap);
 				const versions = new MapVersions(() => 0);
 				const nextVersion = () => versions.next() + 100;
 				for (let look = 0; look < 60; look++) {
-					await pause(15);
+					await sleep(15);
 					const {heldStep} = group.state(1);
 					if (heldStep !== undefined) {
 						await new MapSwitch({ranks: {group: 'g', epoch: 1, engines: group.engines}, holdingRank: 1, nowMs: () => performance.now()}).recover(heldStep, nextVersion);
@@ -157,7 +144,7 @@
 
 				await running;
 				group.isBusy = true;
-				await pause(350);
+				await sleep(350);
 				clearInterval(timer);
 				expect(group.mixedPasses).toEqual(0);
 				expect(group.isHeld).toEqual(false);
@@ -190,7 +177,7 @@
 		await other.order({
 			kind: 'prepare', version: 5, map: nextMap, ...under,
 		});
-		await pause(30);
+		await sleep(30);
 		await other.order({
 			kind: 'arm', version: 5, step: step + 3, ...under,
 		});
@@ -198,7 +185,7 @@
 		expect(await other.order({
 			kind: 'arm', version: 5, step: step + 100, ...under,
 		})).toEqual('refused');
-		await pause(60);
+		await sleep(60);
 		expect(group.isHeld).toEqual(false);
 		expect(group.mixedPasses).toEqual(0);
 		expect(group.versions).toEqual([0, 0, 0, 0]);
--- a/packages/rank-agent/src/map-switch.ts
+++ b/packages/rank-agent/src/map-switch.ts
@@ -245,8 +245,8 @@
 	}
 }
 
-function areAlike(states: readonly EngineState[] | undefined, version: number, step: number): boolean {
-	return states?.every(({armed}) => armed?.version === version && armed.step === step) ?? false;
+function areAlike(states: readonly EngineState[], version: number, step: number): boolean {
+	return states.every(({armed}) => armed?.version === version && armed.step === step);
 }
 
 /** Whether the state shows that an order was carried out. */
--- a/packages/rank-agent/src/rank-agent.ts
+++ b/packages/rank-agent/src/rank-agent.ts
@@ -6,6 +6,7 @@
 import {
 	type handleUnaryCall, Server,
 } from '@grpc/grpc-js';
+import type {EngineProfile} from '@rattanspring/desired-state';
 import {
 	ControlLinks, LinkCalls, linkService, listen, type NodeCard, type RankReply, type RankRequest,
 } from '@rattanspring/fleet-link';
@@ -14,7 +15,6 @@
 import type {RankPlace, TargetLoad} from '@rattanspring/target-table';
 import type {Clock} from '@rattanspring/types';
 import type {EngineDoor, EngineOrder, EngineState} from './engine-door.js';
-import type {ExpertPlaces} from './expert-places.js';
 import {FencedDoor} from './fenced-door.js';
 import {GroupDoors, type GroupRanks, holdingRank} from './group-doors.js';
 import {MapKeeper} from './map-keeper.js';
@@ -56,10 +56,8 @@
 	readonly door: EngineDoor;
 	/** Reaches the engine on another VM. */
 	readonly doorTo: (targetAddress: string) => EngineDoor;
-	/** The places that the desired state names; undefined while none is known, or without experts. */
-	readonly expertPlaces: () => ExpertPlaces | undefined;
-	/** Requests that the target works on at once, as the desired state says. */
-	readonly slots: () => number | undefined;
+	/** What the desired state says of the target's engine; undefined while none is known, or without experts. */
+	readonly engine: () => EngineProfile | undefined;
 	/** Called when a control process tells of a version of the document. */
 	readonly onVersion: (linkAddress: string, version: number) => void;
 	readonly clock: Clock;
@@ -177,7 +175,7 @@
 	}
 
 	#isNearlyFull({active, queued}: EngineState): boolean {
-		return active + queued >= (this.#options.slots() ?? Number.POSITIVE_INFINITY) * busyShare;
+		return active + queued >= (this.#options.engine()?.slots ?? Number.POSITIVE_INFINITY) * busyShare;
 	}
 
 	#rankHandler(): handleUnaryCall<RankRequest, RankReply> {
@@ -200,8 +198,8 @@
 
 	/** One look at the group's map, if this agent keeps it. */
 	async #keepMap(): Promise<void> {
-		const places = this.#options.expertPlaces();
-		if (this.#isKeeping || !places || this.#place?.rank !== keepingRank) {
+		const engine = this.#options.engine();
+		if (this.#isKeeping || !engine || this.#place?.rank !== keepingRank) {
 			return;
 		}
 
@@ -209,7 +207,7 @@
 		const ranks = this.#ranks();
 		if (ranks) {
 			this.#keeper ??= new MapKeeper({
-				...places, nowMs: () => this.#standstill.nowMs(), versions: this.#versions, logger,
+				engine, nowMs: () => this.#standstill.nowMs(), versions: this.#versions, logger,
 			});
 			this.#isKeeping = true;
 			await this.#keeper.round(ranks, Math.min(holdingRank, ranks.engines.length - 1));
--- a/packages/rank-agent/src/silent-agent.test.ts
+++ b/packages/rank-agent/src/silent-agent.test.ts
@@ -1,4 +1,5 @@
 import {after, describe, it} from 'node:test';
+import {setTimeout as sleep} from 'node:timers/promises';
 import type {LinkCalls, RankReply, RankRequest} from '@rattanspring/fleet-link';
 import {expect} from 'earl';
 import type {EngineDoor, EngineOrder} from './engine-door.js';
@@ -47,17 +48,11 @@
 			}
 		}
 
-		await pause(timeoutMs);
+		await sleep(timeoutMs);
 		return undefined;
 	}
 }
 
-async function pause(timeoutMs: number): Promise<void> {
-	await new Promise(resolve => {
-		setTimeout(resolve, timeoutMs);
-	});
-}
-
 type Bed = {readonly group: LockstepGroup; readonly engines: EngineDoor[]; readonly longestHeldMs: () => number};
 
 /** A group of which one rank's agent falls silent right after it has carried out an order. */
@@ -86,7 +81,7 @@
 		it(`is switched all the same: rank ${rank} after ${order}`, async () => {
 			const {group, engines, longestHeldMs} = bedWith(rank, order);
 			const outcome = await new MapSwitch({ranks: {group: 'g', epoch: 1, engines}, holdingRank: 1, nowMs: () => performance.now()}).run(10, nextMap);
-			await pause(100);
+			await sleep(100);
 			expect(outcome).toEqual('switched');
 			expect(group.versions).toEqual([10, 10, 10, 10]);
 			expect([group.isHeld, group.mixedPasses]).toEqual([false, 0]);
@@ -103,9 +98,9 @@
 		};
 		const switchOnce = async (version: number) => new MapSwitch({ranks, holdingRank: 1, nowMs: () => performance.now()}).run(version, nextMap);
 		expect(await switchOnce(10)).toEqual('switched');
-		await pause(100);
+		await sleep(100);
 		expect(await switchOnce(20)).toEqual('notHeld');
-		await pause(300);
+		await sleep(300);
 		expect([group.isHeld, group.mixedPasses]).toEqual([false, 0]);
 		expect(longestHeldMs()).toBeLessThan(longestStandstillMs);
 	});
@@ -123,7 +118,7 @@
 			group: 'g', epoch: 1, engines, holdThrough,
 		};
 		expect(await new MapSwitch({ranks, holdingRank: 1, nowMs: () => performance.now()}).run(10, nextMap)).toEqual('switched');
-		await pause(100);
+		await sleep(100);
 		expect([group.isHeld, group.mixedPasses]).toEqual([false, 0]);
 	});
 
@@ -133,7 +128,7 @@
 		await group.engines[1].order({
 			kind: 'hold', step, fencing: 1, epoch: 1,
 		});
-		await pause(50);
+		await sleep(50);
 		expect(group.isHeld).toEqual(true);
 		const outcome = await new MapSwitch({ranks: {group: 'g', epoch: 1, engines}, holdingRank: 1, nowMs: () => performance.now()}).recover(step, () => 20);
 		expect([outcome, group.isHeld, group.mixedPasses]).toEqual(['aborted', false, 0]);
--- a/packages/target-connection/src/target-connection.test.ts
+++ b/packages/target-connection/src/target-connection.test.ts
@@ -3,6 +3,7 @@
 import {
 	after, afterEach, before, describe, it,
 } from 'node:test';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {expect} from 'earl';
 import {
 	ConnectionPool, EventSplitter, type ExchangeFailure,
@@ -82,12 +83,6 @@
 	});
 }
 
-async function pause(timeoutMs: number): Promise<void> {
-	await new Promise(resolve => {
-		setTimeout(resolve, timeoutMs);
-	});
-}
-
 const wholeAnswer = 'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok';
 
 describe('ConnectionPool', () => {
@@ -195,7 +190,7 @@
 			};
 
 			await exchange(pool, target.address);
-			await pause(30);
+			await sleep(30);
 			const second = await exchange(pool, target.address);
 			expect(second.body).toEqual('ok');
 			expect(target.connections).toEqual(2);
@@ -212,7 +207,7 @@
 			};
 
 			await exchange(pool, target.address);
-			await pause(60);
+			await sleep(60);
 			expect(await exchangeAt('body')).toEqual('ok');
 			expect(target.connections).toEqual(2);
 		});
@@ -236,7 +231,7 @@
 			};
 
 			await exchange(pool, target.address);
-			await pause(60);
+			await sleep(60);
 			expect(await exchangeAt('body')).toEqual('ok');
 		});
 	});
--- a/packages/voter-group/src/replica-driver.ts
+++ b/packages/voter-group/src/replica-driver.ts
@@ -11,6 +11,7 @@
 import {
 	type Clock, err, ok, type Result,
 } from '@rattanspring/types';
+import {waitFor} from './wait-for.js';
 import {WriteQueue} from './write-queue.js';
 
 /** Time between ticks of the replica, unless the options name another. */
@@ -144,6 +145,17 @@
 		this.#step({type: 'transferLeadership'});
 	}
 
+	/** Passes leadership on, and waits for another voter to take it; true at once where there is none. */
+	async passLeadershipOn(timeoutMs: number): Promise<boolean> {
+		this.transferLeadership();
+		return waitFor(() => this.#state.role !== 'leader' || membershipOf(this.#state).voters.length === 1, timeoutMs);
+	}
+
+	/** Waits until the entry at an index is applied here. */
+	async reaches(index: number, timeoutMs: number): Promise<boolean> {
+		return waitFor(() => this.#appliedIndex >= index, timeoutMs);
+	}
+
 	/** Stops; open requests are lost. */
 	async stop(): Promise<void> {
 		this.#isStopped = true;
