--- a/packages/gateway/src/gateway-context.ts
+++ b/packages/gateway/src/gateway-context.ts
@@ -26,6 +26,8 @@
 	/** Random numbers in [0, 1). */
 	readonly random: () => number;
 	readonly table: () => RouteTable | undefined;
+	/** The highest document version that a control process has announced; it may be higher than that of `table`. */
+	readonly newestVersion: () => number;
 	/** Number of entries that share the retry budget. */
 	readonly entryCount: () => number;
 	/** Called when the connection of a running request broke: its target may have crashed. */
--- a/packages/gateway/src/gateway.test.ts
+++ b/packages/gateway/src/gateway.test.ts
@@ -179,6 +179,7 @@
 			nowMs: () => performance.now(),
 			random: Math.random,
 			table: () => table,
+			newestVersion: () => state.version,
 			entryCount: () => 1,
 			onConnectionBroken(crash) {
 				crashes.push(crash);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -98,6 +98,7 @@
 			nowMs,
 			random,
 			table: () => this.#documents.table,
+			newestVersion: () => this.#documents.newestVersion,
 			entryCount: () => Math.max(1, this.#entries.length),
 			onConnectionBroken(crash, address) {
 				crashDetector.suspect(crash, address);
@@ -122,6 +123,9 @@
 				this.#server.setLimits(state.limits);
 				metrics.revisionInForce.set(state.version);
 			},
+			onNewestVersion(version) {
+				metrics.newestRevision.set(version);
+			},
 		});
 		this.#links = new ControlLinks({
 			nowMs,
--- a/packages/gateway/src/request-flow.ts
+++ b/packages/gateway/src/request-flow.ts
@@ -30,7 +30,9 @@
 	const metadata = context.headerCodec.readRequest(request.headers);
 	const match = matchRoute(table, request, metadata);
 	if (typeof match === 'number') {
-		context.logger.log('info', 'requestRejected', {requestId: metadata.requestId, status: match, documentVersion: table.state.version});
+		context.logger.log('info', 'requestRejected', {
+			requestId: metadata.requestId, status: match, documentVersion: table.state.version, newestVersion: context.newestVersion(),
+		});
 		context.metrics.requests.inc({service: 'none', outcome: 'rejected'});
 		answer.reject(match, rejections[match]);
 		return;
--- a/packages/metrics/src/index.ts
+++ b/packages/metrics/src/index.ts
@@ -42,6 +42,12 @@
 		registers: [this.registry],
 	});
 
+	readonly newestRevision = new Gauge({
+		name: 'rattanspring_configuration_newest_revision',
+		help: 'Highest configuration revision announced to this daemon; above the revision in force while the daemon is behind.',
+		registers: [this.registry],
+	});
+
 	readonly targetsKnown = new Gauge({
 		name: 'rattanspring_targets_known',
 		help: 'Targets with a valid announcement, as this daemon sees them.',
