--- a/packages/fleet-control/src/fleet-control.ts
+++ b/packages/fleet-control/src/fleet-control.ts
@@ -6,7 +6,7 @@
 
 import type {ReplaceOutcome, StoredDocument} from '@rattanspring/desired-state';
 import {
-	ControlLinks, type CrashReport, type DownMessage, LinkServer, linkService, listen, type NodeCard, type NodeRole, type UpMessage,
+	ControlLinks, type CrashReport, type DocumentRequest, DocumentSender, type DownMessage, LinkServer, linkService, listen, type NodeCard, type NodeRole, type UpMessage,
 } from '@rattanspring/fleet-link';
 import type {FatalErrorHandler} from '@rattanspring/log-storage';
 import type {Logger} from '@rattanspring/logger';
@@ -49,6 +49,7 @@
 	readonly #linkServer: LinkServer;
 	readonly #controlLinks: ControlLinks;
 	readonly #targets = new TargetTable();
+	readonly #documentSender: DocumentSender;
 	readonly #server = new Server(serverOptions);
 	readonly #timers: NodeJS.Timeout[] = [];
 	readonly #pendingLoads = new Map<string, TargetLoad>();
@@ -84,6 +85,7 @@
 				this.#linkServer.broadcast({type: 'version', version: document.version}, ['entry', 'agent']);
 			},
 		});
+		this.#documentSender = new DocumentSender(() => this.#group.document);
 	}
 
 	/** Starts the server, then recovers, forms or joins the group. */
@@ -173,10 +175,7 @@
 			follow: (call: ServerDuplexStream<UpMessage, DownMessage>) => {
 				this.#linkServer.accept(call);
 			},
-			document: unary(async ({heldVersion}: {heldVersion: number}) => {
-				const {document} = this.#group;
-				return document && document.version > heldVersion ? document : {};
-			}),
+			document: unary(async (request: DocumentRequest) => this.#documentSender.reply(request)),
 			submit: unary(async (document: StoredDocument) => ({outcome: await this.#group.submit(document)})),
 			join: unary(async (request: {voterId: string; address: string}) => this.#group.join(request)),
 		};
--- /dev/null
+++ b/packages/fleet-link/src/document-transfer.test.ts
@@ -0,0 +1,99 @@
+import {Buffer} from 'node:buffer';
+import {describe, it} from 'node:test';
+import {expect} from 'earl';
+import type {StoredDocument} from '@rattanspring/desired-state';
+import {seededRandom} from '@rattanspring/test-kit';
+import {DocumentReceiver, DocumentSender, type ReceiveResult} from './document-transfer.js';
+import type {DocumentReply} from './link-service.js';
+
+type Part = NonNullable<DocumentReply['part']>;
+
+/** A document of several parts that hardly compresses. */
+function largeDocument(version: number): StoredDocument {
+	const random = seededRandom(version);
+	return {version, text: Array.from({length: 200_000}, () => String.fromCodePoint(33 + Math.floor(random() * 90))).join('')};
+}
+
+/** Requests one part. */
+function transferPart(sender: DocumentSender, receiver: DocumentReceiver, heldVersion = -1): ReceiveResult {
+	return receiver.receive(sender.reply(receiver.request(heldVersion)).part!);
+}
+
+/** Requests parts until the document is whole. */
+function finish(sender: DocumentSender, receiver: DocumentReceiver, heldVersion = -1): string | undefined {
+	for (let parts = 0; parts < 100; parts++) {
+		const result = transferPart(sender, receiver, heldVersion);
+		if (result.kind === 'whole') {
+			return result.text;
+		}
+	}
+
+	return undefined;
+}
+
+describe('the transfer of a document', () => {
+	it('delivers it whole, in several parts', () => {
+		const document = largeDocument(3);
+		const sender = new DocumentSender(() => document);
+		const receiver = new DocumentReceiver();
+		expect(transferPart(sender, receiver).kind).toEqual('partial');
+		expect(finish(sender, receiver)).toEqual(document.text);
+	});
+
+	it('continues at another control process where it stopped', () => {
+		const document = largeDocument(3);
+		const [first, second] = [new DocumentSender(() => document), new DocumentSender(() => document)];
+		const receiver = new DocumentReceiver();
+		transferPart(first, receiver);
+		const {offset} = receiver.request(-1).transfer!;
+		expect(second.reply(receiver.request(-1)).part!.offset).toEqual(offset);
+		expect(finish(second, receiver)).toEqual(document.text);
+	});
+
+	it('is not started again by a newer document, so that quick changes starve no follower', () => {
+		const documents = [largeDocument(3), largeDocument(4)];
+		let newest = documents[0];
+		const sender = new DocumentSender(() => newest);
+		const receiver = new DocumentReceiver();
+		transferPart(sender, receiver);
+		newest = documents[1];
+		expect(finish(sender, receiver)).toEqual(documents[0].text);
+		expect(finish(sender, receiver, 3)).toEqual(documents[1].text);
+	});
+
+	it('starts again if the control process does not know it', () => {
+		const receiver = new DocumentReceiver();
+		transferPart(new DocumentSender(() => largeDocument(3)), receiver);
+		const newest = largeDocument(9);
+		expect(finish(new DocumentSender(() => newest), receiver)).toEqual(newest.text);
+	});
+
+	it('says which version the process holds if it has none that is newer', () => {
+		expect(new DocumentSender(() => largeDocument(3)).reply({heldVersion: 3})).toEqual({version: 3});
+		expect(new DocumentSender(() => undefined).reply({heldVersion: -1})).toEqual({version: -1});
+	});
+
+	describe('with damaged parts', () => {
+		const document = largeDocument(3);
+		const sender = new DocumentSender(() => document);
+
+		function receiveChanged(change: (part: Part) => Part): ReceiveResult {
+			const receiver = new DocumentReceiver();
+			transferPart(sender, receiver);
+			return receiver.receive(change(sender.reply(receiver.request(-1)).part!));
+		}
+
+		it('refuses a part at another place, an empty one, and more bytes than were announced', () => {
+			expect(receiveChanged(part => ({...part, offset: 0})).kind).toEqual('damaged');
+			expect(receiveChanged(part => ({...part, bytes: new Uint8Array()})).kind).toEqual('damaged');
+			expect(receiveChanged(part => ({...part, bytes: Buffer.alloc(1_000_000)})).kind).toEqual('damaged');
+		});
+
+		it('refuses bytes that do not match the digest, and then transfers the document anew', () => {
+			const receiver = new DocumentReceiver();
+			const {part} = sender.reply(receiver.request(-1));
+			receiver.receive({...part!, bytes: Buffer.alloc(part!.bytes.byteLength)});
+			expect(finish(sender, receiver)).toEqual(document.text);
+		});
+	});
+});
--- a/packages/fleet-link/src/index.ts
+++ b/packages/fleet-link/src/index.ts
@@ -1,5 +1,6 @@
 /** Communication between daemons: streams between control processes and all other daemons, and unary calls. */
 export * from './control-links.js';
+export * from './document-transfer.js';
 export * from './link-calls.js';
 export * from './link-client.js';
 export * from './link-server.js';
--- a/packages/gateway/src/document-follower.ts
+++ b/packages/gateway/src/document-follower.ts
@@ -1,13 +1,23 @@
-/** Keeps the newest desired-state document. Fetches it when a control process announces its version, and never returns to an older one. */
+/**
+Keeps the newest desired-state document. Fetches it when a control process announces a newer version, and goes on until it has
+one, however often a control process does not answer. Never returns to an older version.
+*/
 
 import {
 	type DesiredState, type DocumentCodec, RouteTable,
 } from '@rattanspring/desired-state';
-import {LinkCalls, linkService} from '@rattanspring/fleet-link';
+import {
+	DocumentReceiver, type DocumentReply, LinkCalls, linkService,
+} from '@rattanspring/fleet-link';
 import type {Logger} from '@rattanspring/logger';
 
-const fetchTimeoutMs = 600;
-const fetchRetryDelayMs = 50;
+/** Time limit of a part of the document, doubled after each failure in a row: many daemons may share the source's link. */
+const partTimeoutMs = 800;
+const maxPartTimeoutMs = 3200;
+
+/** Pause after a failure, doubled after each further one. A random part of the same length is added, since all daemons fail at the same time. */
+const retryPauseMs = 50;
+const maxRetryPauseMs = 800;
 
 /** Options of the follower. */
 export type DocumentFollowerOptions = {
@@ -18,11 +28,16 @@
 	readonly onState: (state: DesiredState) => void;
 	/** Called when a control process announces a version that is higher than all announced before. */
 	readonly onNewestVersion?: (version: number) => void;
+	/** Random numbers in [0, 1). */
+	readonly random?: () => number;
 };
 
+/** Follows the document of the control group. */
 export class DocumentFollower {
 	readonly #options: DocumentFollowerOptions;
 	readonly #calls = new LinkCalls();
+	readonly #receiver = new DocumentReceiver();
+	/** Newest version known of each control process. */
 	readonly #announcedVersions = new Map<string, number>();
 	#table: RouteTable | undefined;
 	#newestVersion = -1;
@@ -67,47 +82,90 @@
 		this.#calls.close();
 	}
 
+	/** Fetches part after part until no control process is known to hold a newer document. */
 	async #fetch(): Promise<void> {
+		let failures = 0;
+		let startedAtMs = performance.now();
 		while (!this.#isClosed) {
-			const newest = Math.max(-1, ...this.#announcedVersions.values());
-			if (newest <= this.version) {
+			const sources = this.#newerSources();
+			if (sources.length === 0) {
 				break;
 			}
 
-			const holders = this.#options.sources().filter(address => (this.#announcedVersions.get(address) ?? -1) > this.version);
-			const [source] = holders.length > 0 ? holders : [...this.#announcedVersions].filter(([, version]) => version > this.version).map(([address]) => address);
-			const startedAtMs = performance.now();
-			const reply = await this.#calls.call(source, linkService.document, {heldVersion: this.version}, fetchTimeoutMs);
-			const tookMs = Math.round(performance.now() - startedAtMs);
-			if (reply?.text === undefined || !this.#apply(reply.text, source, tookMs)) {
-				this.#options.logger.log('warn', 'documentFetchFailed', {
-					source, heldVersion: this.version, newestVersion: this.#newestVersion, reason: reply ? 'notServed' : 'noReply', tookMs,
-				});
-				this.#announcedVersions.delete(source);
-				await new Promise(resolve => {
-					setTimeout(resolve, fetchRetryDelayMs);
-				});
+			const source = sources[failures % sources.length];
+			const request = this.#receiver.request(this.version);
+			const reply = await this.#calls.call(source, linkService.document, request, Math.min(maxPartTimeoutMs, partTimeoutMs * (2 ** failures)));
+			const result = reply && this.#onReply(source, reply, startedAtMs);
+			if (result === 'progress') {
+				failures = 0;
+			} else if (result === 'inForce') {
+				failures = 0;
+				startedAtMs = performance.now();
+			} else {
+				this.#logFailure(source, result ?? 'noReply', startedAtMs);
+				await this.#pause(failures);
+				failures++;
 			}
 		}
 
 		this.#isFetching = false;
 	}
 
-	#apply(text: string, source: string, tookMs: number): boolean {
-		const decoded = this.#options.codec.decode(text);
+	/** Addresses of the control processes that hold a newer document: connected ones first, the nearest of them first. */
+	#newerSources(): string[] {
+		const newer = [...this.#announcedVersions].filter(([, version]) => version > this.version).map(([address]) => address);
+		const connected = this.#options.sources().filter(address => newer.includes(address));
+		return [...new Set([...connected, ...newer])];
+	}
+
+	#onReply(source: string, {version, part}: DocumentReply, startedAtMs: number): 'progress' | 'inForce' | 'notServed' | 'damaged' | 'unreadable' {
+		this.#announcedVersions.set(source, version);
+		if (!part) {
+			return 'notServed';
+		}
+
+		const received = this.#receiver.receive(part);
+		if (received.kind !== 'whole') {
+			return received.kind === 'partial' ? 'progress' : 'damaged';
+		}
+
+		return this.#apply(received.text, source, startedAtMs) ? 'inForce' : 'unreadable';
+	}
+
+	#apply(text: string, source: string, startedAtMs: number): boolean {
+		const {codec, logger, onState} = this.#options;
+		const decoded = codec.decode(text);
 		if (!decoded.ok) {
-			this.#options.logger.log('error', 'documentUnreadable', {source, message: decoded.failure.message});
+			logger.log('error', 'documentUnreadable', {source, message: decoded.failure.message});
 			return false;
 		}
 
 		if (decoded.value.version > this.version) {
 			this.#table = new RouteTable(decoded.value);
-			this.#options.logger.log('info', 'documentInForce', {
-				version: this.version, source, routes: decoded.value.routes.length, characters: text.length, tookMs,
+			logger.log('info', 'documentInForce', {
+				version: this.version, source, routes: decoded.value.routes.length, characters: text.length, tookMs: elapsedMs(startedAtMs),
 			});
-			this.#options.onState(decoded.value);
+			onState(decoded.value);
 		}
 
 		return true;
 	}
+
+	#logFailure(source: string, reason: string, startedAtMs: number): void {
+		this.#options.logger.log('warn', 'documentFetchFailed', {
+			source, heldVersion: this.version, newestVersion: this.#newestVersion, reason, tookMs: elapsedMs(startedAtMs),
+		});
+	}
+
+	async #pause(failures: number): Promise<void> {
+		const random = this.#options.random ?? Math.random;
+		const pauseMs = Math.min(maxRetryPauseMs, retryPauseMs * (2 ** failures));
+		await new Promise(resolve => {
+			setTimeout(resolve, pauseMs * (1 + random()));
+		});
+	}
+}
+
+function elapsedMs(startedAtMs: number): number {
+	return Math.round(performance.now() - startedAtMs);
 }
