--- a/packages/fleet-control/src/document-spread.test.ts
+++ b/packages/fleet-control/src/document-spread.test.ts
@@ -10,7 +10,7 @@
 import {DocumentFollower} from '@rattanspring/gateway';
 import {FatalErrorHandler} from '@rattanspring/log-storage';
 import {SilentLogger} from '@rattanspring/logger';
-import {freePorts, seededRandom, waitUntil} from '@rattanspring/test-kit';
+import {freePorts, incompressibleText, waitUntil} from '@rattanspring/test-kit';
 import {ok, type Result} from '@rattanspring/types';
 import {SystemClock} from '@rattanspring/voter-group';
 import {expect} from 'earl';
@@ -103,11 +103,9 @@
 	}
 }
 
-/** A document of the given size that hardly compresses. */
-function incompressibleDocument(version: number, bytes: number): string {
-	const random = seededRandom(version);
-	const characters = Array.from({length: bytes}, () => String.fromCodePoint(33 + Math.floor(random() * 90)));
-	return `${version} ${characters.join('')}`;
+/** A document that takes about the given number of bytes when compressed. */
+function largeDocument(version: number, compressedBytes: number): string {
+	return `${version} ${incompressibleText(version, Math.ceil(compressedBytes * 4 / 3))}`;
 }
 
 describe('documents on their way from control to many daemons', () => {
@@ -166,14 +164,14 @@
 	}
 
 	it('are in force in time at all daemons, even if a large one takes most of that time of the link', async () => {
-		await accept(1, incompressibleDocument(1, 416_000));
+		await accept(1, largeDocument(1, 416_000));
 		addFollowers(followerCount);
 		announce(1);
 		expect(await countInForce(1)).toEqual(followerCount);
 	});
 
 	it('are not forgotten if the control process did not answer when it announced them', async () => {
-		await accept(1, incompressibleDocument(1, 1000));
+		await accept(1, largeDocument(1, 1000));
 		addFollowers(1);
 		link.isSilent = true;
 		announce(1);
--- a/packages/fleet-link/src/document-transfer.test.ts
+++ b/packages/fleet-link/src/document-transfer.test.ts
@@ -2,16 +2,15 @@
 import {describe, it} from 'node:test';
 import {expect} from 'earl';
 import type {StoredDocument} from '@rattanspring/desired-state';
-import {seededRandom} from '@rattanspring/test-kit';
+import {incompressibleText, seededRandom} from '@rattanspring/test-kit';
 import {DocumentReceiver, DocumentSender, type ReceiveResult} from './document-transfer.js';
 import type {DocumentReply} from './link-service.js';
 
 type Part = NonNullable<DocumentReply['part']>;
 
-/** A document of several parts that hardly compresses. */
+/** A document of several parts, also when compressed. */
 function largeDocument(version: number): StoredDocument {
-	const random = seededRandom(version);
-	return {version, text: Array.from({length: 200_000}, () => String.fromCodePoint(33 + Math.floor(random() * 90))).join('')};
+	return {version, text: incompressibleText(version, 200_000)};
 }
 
 /** Requests one part. */
@@ -73,6 +72,16 @@
 		expect(new DocumentSender(() => undefined).reply({heldVersion: -1})).toEqual({version: -1});
 	});
 
+	it('takes a small part of the bytes of a document that repeats its field names', () => {
+		const random = seededRandom(1);
+		const routes = Array.from({length: 2000}, () => ({
+			name: `r-${Math.floor(random() * 1e9)}`, host: `h${Math.floor(random() * 60)}.example`, pathPrefix: `/${Math.floor(random() * 1e9)}/`, kind: 'streaming', timeoutMs: 8000, objectiveMs: 400, priority: 1, service: 's', maxAttempts: 2, isPublic: false, isResumable: true,
+		}));
+		const document = {version: 3, text: JSON.stringify({version: 3, routes})};
+		const {part} = new DocumentSender(() => document).reply({heldVersion: -1});
+		expect(part!.totalBytes).toBeLessThan(document.text.length / 4);
+	});
+
 	describe('with damaged parts', () => {
 		const document = largeDocument(3);
 		const sender = new DocumentSender(() => document);
--- a/packages/fleet-link/src/document-transfer.ts
+++ b/packages/fleet-link/src/document-transfer.ts
@@ -6,6 +6,7 @@
 
 import {Buffer} from 'node:buffer';
 import {createHash} from 'node:crypto';
+import {gunzipSync, gzipSync} from 'node:zlib';
 import type {StoredDocument} from '@rattanspring/desired-state';
 import type {DocumentReply, DocumentRequest} from './link-service.js';
 
@@ -15,10 +16,10 @@
 /** Number of recent documents that can still be transferred after a newer one was accepted, so that quick successions of changes starve no follower. */
 const keptEncodings = 4;
 
-/** Maximum size of a transferred document. */
-const maxTransferBytes = 64 * 1024 * 1024;
+/** Maximum size of a document, compressed and decompressed. */
+const maxDocumentBytes = 64 * 1024 * 1024;
 
-/** The bytes of a document, identified by their digest. */
+/** The compressed bytes of a document, identified by their digest. */
 type Encoding = {readonly id: string; readonly version: number; readonly bytes: Buffer};
 
 /** Serves parts of the newest document. */
@@ -56,7 +57,7 @@
 			return known;
 		}
 
-		const bytes = Buffer.from(text);
+		const bytes = gzipSync(text);
 		const encoding = {id: digestOf(bytes), version, bytes};
 		this.#encodings = [encoding, ...this.#encodings].slice(0, keptEncodings);
 		return encoding;
@@ -95,7 +96,7 @@
 		transfer.parts.push(bytes);
 		transfer.receivedBytes += bytes.byteLength;
 		const isInSequence = offset + bytes.byteLength === transfer.receivedBytes && bytes.byteLength > 0;
-		if (!isInSequence || transfer.receivedBytes > transfer.totalBytes || transfer.totalBytes > maxTransferBytes) {
+		if (!isInSequence || transfer.receivedBytes > transfer.totalBytes || transfer.totalBytes > maxDocumentBytes) {
 			this.#transfer = undefined;
 			return {kind: 'damaged'};
 		}
@@ -106,7 +107,17 @@
 	#finish(transfer: Transfer): ReceiveResult {
 		this.#transfer = undefined;
 		const bytes = Buffer.concat(transfer.parts);
-		return digestOf(bytes) === transfer.id ? {kind: 'whole', text: bytes.toString('utf8')} : {kind: 'damaged'};
+		const text = digestOf(bytes) === transfer.id ? decompress(bytes) : undefined;
+		return text === undefined ? {kind: 'damaged'} : {kind: 'whole', text};
+	}
+}
+
+/** Returns undefined if the bytes are not compressed text, or if the text is too long. */
+function decompress(bytes: Buffer): string | undefined {
+	try {
+		return gunzipSync(bytes, {maxOutputLength: maxDocumentBytes}).toString('utf8');
+	} catch {
+		return undefined;
 	}
 }
 
