--- a/packages/gateway/src/gateway.test.ts
+++ b/packages/gateway/src/gateway.test.ts
@@ -120,6 +120,7 @@
 	let server: CallerServer;
 	let port: number;
 	let table: RouteTable | undefined;
+	let newestVersion: number;
 	let context: GatewayContext;
 
 	before(async () => {
@@ -149,6 +150,7 @@
 	function setUp(): void {
 		context?.exchange.close();
 		table = new RouteTable(state);
+		newestVersion = state.version;
 		crashes.length = 0;
 		for (const target of targets) {
 			target.receivedRequests = [];
@@ -179,7 +181,7 @@
 			nowMs: () => performance.now(),
 			random: Math.random,
 			table: () => table,
-			newestVersion: () => state.version,
+			newestVersion: () => newestVersion,
 			entryCount: () => 1,
 			onConnectionBroken(crash) {
 				crashes.push(crash);
@@ -273,6 +275,17 @@
 			expect(sent()).toEqual(0);
 		});
 
+		it('does not reject for a missing route or key while a newer desired state is announced, but tells the caller when to retry', async () => {
+			newestVersion = state.version + 1;
+			for (const result of [await call('/other/x'), await call('/plain/x', {'x-key': 'other'})]) {
+				expect(result.status).toEqual(503);
+				expect(Number(result.headers['retry-after'])).toBeGreaterThan(0);
+				expect(JSON.parse(result.body)).toEqual({type: 'urn:rattanspring:documentOutdated', status: 503, execution: 'didNotRun'});
+			}
+
+			expect(await statusOf('/plain/x')).toEqual(200);
+		});
+
 		it('rejects bodies and headers that are too large', async () => {
 			expect(await statusOf('/plain/x', {}, 'x'.repeat(2000))).toEqual(413);
 			expect(await statusOf('/plain/x', {'x-more': 'x'.repeat(5000)})).toEqual(431);
--- a/packages/gateway/src/request-flow.ts
+++ b/packages/gateway/src/request-flow.ts
@@ -17,6 +17,10 @@
 const startingRetryAfterMs = 1200;
 const startingRetryJitterMs = 1400;
 
+/** `Retry-After` while a newer desired state is being fetched: a fixed part and a random part. */
+const outdatedRetryAfterMs = 300;
+const outdatedRetryJitterMs = 300;
+
 /** Rejects the request, or forwards it to a target. */
 export async function serveRequest(context: GatewayContext, request: IncomingMessage, response: ServerResponse): Promise<void> {
 	const arrivedAtMs = context.nowMs();
@@ -30,11 +34,7 @@
 	const metadata = context.headerCodec.readRequest(request.headers);
 	const match = matchRoute(table, request, metadata);
 	if (typeof match === 'number') {
-		context.logger.log('info', 'requestRejected', {
-			requestId: metadata.requestId, status: match, documentVersion: table.state.version, newestVersion: context.newestVersion(),
-		});
-		context.metrics.requests.inc({service: 'none', outcome: 'rejected'});
-		answer.reject(match, rejections[match]);
+		rejectRequest(context, table, metadata, {answer, status: match});
 		return;
 	}
 
@@ -59,6 +59,20 @@
 	}
 }
 
+/** A caller does not repeat a rejected request, so a request is refused for now instead if a newer desired state may allow it. */
+function rejectRequest({logger, metrics, newestVersion, random}: GatewayContext, table: RouteTable, {requestId}: RequestMetadata, {answer, status}: {answer: CallerResponse; status: number}): void {
+	const isOutdated = status !== 400 && newestVersion() > table.state.version;
+	logger.log('info', isOutdated ? 'requestRefused' : 'requestRejected', {
+		requestId, status: isOutdated ? 503 : status, reason: rejections[status], documentVersion: table.state.version, newestVersion: newestVersion(),
+	});
+	metrics.requests.inc({service: 'none', outcome: isOutdated ? 'refused' : 'rejected'});
+	if (isOutdated) {
+		answer.refuse('documentOutdated', outdatedRetryAfterMs + (random() * outdatedRetryJitterMs));
+	} else {
+		answer.reject(status, rejections[status]);
+	}
+}
+
 const rejections: Readonly<Record<number, string>> = {
 	400: 'malformedRequest', 401: 'unknownKey', 404: 'noRoute', 413: 'bodyTooLarge', 431: 'headTooLarge',
 };
