--- a/packages/fleet-control/src/fleet-control.ts
+++ b/packages/fleet-control/src/fleet-control.ts
@@ -49,7 +49,7 @@
 	readonly #linkServer: LinkServer;
 	readonly #controlLinks: ControlLinks;
 	readonly #targets = new TargetTable();
-	readonly #documentSender: DocumentSender;
+	readonly #documentSender = new DocumentSender();
 	readonly #server = new Server(serverOptions);
 	readonly #timers: NodeJS.Timeout[] = [];
 	readonly #pendingLoads = new Map<string, TargetLoad>();
@@ -82,10 +82,10 @@
 			otherAddresses: () => this.#controlLinks.addresses,
 			onDocument: document => {
 				options.logger.log('info', 'documentInForce', {version: document.version, bytes: document.text.length});
+				this.#documentSender.publish(document);
 				this.#linkServer.broadcast({type: 'version', version: document.version}, ['entry', 'agent']);
 			},
 		});
-		this.#documentSender = new DocumentSender(() => this.#group.document);
 	}
 
 	/** Starts the server, then recovers, forms or joins the group. */
--- a/packages/fleet-link/src/document-transfer.ts
+++ b/packages/fleet-link/src/document-transfer.ts
@@ -7,58 +7,78 @@
 import {Buffer} from 'node:buffer';
 import {createHash} from 'node:crypto';
 import {gunzipSync, gzipSync} from 'node:zlib';
-import type {StoredDocument} from '@rattanspring/desired-state';
+import {
+	applyChanges, type Change, computeChanges, type StoredDocument,
+} from '@rattanspring/desired-state';
 import type {DocumentReply, DocumentRequest} from './link-service.js';
 
 /** Maximum size of a part. */
 const maxPartBytes = 32_768;
 
-/** Number of recent documents that can still be transferred after a newer one was accepted, so that quick successions of changes starve no follower. */
-const keptEncodings = 4;
+/** Number of recent transfers that can still be continued, so that quick successions of changes starve no follower. */
+const keptEncodings = 16;
+
+/** Limits of the recent documents that are kept to compute changes from. */
+const keptDocuments = 16;
+const keptCharacters = 8_000_000;
 
 /** Maximum size of a document, compressed and decompressed. */
 const maxDocumentBytes = 64 * 1024 * 1024;
 
-/** The compressed bytes of a document, identified by their digest. */
-type Encoding = {readonly id: string; readonly version: number; readonly bytes: Buffer};
+/** A text, identified by its digest. */
+type IdentifiedText = {readonly id: string; readonly text: string};
+
+/** The compressed bytes of a document, or of its changes from a base, identified by their digest. */
+type Encoding = {readonly id: string; readonly version: number; readonly baseId?: string; readonly bytes: Buffer};
 
-/** Serves parts of the newest document. */
+/** Serves the newest document in parts, as changes from the follower's document if that is a recent one. */
 export class DocumentSender {
-	readonly #newest: () => StoredDocument | undefined;
+	/** Newest first. */
+	#documents: Array<IdentifiedText & {readonly version: number}> = [];
 	#encodings: Encoding[] = [];
 
-	/** `newest` returns the newest document that this process holds. */
-	constructor(newest: () => StoredDocument | undefined) {
-		this.#newest = newest;
+	/** Adds a newer document than all before. */
+	publish({version, text}: StoredDocument): void {
+		const documents = [{id: digestOf(text), version, text}, ...this.#documents].slice(0, keptDocuments);
+		let characters = 0;
+		this.#documents = documents.filter(document => {
+			characters += document.text.length;
+			return document === documents[0] || characters <= keptCharacters;
+		});
 	}
 
 	/** Returns the requested part, or the first part of the newest document if the requested transfer is unknown. */
-	reply({heldVersion, transfer}: DocumentRequest): DocumentReply {
-		const document = this.#newest();
-		if (!document || document.version <= heldVersion) {
-			return {version: document?.version ?? -1};
+	reply({heldVersion, heldId, transfer}: DocumentRequest): DocumentReply {
+		const [newest] = this.#documents;
+		if (!newest || newest.version <= heldVersion) {
+			return {version: newest?.version ?? -1};
 		}
 
-		const newest = this.#encode(document);
+		const encoding = this.#encode(heldId);
 		const known = transfer && this.#encodings.find(({id}) => id === transfer.id);
-		const {id, version, bytes} = known ?? newest;
+		const {id, version, baseId, bytes} = known ?? encoding;
 		const offset = known ? transfer.offset : 0;
 		return {
-			version: document.version,
+			version: newest.version,
 			part: {
-				transferId: id, transferVersion: version, totalBytes: bytes.length, offset, bytes: bytes.subarray(offset, offset + maxPartBytes),
+				transferId: id, transferVersion: version, baseId, totalBytes: bytes.length, offset, bytes: bytes.subarray(offset, offset + maxPartBytes),
 			},
 		};
 	}
 
-	#encode({version, text}: StoredDocument): Encoding {
-		const known = this.#encodings.find(encoding => encoding.version === version);
+	/** Encodes the newest document, as changes if the text with the given digest is known. */
+	#encode(heldId: string | undefined): Encoding {
+		const [{version, text}] = this.#documents;
+		const base = this.#documents.find(({id}) => id === heldId);
+		const known = this.#encodings.find(encoding => encoding.version === version && encoding.baseId === base?.id);
 		if (known) {
 			return known;
 		}
 
-		const bytes = gzipSync(text);
-		const encoding = {id: digestOf(bytes), version, bytes};
+		const bytes = gzipSync(base ? JSON.stringify(computeChanges(base.text, text)) : text);
+		const encoding = {
+			id: digestOf(bytes), version, baseId: base?.id, bytes,
+		};
 		this.#encodings = [encoding, ...this.#encodings].slice(0, keptEncodings);
 		return encoding;
 	}
@@ -69,10 +89,11 @@
 	= | {readonly kind: 'whole'; readonly text: string}
 		| {readonly kind: 'partial' | 'damaged'};
 
-type Transfer = {readonly id: string; readonly version: number; readonly totalBytes: number; readonly parts: Uint8Array[]; receivedBytes: number};
+type Transfer = {readonly id: string; readonly version: number; readonly baseId?: string; readonly totalBytes: number; readonly parts: Uint8Array[]; receivedBytes: number};
 
 /** Assembles the parts of a document. */
 export class DocumentReceiver {
+	#held: IdentifiedText | undefined;
 	#transfer: Transfer | undefined;
 
 	/** The request for the next part of a document that is newer than the held one. */
@@ -81,14 +102,14 @@
 			this.#transfer = undefined;
 		}
 
-		return {heldVersion, ...(this.#transfer && {transfer: {id: this.#transfer.id, offset: this.#transfer.receivedBytes}})};
+		return {heldVersion, heldId: this.#held?.id, ...(this.#transfer && {transfer: {id: this.#transfer.id, offset: this.#transfer.receivedBytes}})};
 	}
 
 	/** Adds a part. */
-	receive({transferId, transferVersion, totalBytes, offset, bytes}: NonNullable<DocumentReply['part']>): ReceiveResult {
+	receive({transferId, transferVersion, baseId, totalBytes, offset, bytes}: NonNullable<DocumentReply['part']>): ReceiveResult {
 		if (this.#transfer?.id !== transferId) {
 			this.#transfer = {
-				id: transferId, version: transferVersion, totalBytes, parts: [], receivedBytes: 0,
+				id: transferId, version: transferVersion, baseId, totalBytes, parts: [], receivedBytes: 0,
 			};
 		}
 
@@ -107,8 +128,19 @@
 	#finish(transfer: Transfer): ReceiveResult {
 		this.#transfer = undefined;
 		const bytes = Buffer.concat(transfer.parts);
-		const text = digestOf(bytes) === transfer.id ? decompress(bytes) : undefined;
-		return text === undefined ? {kind: 'damaged'} : {kind: 'whole', text};
+		const content = digestOf(bytes) === transfer.id ? decompress(bytes) : undefined;
+		const text = content === undefined || transfer.baseId === undefined ? content : this.#applyToHeld(transfer.baseId, content);
+		if (text === undefined) {
+			return {kind: 'damaged'};
+		}
+
+		this.#held = {id: digestOf(text), text};
+		return {kind: 'whole', text};
+	}
+
+	#applyToHeld(baseId: string, content: string): string | undefined {
+		const changes = parseChanges(content);
+		return changes && this.#held?.id === baseId ? applyChanges(this.#held.text, changes) : undefined;
 	}
 }
 
@@ -121,6 +153,16 @@
 	}
 }
 
-function digestOf(bytes: Buffer): string {
-	return createHash('sha256').update(bytes).digest('base64url');
+/** Returns undefined if the content is not a list of changes. */
+function parseChanges(content: string): Change[] | undefined {
+	try {
+		const changes = JSON.parse(content) as unknown;
+		return Array.isArray(changes) && changes.every(change => typeof change === 'string' || Array.isArray(change)) ? changes as Change[] : undefined;
+	} catch {
+		return undefined;
+	}
+}
+
+function digestOf(content: Buffer | string): string {
+	return createHash('sha256').update(content).digest('base64url');
 }
--- a/packages/fleet-link/src/link-service.ts
+++ b/packages/fleet-link/src/link-service.ts
@@ -8,6 +8,8 @@
 /** Requests the next part of the document if it is newer than the version the daemon holds. */
 export type DocumentRequest = {
 	readonly heldVersion: number;
+	/** Digest of the text that the daemon holds. */
+	readonly heldId?: string;
 	/** The transfer in progress, and how many of its bytes have arrived. */
 	readonly transfer?: {readonly id: string; readonly offset: number};
 };
@@ -19,6 +21,8 @@
 		/** Digest of all bytes of the transfer, so that its parts may come from several processes. */
 		readonly transferId: string;
 		readonly transferVersion: number;
+		/** If present, the transfer carries changes to the text with this digest, otherwise the whole text. */
+		readonly baseId?: string;
 		readonly totalBytes: number;
 		readonly offset: number;
 		readonly bytes: Uint8Array;
