--- a/bench/src/experiments/even-share-plans.ts
+++ b/bench/src/experiments/even-share-plans.ts
@@ -70,11 +70,13 @@
 			figures: {
 				worstExcess: Math.max(...all.map(plan => plan.excess)),
 				longestSliceMs: Math.max(...all.map(plan => plan.longestSliceMs)),
+				worstProcessorMs: Math.max(...all.map(plan => plan.processorMs)),
 				rows,
 			},
 			bounds: [
 				{figure: 'worstExcess', atMost: 1.05, source: 'issue 20'},
 				{figure: 'longestSliceMs', atMost: 10, source: 'issue 6'},
+				{figure: 'worstProcessorMs', atMost: 140, source: 'issue 20: a plan ends before the next round, after 350 ms with 0.4 of a core'},
 			],
 		};
 	}
--- /dev/null
+++ b/packages/expert-map/src/planner/even-share-search.ts
@@ -0,0 +1,189 @@
+/**
+Search for the change of a placement that balances it most per copied expert. The score of a placement is the root of the mean
+8th power of the ranks' times. A change affects only the ranks that hold its experts, so that a candidate is judged by the
+difference it makes to the sum of the powers.
+*/
+
+import type {EvenSharePlacement, PlacementChange} from './even-share-placement.js';
+
+/** Limits of the places of a rank. */
+export type PlaceLimits = {
+	/** Number of experts of a set that a rank can hold. */
+	readonly placesPerRank: number;
+	/** Largest number of experts of a set that a rank may receive in one plan. */
+	readonly newPerRank: number;
+};
+
+/** A change and the decrease of the score per copy that it causes. */
+export type RatedChange = {readonly change: PlacementChange; readonly gainPerCopy: number};
+
+type Candidate = {readonly change: PlacementChange; readonly difference: number};
+
+/** Exponent of the score. A high one makes the slowest ranks dominate, but still rewards relieving the next ones. */
+const exponent = 8;
+
+/** Largest number of copies that one change needs: one for each rank that receives an expert. */
+const maxCopies = 2;
+
+/** Searches one placement. */
+export class EvenShareSearch {
+	readonly #placement: EvenSharePlacement;
+	readonly #limits: PlaceLimits;
+	/** The best candidate by number of copies. */
+	#best: Array<Candidate | undefined> = [];
+	/** Difference that an expert's remaining holders make if a rank gives it up, by rank and place in its list. */
+	#dropDifferences: number[][] = [];
+
+	constructor(placement: EvenSharePlacement, limits: PlaceLimits) {
+		this.#placement = placement;
+		this.#limits = limits;
+	}
+
+	/** The best change that gives the slowest rank's share of an expert to another rank: into a free place, over a redundant replica, or in exchange for an expert. */
+	bestChange(): RatedChange | undefined {
+		const placement = this.#placement;
+		const slowest = placement.slowestRank;
+		this.#best = [];
+		this.#dropDifferences = placement.lists.map((experts, rank) => experts.map(expert => this.#dropDifference(rank, expert)));
+		for (const add of placement.lists[slowest]) {
+			const addDifference = this.#addDifference(add);
+			for (let to = 0; to < placement.rankCount; to++) {
+				if (to !== slowest && !placement.holds(to, add) && this.#canReceive(to, add)) {
+					this.#tryReplicas(add, to, addDifference);
+					this.#tryExchanges(add, to, slowest);
+				}
+			}
+		}
+
+		return this.#bestPerCopy();
+	}
+
+	#tryReplicas(add: number, to: number, addDifference: number): void {
+		const placement = this.#placement;
+		const experts = placement.lists[to];
+		const share = placement.share(add, placement.holders[add].length + 1);
+		const copies = placement.isNew(to, add) ? 1 : 0;
+		if (experts.length < this.#limits.placesPerRank) {
+			const difference = addDifference + this.#difference(to, share);
+			if (this.#isBest(difference, copies)) {
+				this.#best[copies] = {change: {to, add}, difference};
+			}
+		}
+
+		for (const [place, drop] of experts.entries()) {
+			if (placement.holders[drop].length > 1) {
+				const difference = addDifference + this.#dropDifferences[to][place] + this.#commonDifference(add, drop, to)
+					+ this.#difference(to, share - placement.share(drop));
+				if (this.#isBest(difference, copies)) {
+					this.#best[copies] = {change: {to, add, drop}, difference};
+				}
+			}
+		}
+	}
+
+	#tryExchanges(add: number, to: number, from: number): void {
+		const placement = this.#placement;
+		const copiesOfAdd = placement.isNew(to, add) ? 1 : 0;
+		for (const drop of placement.lists[to]) {
+			if (placement.holders[drop].length === 1 && this.#canReceive(from, drop)) {
+				const more = placement.share(add) - placement.share(drop);
+				const difference = this.#difference(to, more) + this.#difference(from, -more);
+				const copies = copiesOfAdd + (placement.isNew(from, drop) ? 1 : 0);
+				if (this.#isBest(difference, copies)) {
+					this.#best[copies] = {
+						change: {
+							to, add, drop, from,
+						},
+						difference,
+					};
+				}
+			}
+		}
+	}
+
+	#canReceive(rank: number, expert: number): boolean {
+		return !this.#placement.isNew(rank, expert) || this.#placement.newCount(rank) < this.#limits.newPerRank;
+	}
+
+	#isBest(difference: number, copies: number): boolean {
+		return difference < (this.#best[copies]?.difference ?? 0);
+	}
+
+	#bestPerCopy(): RatedChange | undefined {
+		const sum = this.#placement.lists.reduce((total, _, rank) => total + power(this.#placement.time(rank)), 0);
+		let best: RatedChange | undefined;
+		for (let copies = 0; copies <= maxCopies; copies++) {
+			const candidate = this.#best[copies];
+			if (candidate) {
+				const gainPerCopy = (this.#score(sum) - this.#score(sum + candidate.difference)) / Math.max(1, copies);
+				best = best && best.gainPerCopy >= gainPerCopy ? best : {change: candidate.change, gainPerCopy};
+			}
+		}
+
+		return best;
+	}
+
+	#score(sum: number): number {
+		return (Math.max(0, sum) / this.#placement.rankCount) ** (1 / exponent);
+	}
+
+	/** Difference to the sum of the powers if a rank's load changes. */
+	#difference(rank: number, additional: number): number {
+		return power(this.#placement.time(rank, additional)) - power(this.#placement.time(rank));
+	}
+
+	/** Difference that the present holders of an expert make if it gets one more replica. */
+	#addDifference(expert: number): number {
+		const change = this.#shareChange(expert, 1);
+		let difference = 0;
+		for (const rank of this.#placement.holders[expert]) {
+			difference += this.#difference(rank, change);
+		}
+
+		return difference;
+	}
+
+	/** Difference that the other holders of an expert make if a rank gives it up; not used for the only holder. */
+	#dropDifference(rank: number, expert: number): number {
+		const holders = this.#placement.holders[expert];
+		if (holders.length === 1) {
+			return 0;
+		}
+
+		const change = this.#shareChange(expert, -1);
+		let difference = 0;
+		for (const holder of holders) {
+			difference += holder === rank ? 0 : this.#difference(holder, change);
+		}
+
+		return difference;
+	}
+
+	/** Correction for ranks that hold both experts of a change, whose differences do not simply add up. */
+	#commonDifference(add: number, drop: number, to: number): number {
+		const placement = this.#placement;
+		const ofAdd = this.#shareChange(add, 1);
+		const ofDrop = this.#shareChange(drop, -1);
+		let correction = 0;
+		for (const rank of placement.holders[drop]) {
+			if (rank !== to && placement.holds(rank, add)) {
+				correction += this.#difference(rank, ofAdd + ofDrop) - this.#difference(rank, ofAdd) - this.#difference(rank, ofDrop);
+			}
+		}
+
+		return correction;
+	}
+
+	/** Change of the load of one replica if the number of replicas changes. */
+	#shareChange(expert: number, replicas: number): number {
+		const placement = this.#placement;
+		return placement.share(expert, placement.holders[expert].length + replicas) - placement.share(expert);
+	}
+}
+
+/** The 8th power, by squaring. */
+function power(time: number): number {
+	const square = time * time;
+	const fourth = square * square;
+	return fourth * fourth;
+}
