--- a/packages/rank-agent/src/group-engine-clients.ts
+++ b/packages/rank-agent/src/group-engine-clients.ts
@@ -3,7 +3,7 @@
 import type {LinkCalls, NodeCard} from '@rattanspring/fleet-link';
 import type {RankPlace} from '@rattanspring/target-table';
 import type {EngineClient} from './engine-client.js';
-import {RemoteEngineClient} from './remote-engine-client.js';
+import {RemoteEngineClient, type UnansweredRequest} from './remote-engine-client.js';
 
 /** The rank at which the group is held during a map switch, if the group has several ranks. */
 export const holdingRank = 1;
@@ -26,7 +26,7 @@
 	/** Creates a client that reaches the engine on another VM directly, bypassing its agent. */
 	readonly createEngineClient: (targetAddress: string) => EngineClient;
 	/** Called when the agent of a target did not answer in time. */
-	readonly onAgentTimeout: (targetAddress: string) => void;
+	readonly onAgentTimeout: (unanswered: UnansweredRequest) => void;
 };
 
 /** Creates clients for the engines of this agent's group, through their agents or directly. */
--- a/packages/rank-agent/src/map-rebalancer.test.ts
+++ b/packages/rank-agent/src/map-rebalancer.test.ts
@@ -1,6 +1,7 @@
 import {after, describe, it} from 'node:test';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {evenShareSkew} from '@rattanspring/expert-map';
+import type {LogFields} from '@rattanspring/logger';
 import {expect} from 'earl';
 import {FakeRankGroup, type OrderDelivery} from './fake-rank-group.js';
 import {MapRebalancer} from './map-rebalancer.js';
@@ -15,11 +16,7 @@
 	return Array.from({length: expertCount}, (_, expert) => hot.includes(expert) ? 4000 : 300);
 }
 
-const silent = {
-	log() {
-		// These tests do not check the log.
-	},
-};
+type Line = {readonly event: string; readonly fields: LogFields};
 
 describe('MapRebalancer', () => {
 	const timers: NodeJS.Timeout[] = [];
@@ -29,22 +26,29 @@
 		}
 	});
 
-	function startRebalancer(active: number, nextDelivery: () => OrderDelivery = () => 'prompt'): {readonly group: FakeRankGroup; readonly rebalancer: MapRebalancer; readonly round: () => Promise<void>} {
+	function startRebalancer(active: number, nextDelivery: () => OrderDelivery = () => 'prompt'): {readonly group: FakeRankGroup; readonly rebalancer: MapRebalancer; readonly round: () => Promise<void>; readonly lines: Line[]} {
 		const group = new FakeRankGroup({
 			ranks: rankCount, lists: initialMap, copyMs: 5, stepMs: 5, nextDelivery, orderDelayMs: () => 0, nowMs: () => performance.now(), active,
 		});
 		timers.push(setInterval(() => {
 			group.advance();
 		}, 1));
+		const lines: Line[] = [];
 		const rebalancer = new MapRebalancer({
 			nowMs: () => performance.now(),
 			versions: new MapVersionAllocator(() => Date.now()),
-			logger: silent,
+			logger: {
+				log(_level, event, fields = {}) {
+					lines.push({event, fields});
+				},
+			},
 			engine: {
 				placesPerRank: 6, newPlacesPerRank: 2, stepMs: 5.85, perSequenceMs: 0.5, expertShare: 0.85,
 			},
 		});
-		return {group, rebalancer, round: async () => rebalancer.round({group: 'g', epoch: group.epoch, engines: group.engines}, 1)};
+		return {
+			group, rebalancer, lines, round: async () => rebalancer.round({group: 'g', epoch: group.epoch, engines: group.engines}, 1),
+		};
 	}
 
 	/** Sets the total counts after a number of samples in which experts 0 and 4, both on the first rank, are in high demand. */
@@ -127,6 +131,19 @@
 		expect(orders).toEqual(ordersOfFirstSwitch);
 	});
 
+	it('logs the time of each phase of a switch, and why a round ended without one', async () => {
+		const {group, round, lines} = startRebalancer(8);
+		setSelections(group, 1);
+		await round();
+		await sleep(60);
+		await round();
+		expect(lines.map(({event}) => event)).toEqual(['mapSwitch', 'rebalancingSkipped']);
+		const [{fields}, skipped] = lines;
+		const phases = ['samplingMs', 'planningMs', 'fencingMs', 'preparingMs', 'copyingMs', 'holdingMs', 'armingMs', 'sinceChangeMs'];
+		expect(phases.filter(phase => typeof fields[phase] !== 'number')).toEqual([]);
+		expect(skipped.fields.reason).toEqual('tooFewSelections');
+	});
+
 	it('keeps the map while there are too few requests for a switch to be worth its cost', async () => {
 		const group = await runRounds(0);
 		expect(group.versions).toEqual([0, 0, 0, 0]);
--- a/packages/rank-agent/src/map-rebalancer.ts
+++ b/packages/rank-agent/src/map-rebalancer.ts
@@ -5,12 +5,15 @@
 */
 
 import type {EngineProfile} from '@rattanspring/desired-state';
-import {ExponentialAverageForecast, planEvenShares, type RankLists} from '@rattanspring/expert-map';
-import type {Logger} from '@rattanspring/logger';
+import {
+	type EvenSharePlan, ExponentialAverageForecast, planEvenShares, type RankLists,
+} from '@rattanspring/expert-map';
+import type {LogFields, Logger} from '@rattanspring/logger';
 import type {EngineClient} from './engine-client.js';
 import type {GroupRanks} from './group-engine-clients.js';
-import {MapSwitch} from './map-switch.js';
+import {MapSwitch, type SwitchOutcome} from './map-switch.js';
 import type {MapVersionAllocator} from './map-version-allocator.js';
+import {SkippedRounds, type SkipReason} from './skipped-rounds.js';
 
 /** Options of a rebalancer. */
 export type MapRebalancerOptions = {
@@ -53,23 +56,44 @@
 	#active = 0;
 	#backoffUntilMs = Number.NEGATIVE_INFINITY;
 	#paces: readonly number[] = [];
+	#changeNoticedAtMs: number | undefined;
+	readonly #skippedRounds: SkippedRounds;
 
 	constructor(options: MapRebalancerOptions) {
 		this.#options = {...defaults, ...options};
+		this.#skippedRounds = new SkippedRounds(options.logger);
 	}
 
 	/** Runs one round: samples the counts, plans a map, and switches to it if the gain is large enough. */
 	async round(ranks: GroupRanks, holdingRank: number): Promise<void> {
+		this.#skippedRounds.observe(await this.#tryRound(ranks, holdingRank));
+	}
+
+	/** Runs a round; returns the reason if it ended without an attempt to switch. */
+	async #tryRound(ranks: GroupRanks, holdingRank: number): Promise<SkipReason | undefined> {
+		const startedAtMs = this.#options.nowMs();
 		const holding = await ranks.engines[holdingRank].state();
-		if (!holding || holding.armed !== undefined || holding.heldStep !== undefined) {
-			return;
+		if (!holding) {
+			return 'holdingRankSilent';
+		}
+
+		if (holding.armed !== undefined || holding.heldStep !== undefined) {
+			return 'switchUnfinished';
 		}
 
 		this.#active += (holding.active - this.#active) * newestActiveWeight;
 		const lists = await this.#currentLists(ranks, holding.mapVersion);
-		if (lists && await this.#count(ranks, lists.length) && this.#options.nowMs() >= this.#backoffUntilMs) {
-			await this.#plan(ranks, holdingRank, lists);
+		if (!lists) {
+			return 'mapUnknown';
+		}
+
+		const missing = await this.#count(ranks, lists.length);
+		if (missing) {
+			return missing;
 		}
+
+		const samplingMs = Math.round(this.#options.nowMs() - startedAtMs);
+		return this.#options.nowMs() < this.#backoffUntilMs ? 'backingOff' : this.#plan(ranks, holdingRank, lists, samplingMs);
 	}
 
 	/** The expert lists of the map in use; fetched once per version. */
@@ -83,12 +107,12 @@
 		return this.#known?.lists;
 	}
 
-	/** Adds the selections since the last sample to the forecast; false if there are too few to plan from. */
-	async #count(ranks: GroupRanks, sets: number): Promise<boolean> {
+	/** Adds the selections since the last sample to the forecast; returns the reason if that is not possible. */
+	async #count(ranks: GroupRanks, sets: number): Promise<SkipReason | undefined> {
 		const answers = await Promise.all(ranks.engines.map(async engine => engine.counts()));
 		const known = answers.flatMap(answer => answer?.epoch === ranks.epoch ? [answer] : []);
 		if (known.length < ranks.engines.length) {
-			return false;
+			return 'countsMissing';
 		}
 
 		const counts = known.map(answer => answer.counts);
@@ -103,12 +127,20 @@
 
 		const selections = selectionsSince(this.#previousCounts, counts);
 		if (selections.reduce((sum, count) => sum + count, 0) < minSelections) {
-			return false;
+			return 'tooFewSelections';
 		}
 
 		this.#previousCounts = counts;
-		this.#forecast.observe(sharesBySet(selections, sets));
-		return true;
+		this.#observe(sharesBySet(selections, sets));
+		return undefined;
+	}
+
+	/** Adds a sample to the forecast, and notes when it is replaced by the sample because demand has changed suddenly. */
+	#observe(sample: readonly Float64Array[]): void {
+		this.#forecast.observe([...sample]);
+		if (this.#forecast.next().some((loads, set) => loads === sample[set])) {
+			this.#changeNoticedAtMs ??= this.#options.nowMs();
+		}
 	}
 
 	/** Predicted time of a step with the current number of requests per rank. */
@@ -122,24 +154,28 @@
 		return 1 - (this.#stepMs(skewAfter) / this.#stepMs(skewBefore));
 	}
 
-	async #plan(ranks: GroupRanks, holdingRank: number, current: RankLists): Promise<void> {
-		const {nowMs, logger, engine, minGainPerCopy} = this.#options;
+	/** Plans a map and switches to it; returns the reason if the gain does not justify a switch. */
+	async #plan(ranks: GroupRanks, holdingRank: number, current: RankLists, samplingMs: number): Promise<SkipReason | undefined> {
+		const {nowMs, engine, minGainPerCopy} = this.#options;
+		const startedAtMs = nowMs();
 		const loads = this.#forecast.next().map(shares => [...shares]);
 		const plan = await runInSlices(planEvenShares({
 			current, loads, placesPerRank: engine.placesPerRank, newPerRank: engine.newPlacesPerRank, minGainPerCopy, rankPaces: this.#paces,
 		}));
 		if (this.#stepGain(plan.skewBefore, plan.skewAfter) < this.#options.minStepGain) {
-			return;
+			return 'gainTooSmall';
 		}
 
+		await this.#switch(ranks, holdingRank, plan, {samplingMs, planningMs: Math.round(nowMs() - startedAtMs)});
+		return undefined;
+	}
+
+	async #switch(ranks: GroupRanks, holdingRank: number, plan: EvenSharePlan, earlierPhases: LogFields): Promise<void> {
+		const {nowMs, logger} = this.#options;
 		const version = this.#options.versions.next();
 		const startedAtMs = nowMs();
 		const mapSwitch = new MapSwitch({ranks, holdingRank, nowMs});
 		const outcome = await mapSwitch.run(version, plan.lists);
-		if (outcome === 'left') {
-			this.#backoffUntilMs = nowMs() + backoffAfterLeftMs;
-		}
-
 		logger.log('info', 'mapSwitch', {
 			group: ranks.group,
 			epoch: ranks.epoch,
@@ -150,7 +186,21 @@
 			skewBefore: round(plan.skewBefore),
 			skewAfter: round(plan.skewAfter),
 			tookMs: Math.round(nowMs() - startedAtMs),
+			...earlierPhases,
+			...mapSwitch.phaseTimes,
+			sinceChangeMs: this.#changeNoticedAtMs === undefined ? undefined : Math.round(nowMs() - this.#changeNoticedAtMs),
 		});
+		this.#noteOutcome(outcome);
+	}
+
+	#noteOutcome(outcome: SwitchOutcome): void {
+		if (outcome === 'left') {
+			this.#backoffUntilMs = this.#options.nowMs() + backoffAfterLeftMs;
+		}
+
+		if (outcome === 'switched') {
+			this.#changeNoticedAtMs = undefined;
+		}
 	}
 }
 
--- a/packages/rank-agent/src/map-switch.ts
+++ b/packages/rank-agent/src/map-switch.ts
@@ -30,6 +30,12 @@
 
 type EngineOrderBody = EngineOrder extends infer Order ? Order extends EngineOrder ? Omit<Order, 'fencing' | 'epoch'> : never : never;
 
+/** Phases of a switch: taking a fencing number, sending the map to all ranks, waiting until they have copied the weights, holding the group, and arming and releasing it. */
+export type SwitchPhase = 'fencing' | 'preparing' | 'copying' | 'holding' | 'arming';
+
+/** Time spent in each phase that was reached, for the log. */
+export type SwitchPhaseTimes = Readonly<Partial<Record<`${SwitchPhase}Ms`, number>>>;
+
 /** A map, as the experts of each rank, by set and rank. */
 export type ExpertLists = ReadonlyArray<ReadonlyArray<readonly number[]>>;
 
@@ -55,6 +61,7 @@
 	readonly #nowMs: () => number;
 	#fencing = 0;
 	#firstRefusal: string | undefined;
+	#phaseTimes: SwitchPhaseTimes = {};
 
 	constructor({ranks, holdingRank, nowMs}: MapSwitchOptions) {
 		this.#ranks = ranks;
@@ -67,9 +74,14 @@
 		return this.#firstRefusal;
 	}
 
+	/** Time spent in each phase of `run`, for the log. */
+	get phaseTimes(): SwitchPhaseTimes {
+		return this.#phaseTimes;
+	}
+
 	/** Prepares a map and switches to it. The version must be new to all ranks. */
 	async run(version: number, map: ExpertLists): Promise<SwitchOutcome> {
-		if (!await this.#fenceRanks()) {
+		if (!await this.#timed('fencing', async () => this.#fenceRanks())) {
 			return 'groupChanged';
 		}
 
@@ -84,17 +96,13 @@
 
 		const step = Math.max(...states.map(state => state.step)) + armMarginSteps + (version % armSpreadSteps);
 		const untilMs = this.#nowMs() + armLimitMs;
-		if (!await this.#hold(step, untilMs)) {
+		if (!await this.#timed('holding', async () => this.#hold(step, untilMs))) {
 			// No rank is armed yet, so it is safe to release the group whether or not it is held.
 			await this.#orderUntilApplied(this.#holdingEngine, {kind: 'go', step}, untilMs);
 			return 'notHeld';
 		}
 
-		if (!await this.#orderAll({kind: 'arm', version, step}, untilMs) || this.#nowMs() > untilMs) {
-			return 'left';
-		}
-
-		return await this.#orderUntilApplied(this.#holdingEngine, {kind: 'go', step}, untilMs) ? 'switched' : 'left';
+		return await this.#timed('arming', async () => this.#armAndRelease(version, step, untilMs)) ? 'switched' : 'left';
 	}
 
 	/** Releases a group that was left held, once the switch is complete on all ranks or undone on all. Only the agent of the holding rank calls this. */
@@ -112,6 +120,14 @@
 		return 'unsettled';
 	}
 
+	async #armAndRelease(version: number, step: number, untilMs: number): Promise<boolean> {
+		if (!await this.#orderAll({kind: 'arm', version, step}, untilMs) || this.#nowMs() > untilMs) {
+			return false;
+		}
+
+		return this.#orderUntilApplied(this.#holdingEngine, {kind: 'go', step}, untilMs);
+	}
+
 	/** Holds the group, through an agent outside of it if there is one. Repeats the order if no answer arrived and the group is not held. */
 	async #hold(step: number, untilMs: number): Promise<boolean> {
 		const {holdEngine, epoch} = this.#ranks;
@@ -187,10 +203,14 @@
 
 	async #prepare(version: number, map: ExpertLists): Promise<boolean> {
 		const untilMs = this.#nowMs() + prepareLimitMs;
-		if (!await this.#orderAll({kind: 'prepare', version, map}, untilMs)) {
+		if (!await this.#timed('preparing', async () => this.#orderAll({kind: 'prepare', version, map}, untilMs))) {
 			return false;
 		}
 
+		return this.#timed('copying', async () => this.#waitUntilPrepared(version, untilMs));
+	}
+
+	async #waitUntilPrepared(version: number, untilMs: number): Promise<boolean> {
 		for (;;) {
 			const states = await this.#fetchStates();
 			if (!states || this.#nowMs() > untilMs) {
@@ -244,6 +264,16 @@
 		return isWhole ? states as EngineState[] : undefined;
 	}
 
+	/** Runs a phase and records the time that it took. */
+	async #timed<Result>(phase: SwitchPhase, run: () => Promise<Result>): Promise<Result> {
+		const startedAtMs = this.#nowMs();
+		try {
+			return await run();
+		} finally {
+			this.#phaseTimes = {...this.#phaseTimes, [`${phase}Ms`]: Math.round(this.#nowMs() - startedAtMs)};
+		}
+	}
+
 	async #isOtherFormation(): Promise<boolean> {
 		const state = await this.#holdingEngine.state();
 		return state !== undefined && state.rankPlace?.epoch !== this.#ranks.epoch;
--- a/packages/rank-agent/src/rank-agent.ts
+++ b/packages/rank-agent/src/rank-agent.ts
@@ -94,8 +94,8 @@
 			...options,
 			localEngine: this.#fencedEngine,
 			calls: this.#calls,
-			onAgentTimeout(targetAddress) {
-				options.logger.log('warn', 'agentSilent', {targetAddress});
+			onAgentTimeout(unanswered) {
+				options.logger.log('warn', 'agentSilent', unanswered);
 			},
 		});
 		this.#versions = new MapVersionAllocator(() => options.clock.wallMs());
--- a/packages/rank-agent/src/remote-engine-client.ts
+++ b/packages/rank-agent/src/remote-engine-client.ts
@@ -13,6 +13,9 @@
 
 type AgentRequest = {readonly kind: 'state' | 'counts' | 'experts'} | {readonly kind: 'order'; readonly order: EngineOrder};
 
+/** A request that an agent did not answer in time: its kind or the kind of its order, and the time limit. */
+export type UnansweredRequest = {readonly targetAddress: string; readonly request: string; readonly limitMs: number};
+
 /** Options of a remote engine client. */
 export type RemoteEngineClientOptions = {
 	readonly calls: Pick<LinkCalls, 'call'>;
@@ -21,7 +24,7 @@
 	/** Returns a client that bypasses the agent. The state it reads is some hundred milliseconds old, and orders and count requests are costly for the engine. */
 	readonly directClient?: (targetAddress: string) => EngineClient;
 	/** Called when the agent did not answer in time. */
-	readonly onAgentTimeout?: (targetAddress: string) => void;
+	readonly onAgentTimeout?: (unanswered: UnansweredRequest) => void;
 };
 
 /**
@@ -68,7 +71,7 @@
 			}
 
 			this.#isAgentUnresponsive = directClient !== undefined;
-			onAgentTimeout?.(targetAddress);
+			onAgentTimeout?.({targetAddress, request: request.kind === 'order' ? request.order.kind : request.kind, limitMs: timeoutMs});
 		}
 
 		return directClient && fallback?.(directClient(targetAddress));
