--- a/packages/rank-agent/src/group-engine-clients.ts
+++ b/packages/rank-agent/src/group-engine-clients.ts
@@ -22,7 +22,7 @@
 	readonly nodeId: string;
 	/** The engine on this VM. */
 	readonly localEngine: EngineClient;
-	readonly calls: LinkCalls;
+	readonly calls: Pick<LinkCalls, 'call'>;
 	/** Creates a client that reaches the engine on another VM directly, bypassing its agent. */
 	readonly createEngineClient: (targetAddress: string) => EngineClient;
 	/** Called when the agent of a target did not answer in time. */
--- a/packages/rank-agent/src/index.ts
+++ b/packages/rank-agent/src/index.ts
@@ -7,4 +7,5 @@
 export * from './map-switch.js';
 export * from './map-version-allocator.js';
 export * from './rank-agent.js';
+export * from './rank-request-handler.js';
 export * from './suspend-aware-clock.js';
--- a/packages/rank-agent/src/map-rebalancer.ts
+++ b/packages/rank-agent/src/map-rebalancer.ts
@@ -11,13 +11,15 @@
 import type {LogFields, Logger} from '@rattanspring/logger';
 import type {EngineClient} from './engine-client.js';
 import type {GroupRanks} from './group-engine-clients.js';
-import {MapSwitch, type SwitchOutcome} from './map-switch.js';
+import {MapSwitch, type MapSwitchOptions, type SwitchOutcome} from './map-switch.js';
 import type {MapVersionAllocator} from './map-version-allocator.js';
 import {SkippedRounds, type SkipReason} from './skipped-rounds.js';
 
 /** Options of a rebalancer. */
 export type MapRebalancerOptions = {
 	readonly nowMs: () => number;
+	/** Waits between polls of a switch; by default on a timer. */
+	readonly sleep?: MapSwitchOptions['sleep'];
 	readonly versions: MapVersionAllocator;
 	readonly logger: Logger;
 	/** Published performance figures of the engines. */
@@ -48,7 +50,7 @@
 
 /** Rebalances the map of one group, one round per call. */
 export class MapRebalancer {
-	readonly #options: Required<MapRebalancerOptions>;
+	readonly #options: MapRebalancerOptions & typeof defaults;
 	#formation = '';
 	#previousCounts: ReadonlyArray<readonly number[]> | undefined;
 	#known: {readonly key: string; readonly lists: RankLists} | undefined;
@@ -171,10 +173,12 @@
 	}
 
 	async #switch(ranks: GroupRanks, holdingRank: number, plan: EvenSharePlan, earlierPhases: LogFields): Promise<void> {
-		const {nowMs, logger} = this.#options;
+		const {nowMs, sleep, logger} = this.#options;
 		const version = this.#options.versions.next();
 		const startedAtMs = nowMs();
-		const mapSwitch = new MapSwitch({ranks, holdingRank, nowMs});
+		const mapSwitch = new MapSwitch({
+			ranks, holdingRank, nowMs, sleep,
+		});
 		const outcome = await mapSwitch.run(version, plan.lists);
 		logger.log('info', 'mapSwitch', {
 			group: ranks.group,
--- a/packages/rank-agent/src/map-switch.ts
+++ b/packages/rank-agent/src/map-switch.ts
@@ -4,7 +4,7 @@
 and step, or none is.
 */
 
-import {setTimeout as sleep} from 'node:timers/promises';
+import {setTimeout as sleepOnTimer} from 'node:timers/promises';
 import type {
 	EngineClient, EngineOrder, EngineState, OrderOutcome,
 } from './engine-client.js';
@@ -45,6 +45,8 @@
 	/** The rank at which the group is held. It is not the coordinator's own, so that another agent can take over if the coordinator fails. */
 	readonly holdingRank: number;
 	readonly nowMs: () => number;
+	/** Waits between polls; by default on a timer. */
+	readonly sleep?: (durationMs: number) => Promise<void>;
 };
 
 /**
@@ -59,14 +61,16 @@
 	readonly #ranks: GroupRanks;
 	readonly #holdingEngine: EngineClient;
 	readonly #nowMs: () => number;
+	readonly #sleep: (durationMs: number) => Promise<void>;
 	#fencing = 0;
 	#firstRefusal: string | undefined;
 	#phaseTimes: SwitchPhaseTimes = {};
 
-	constructor({ranks, holdingRank, nowMs}: MapSwitchOptions) {
+	constructor({ranks, holdingRank, nowMs, sleep = sleepOnTimer}: MapSwitchOptions) {
 		this.#ranks = ranks;
 		this.#holdingEngine = ranks.engines[holdingRank];
 		this.#nowMs = nowMs;
+		this.#sleep = sleep;
 	}
 
 	/** The first order that was refused or not answered, for the log. */
@@ -114,7 +118,7 @@
 				return outcome;
 			}
 
-			await sleep(recoverPollMs);
+			await this.#sleep(recoverPollMs);
 		}
 
 		return 'unsettled';
@@ -221,7 +225,7 @@
 				return true;
 			}
 
-			await sleep(preparePollMs);
+			await this.#sleep(preparePollMs);
 		}
 	}
 
--- a/packages/rank-agent/src/rank-agent.ts
+++ b/packages/rank-agent/src/rank-agent.ts
@@ -20,6 +20,7 @@
 import {MapRebalancer} from './map-rebalancer.js';
 import {MapSwitch} from './map-switch.js';
 import {MapVersionAllocator} from './map-version-allocator.js';
+import {RankRequestHandler} from './rank-request-handler.js';
 import {SuspendAwareClock} from './suspend-aware-clock.js';
 
 /** Interval of load measurements, normally and while the target is nearly full: entries then need to learn of every slot that becomes free. */
@@ -178,23 +179,18 @@
 	}
 
 	#rankRequestHandler(): handleUnaryCall<RankRequest, RankReply> {
+		const handler = new RankRequestHandler({
+			targetAddress: this.#options.targetAddress,
+			engine: this.#fencedEngine,
+			directClient: address => this.#engineClients.directClient(address),
+		});
 		return (call, done) => {
-			void this.#handleRankRequest(call.request as RankRequest<EngineOrder>).then(answer => {
-				done(null, answer === undefined ? {} : {answer});
+			void handler.handle(call.request as RankRequest<EngineOrder>).then(reply => {
+				done(null, reply);
 			});
 		};
 	}
 
-	async #handleRankRequest(request: RankRequest<EngineOrder>): Promise<unknown> {
-		const engine = this.#fencedEngine;
-		if (request.targetAddress !== this.#options.targetAddress) {
-			const isHold = request.kind === 'order' && request.order.kind === 'hold';
-			return isHold ? this.#engineClients.directClient(request.targetAddress).order(request.order) : undefined;
-		}
-
-		return request.kind === 'order' ? engine.order(request.order) : engine[request.kind]();
-	}
-
 	/** Runs one rebalancing round if this agent is the coordinator. */
 	async #rebalanceMap(): Promise<void> {
 		const engine = this.#options.engine();
