--- a/packages/fleet-link/src/link-service.ts
+++ b/packages/fleet-link/src/link-service.ts
@@ -1,4 +1,7 @@
-/** The gRPC service between daemons. Messages are encoded as JSON. */
+/**
+The gRPC service between daemons. Messages are encoded as JSON; those of `rank` may have an attachment of bytes, for content that is much
+shorter in an encoding of its own.
+*/
 
 import {Buffer} from 'node:buffer';
 import type {MethodDefinition} from '@grpc/grpc-js';
@@ -22,14 +25,19 @@
 /** Whether the requester is a member, and the leader's address as far as the answering member knows it. */
 export type JoinReply = {readonly isMember: boolean; readonly leaderAddress?: string};
 
+/** Bytes that are sent along with a message, without any encoding. */
+export type Attachment = {readonly attachment?: Uint8Array};
+
 /** An order for the engine on the agent's VM, or a query of its state. */
-export type RankRequest<Order = unknown> = {readonly targetAddress: string} & (
-	| {readonly kind: 'state' | 'counts' | 'experts'}
+export type RankRequest<Order = unknown> = Attachment & {readonly targetAddress: string} & (
+	| {readonly kind: 'state' | 'experts'}
+	/** `base` asks for an attachment instead of a list: the differences to the sample with this number, if the agent still has it. No sample has the number 0. */
+	| {readonly kind: 'counts'; readonly base?: number}
 	| {readonly kind: 'order'; readonly order: Order}
 );
 
 /** The engine's answer; `answer` is absent if the engine did not answer. */
-export type RankReply<Answer = unknown> = {readonly answer?: Answer};
+export type RankReply<Answer = unknown> = Attachment & {readonly answer?: Answer};
 
 /** The methods of the service. */
 export const linkService = {
@@ -37,7 +45,7 @@
 	document: method<DocumentRequest, DocumentReply>('Document', false),
 	submit: method<SubmitRequest, SubmitReply>('Submit', false),
 	join: method<JoinRequest, JoinReply>('Join', false),
-	rank: method<RankRequest, RankReply>('Rank', false),
+	rank: rankMethod(),
 };
 
 function method<Request, Reply>(name: string, isStream: boolean): MethodDefinition<Request, Reply> {
@@ -52,6 +60,16 @@
 	};
 }
 
+function rankMethod(): MethodDefinition<RankRequest, RankReply> {
+	return {
+		...method<RankRequest, RankReply>('Rank', false),
+		requestSerialize: serializeWithAttachment,
+		requestDeserialize: parseRankRequest,
+		responseSerialize: serializeWithAttachment,
+		responseDeserialize: parseWithAttachment,
+	};
+}
+
 function serializeJson(message: unknown): Buffer {
 	return Buffer.from(JSON.stringify(message));
 }
@@ -59,3 +77,53 @@
 function parseJson(bytes: Buffer): unknown {
 	return JSON.parse(bytes.toString());
 }
+
+/** First byte of a message with an attachment, which no JSON text begins with. The length of the JSON text follows in four bytes, then the text, then the attachment. */
+const attachmentMarker = 1;
+const attachmentHeadBytes = 5;
+
+function serializeWithAttachment({attachment, ...message}: Attachment): Buffer {
+	const text = serializeJson(message);
+	if (!attachment) {
+		return text;
+	}
+
+	const head = Buffer.alloc(attachmentHeadBytes);
+	head.writeUInt8(attachmentMarker, 0);
+	head.writeUInt32BE(text.length, 1);
+	return Buffer.concat([head, text, attachment]);
+}
+
+/** Throws if the bytes are not a message; the library then fails the call. */
+function parseWithAttachment(bytes: Buffer): Attachment {
+	if (bytes[0] !== attachmentMarker) {
+		return parseObject(bytes);
+	}
+
+	const textEnd = attachmentHeadBytes + bytes.readUInt32BE(1);
+	if (textEnd > bytes.length) {
+		throw new RangeError('The message is shorter than its head says.');
+	}
+
+	return {...parseObject(bytes.subarray(attachmentHeadBytes, textEnd)), attachment: bytes.subarray(textEnd)};
+}
+
+function parseObject(bytes: Buffer): object {
+	const message = parseJson(bytes);
+	if (typeof message !== 'object' || message === null) {
+		throw new TypeError('The message is not an object.');
+	}
+
+	return message;
+}
+
+const rankRequestKinds: ReadonlySet<unknown> = new Set<RankRequest['kind']>(['state', 'counts', 'experts', 'order']);
+
+function parseRankRequest(bytes: Buffer): RankRequest {
+	const request = parseWithAttachment(bytes) as Partial<RankRequest>;
+	if (typeof request.targetAddress !== 'string' || !rankRequestKinds.has(request.kind)) {
+		throw new TypeError('The request names no target, or is of an unknown kind.');
+	}
+
+	return request as RankRequest;
+}
--- a/packages/rank-agent/src/group-engine-clients.ts
+++ b/packages/rank-agent/src/group-engine-clients.ts
@@ -2,6 +2,7 @@
 
 import type {LinkCalls, NodeCard} from '@rattanspring/fleet-link';
 import type {RankPlace} from '@rattanspring/target-table';
+import {ReceivedSamples} from './count-samples.js';
 import type {EngineClient} from './engine-client.js';
 import {RemoteEngineClient, type UnansweredRequest} from './remote-engine-client.js';
 
@@ -33,6 +34,7 @@
 export class GroupEngineClients {
 	readonly #options: GroupEngineClientsOptions;
 	readonly #directClients = new Map<string, EngineClient>();
+	readonly #samples = new ReceivedSamples();
 	#outsideAgentTurn = 0;
 
 	constructor(options: GroupEngineClientsOptions) {
@@ -42,6 +44,7 @@
 	/** The ranks of the group that this place belongs to; undefined unless the agents of all ranks are known and report the same open formation. */
 	ranks(place: RankPlace, cards: readonly NodeCard[]): GroupRanks | undefined {
 		const {nodeId, localEngine} = this.#options;
+		this.#samples.retain(new Set(cards.flatMap(({targetAddress}) => targetAddress ? [targetAddress] : [])));
 		const ranks = findGroupRanks(place, cards, card => card.nodeId === nodeId ? localEngine : this.#createRemoteClient(card));
 		return ranks && {...ranks, holdEngine: this.#createHoldEngine(place.group, cards)};
 	}
@@ -66,6 +69,7 @@
 			calls: this.#options.calls,
 			linkAddress: linkAddress!,
 			targetAddress: targetAddress!,
+			samples: this.#samples,
 			directClient: address => this.directClient(address),
 			onAgentTimeout: this.#options.onAgentTimeout,
 		});
--- a/packages/rank-agent/src/rank-request-handler.ts
+++ b/packages/rank-agent/src/rank-request-handler.ts
@@ -1,6 +1,7 @@
 /** Answers requests of other agents for the engine on this agent's VM. */
 
 import type {RankReply, RankRequest} from '@rattanspring/fleet-link';
+import {SentSamples} from './count-samples.js';
 import type {EngineClient, EngineOrder} from './engine-client.js';
 
 /** Options of a handler. */
@@ -16,23 +17,32 @@
 /** Applies orders to the engine on this VM and answers queries of its state. Hold orders may be for an engine on another VM. */
 export class RankRequestHandler {
 	readonly #options: RankRequestHandlerOptions;
+	readonly #samples = new SentSamples();
 
 	constructor(options: RankRequestHandlerOptions) {
 		this.#options = options;
 	}
 
 	async handle(request: RankRequest<EngineOrder>): Promise<RankReply> {
-		const answer = await this.#answer(request);
-		return answer === undefined ? {} : {answer};
-	}
-
-	async #answer(request: RankRequest<EngineOrder>): Promise<unknown> {
 		const {engine, targetAddress, directClient} = this.#options;
 		if (request.targetAddress !== targetAddress) {
 			const isHold = request.kind === 'order' && request.order.kind === 'hold';
-			return isHold ? directClient(request.targetAddress).order(request.order) : undefined;
+			return toReply(isHold ? await directClient(request.targetAddress).order(request.order) : undefined);
+		}
+
+		if (request.kind === 'order') {
+			return toReply(await engine.order(request.order));
 		}
 
-		return request.kind === 'order' ? engine.order(request.order) : engine[request.kind]();
+		return request.kind === 'counts' && request.base !== undefined ? this.#sample(request.base) : toReply(await engine[request.kind]());
 	}
+
+	async #sample(base: number): Promise<RankReply> {
+		const counts = await this.#options.engine.counts();
+		return counts ? this.#samples.reply(counts, base) : {};
+	}
+}
+
+function toReply(answer: unknown): RankReply {
+	return answer === undefined ? {} : {answer};
 }
--- a/packages/rank-agent/src/remote-engine-client.ts
+++ b/packages/rank-agent/src/remote-engine-client.ts
@@ -1,6 +1,9 @@
 /** Client for an engine on another VM, through the agent on that VM. */
 
-import {type LinkCalls, linkService} from '@rattanspring/fleet-link';
+import {
+	type LinkCalls, linkService, type RankReply, type RankRequest,
+} from '@rattanspring/fleet-link';
+import {ReceivedSamples} from './count-samples.js';
 import {
 	EngineClient, type EngineOrder, type EngineState, type ExpertCounts, type HeldExperts, type OrderOutcome,
 } from './engine-client.js';
@@ -11,7 +14,10 @@
 /** Replies with counts and expert lists are large. */
 const readTimeoutMs = 700;
 
-type AgentRequest = {readonly kind: 'state' | 'counts' | 'experts'} | {readonly kind: 'order'; readonly order: EngineOrder};
+type WithoutTarget<Request> = Request extends RankRequest ? Omit<Request, 'targetAddress'> : never;
+
+/** A request for the engine of this client. */
+type AgentRequest = WithoutTarget<RankRequest<EngineOrder>>;
 
 /** A request that an agent did not answer in time: its kind or the kind of its order, and the time limit. */
 export type UnansweredRequest = {readonly targetAddress: string; readonly request: string; readonly limitMs: number};
@@ -21,6 +27,8 @@
 	readonly calls: Pick<LinkCalls, 'call'>;
 	readonly linkAddress: string;
 	readonly targetAddress: string;
+	/** Samples of counts that arrived earlier. Clients of the same engine share them, so that an answer has to contain the differences only. */
+	readonly samples?: ReceivedSamples;
 	/** Returns a client that bypasses the agent. The state it reads is some hundred milliseconds old, and orders and count requests are costly for the engine. */
 	readonly directClient?: (targetAddress: string) => EngineClient;
 	/** Called when the agent did not answer in time. */
@@ -33,11 +41,13 @@
 */
 export class RemoteEngineClient extends EngineClient {
 	readonly #options: RemoteEngineClientOptions;
+	readonly #samples: ReceivedSamples;
 	#isAgentUnresponsive = false;
 
 	constructor(options: RemoteEngineClientOptions) {
 		super();
 		this.#options = options;
+		this.#samples = options.samples ?? new ReceivedSamples();
 	}
 
 	async state(): Promise<EngineState | undefined> {
@@ -45,7 +55,9 @@
 	}
 
 	async counts(): Promise<ExpertCounts | undefined> {
-		return this.#request({kind: 'counts'}, readTimeoutMs);
+		const {targetAddress} = this.#options;
+		const reply = await this.#call({kind: 'counts', base: this.#samples.base(targetAddress)}, readTimeoutMs);
+		return reply?.answer === undefined ? undefined : this.#samples.receive(targetAddress, reply);
 	}
 
 	async experts(): Promise<HeldExperts | undefined> {
@@ -62,18 +74,29 @@
 	}
 
 	/** Sends a request to the agent, or directly to the engine once the agent has failed to answer. */
-	async #request<Answer>(request: AgentRequest, timeoutMs: number, fallback?: (engine: EngineClient) => Promise<Answer | undefined>): Promise<Answer | undefined> {
-		const {calls, linkAddress, targetAddress, directClient, onAgentTimeout} = this.#options;
-		if (!this.#isAgentUnresponsive) {
-			const reply = await calls.call(linkAddress, linkService.rank, {targetAddress, ...request}, timeoutMs);
-			if (reply) {
-				return reply.answer as Answer | undefined;
-			}
+	async #request<Answer>(request: AgentRequest, timeoutMs: number, fallback: (engine: EngineClient) => Promise<Answer | undefined>): Promise<Answer | undefined> {
+		const reply = await this.#call(request, timeoutMs);
+		if (reply) {
+			return reply.answer as Answer | undefined;
+		}
 
+		const {directClient, targetAddress} = this.#options;
+		return directClient && fallback(directClient(targetAddress));
+	}
+
+	/** Sends a request to the agent, unless it has failed to answer an earlier one. */
+	async #call(request: AgentRequest, timeoutMs: number): Promise<RankReply | undefined> {
+		if (this.#isAgentUnresponsive) {
+			return undefined;
+		}
+
+		const {calls, linkAddress, targetAddress, directClient, onAgentTimeout} = this.#options;
+		const reply = await calls.call(linkAddress, linkService.rank, {targetAddress, ...request}, timeoutMs);
+		if (!reply) {
 			this.#isAgentUnresponsive = directClient !== undefined;
 			onAgentTimeout?.({targetAddress, request: request.kind === 'order' ? request.order.kind : request.kind, limitMs: timeoutMs});
 		}
 
-		return directClient && fallback?.(directClient(targetAddress));
+		return reply;
 	}
 }
