--- a/packages/rank-agent/src/rank-request-handler.ts
+++ b/packages/rank-agent/src/rank-request-handler.ts
@@ -3,6 +3,7 @@
 import type {RankReply, RankRequest} from '@rattanspring/fleet-link';
 import {SentSamples} from './count-samples.js';
 import type {EngineClient, EngineOrder} from './engine-client.js';
+import {decodeMap} from './map-encoding.js';
 
 /** Options of a handler. */
 export type RankRequestHandlerOptions = {
@@ -31,7 +32,8 @@
 		}
 
 		if (request.kind === 'order') {
-			return toReply(await engine.order(request.order));
+			const order = withAttachedMap(request.order, request.attachment);
+			return toReply(order ? await engine.order(order) : 'refused');
 		}
 
 		return request.kind === 'counts' && request.base !== undefined ? this.#sample(request.base) : toReply(await engine[request.kind]());
@@ -43,6 +45,16 @@
 	}
 }
 
+/** The order with the map that is attached to it, if there is one; undefined if the attachment is damaged. */
+function withAttachedMap(order: EngineOrder, attachment: Uint8Array | undefined): EngineOrder | undefined {
+	if (!attachment) {
+		return order;
+	}
+
+	const map = decodeMap(attachment);
+	return map && order.kind === 'prepare' ? {...order, map} : undefined;
+}
+
 function toReply(answer: unknown): RankReply {
 	return answer === undefined ? {} : {answer};
 }
--- a/packages/rank-agent/src/remote-engine-client.ts
+++ b/packages/rank-agent/src/remote-engine-client.ts
@@ -7,6 +7,7 @@
 import {
 	EngineClient, type EngineOrder, type EngineState, type ExpertCounts, type HeldExperts, type OrderOutcome,
 } from './engine-client.js';
+import {encodeMap} from './map-encoding.js';
 
 /** A running agent answers orders and state requests immediately. */
 const orderTimeoutMs = 200;
@@ -66,7 +67,7 @@
 
 	async order(order: EngineOrder): Promise<OrderOutcome> {
 		const fallback = async (engine: EngineClient): Promise<OrderOutcome> => order.kind === 'fence' ? 'done' : engine.order(order);
-		return await this.#request({kind: 'order', order}, orderTimeoutMs, fallback) ?? 'unknown';
+		return await this.#request(toOrderRequest(order), orderTimeoutMs, fallback) ?? 'unknown';
 	}
 
 	close(): void {
@@ -100,3 +101,9 @@
 		return reply;
 	}
 }
+
+/** The request for an order; a map is attached in its compact encoding. */
+function toOrderRequest(order: EngineOrder): AgentRequest {
+	const attachment = order.kind === 'prepare' ? encodeMap(order.map) : undefined;
+	return order.kind === 'prepare' && attachment ? {kind: 'order', order: {...order, map: []}, attachment} : {kind: 'order', order};
+}
