--- a/packages/rank-agent/src/count-samples.test.ts
+++ b/packages/rank-agent/src/count-samples.test.ts
@@ -45,7 +45,7 @@
 			for (const {added, isLost, isRestarted} of steps) {
 				counts = counts.map((count, index) => count + added[index]);
 				sent = isRestarted === 0 ? new SentSamples() : sent;
-				const reply = sent.reply(countsOf(counts), received.base(target));
+				const reply = sent.reply(countsOf(counts), received.last(target).base);
 				if (!isLost) {
 					expect(received.receive(target, reply)).toEqual(countsOf(counts));
 				}
@@ -56,7 +56,7 @@
 	it('are sent as differences once a sample has arrived, also after one answer was lost', () => {
 		const received = new ReceivedSamples();
 		const sent = new SentSamples();
-		const sample = (counts: readonly number[]) => sent.reply(countsOf(counts), received.base(target));
+		const sample = (counts: readonly number[]) => sent.reply(countsOf(counts), received.last(target).base);
 		received.receive(target, sample([70_000, 80_000]));
 		sample([70_005, 80_005]);
 		const reply = sample([70_010, 80_020]);
@@ -68,10 +68,10 @@
 		const received = new ReceivedSamples();
 		const sent = new SentSamples();
 		received.receive(target, sent.reply(countsOf([10, 20]), noBase));
-		expect(received.base(target) === noBase).toEqual(false);
-		const {answer} = sent.reply(countsOf([11, 21]), received.base(target));
+		expect(received.last(target).base === noBase).toEqual(false);
+		const {answer} = sent.reply(countsOf([11, 21]), received.last(target).base);
 		expect(received.receive(target, {answer, attachment: Uint8Array.from([1])})).toEqual(undefined);
-		expect(received.base(target)).toEqual(noBase);
+		expect(received.last(target).base).toEqual(noBase);
 	});
 
 	it('are refused without an exception if the answer is of another form', () => {
@@ -83,7 +83,7 @@
 	it('of an agent that sends lists are taken as they are', () => {
 		const received = new ReceivedSamples();
 		expect(received.receive(target, {answer: countsOf([1, 2])})).toEqual(countsOf([1, 2]));
-		expect(received.base(target)).toEqual(noBase);
+		expect(received.last(target).base).toEqual(noBase);
 	});
 
 	it('are sent as a list if they cannot be encoded', () => {
--- a/packages/rank-agent/src/count-samples.ts
+++ b/packages/rank-agent/src/count-samples.ts
@@ -17,6 +17,10 @@
 /** No sample has this number: a request that names it asks for the counts themselves. */
 export const noBase = 0;
 
+/** Expected bytes of a difference, and of an answer of which nothing is known. */
+const bytesPerDifference = 2;
+const unknownAnswerBytes = 8192;
+
 /** What an answer says beside its attachment. */
 type SampleHead = Omit<ExpertCounts, 'counts'> & {
 	/** Number of this sample. */
@@ -53,9 +57,10 @@
 export class ReceivedSamples {
 	readonly #samples = new Map<string, {readonly sample: number; readonly counts: readonly number[]}>();
 
-	/** Number of the last sample, from which the next answer may start. */
-	base(targetAddress: string): number {
-		return this.#samples.get(targetAddress)?.sample ?? noBase;
+	/** Number of the last sample, from which the next answer may start, and the bytes to expect of that answer. */
+	last(targetAddress: string): {readonly base: number; readonly expectedBytes: number} {
+		const last = this.#samples.get(targetAddress);
+		return last ? {base: last.sample, expectedBytes: last.counts.length * bytesPerDifference} : {base: noBase, expectedBytes: unknownAnswerBytes};
 	}
 
 	/** Decodes an answer; undefined if it is damaged. The next request then asks for the counts themselves. */
--- a/packages/rank-agent/src/group-engine-clients.ts
+++ b/packages/rank-agent/src/group-engine-clients.ts
@@ -5,6 +5,7 @@
 import {ReceivedSamples} from './count-samples.js';
 import type {EngineClient} from './engine-client.js';
 import {RemoteEngineClient, type UnansweredRequest} from './remote-engine-client.js';
+import {TransferPacer} from './transfer-pacer.js';
 
 /** The rank at which the group is held during a map switch, if the group has several ranks. */
 export const holdingRank = 1;
@@ -35,6 +36,7 @@
 	readonly #options: GroupEngineClientsOptions;
 	readonly #directClients = new Map<string, EngineClient>();
 	readonly #samples = new ReceivedSamples();
+	readonly #pacer = new TransferPacer();
 	#outsideAgentTurn = 0;
 
 	constructor(options: GroupEngineClientsOptions) {
@@ -70,6 +72,7 @@
 			linkAddress: linkAddress!,
 			targetAddress: targetAddress!,
 			samples: this.#samples,
+			pacer: this.#pacer,
 			directClient: address => this.directClient(address),
 			onAgentTimeout: this.#options.onAgentTimeout,
 		});
