--- a/packages/fleet-link/src/document-transfer.test.ts
+++ b/packages/fleet-link/src/document-transfer.test.ts
@@ -6,8 +6,6 @@
 import {DocumentReceiver, DocumentSender, type ReceiveResult} from './document-transfer.js';
 import type {DocumentReply} from './link-service.js';
 
-type Part = NonNullable<DocumentReply['part']>;
-
 /** A document of several parts, also when compressed. */
 function largeDocument(version: number): StoredDocument {
 	return {version, text: incompressibleText(version, 200_000)};
@@ -33,7 +31,7 @@
 
 /** Requests one part. */
 function transferPart(sender: DocumentSender, receiver: DocumentReceiver, heldVersion = -1): ReceiveResult {
-	return receiver.receive(sender.reply(receiver.request(heldVersion)).part!);
+	return receiver.receive(sender.reply(receiver.request(heldVersion)));
 }
 
 /** Requests parts until the document is whole. */
@@ -116,22 +114,22 @@
 		const document = largeDocument(3);
 		const sender = senderOf(document);
 
-		function receiveChanged(change: (part: Part) => Part): ReceiveResult {
+		function receiveChanged(change: (reply: DocumentReply) => DocumentReply): ReceiveResult {
 			const receiver = new DocumentReceiver();
 			transferPart(sender, receiver);
-			return receiver.receive(change(sender.reply(receiver.request(-1)).part!));
+			return receiver.receive(change(sender.reply(receiver.request(-1))));
 		}
 
 		it('refuses a part at another place, an empty one, and more bytes than were announced', () => {
-			expect(receiveChanged(part => ({...part, offset: 0})).kind).toEqual('damaged');
-			expect(receiveChanged(part => ({...part, bytes: new Uint8Array()})).kind).toEqual('damaged');
-			expect(receiveChanged(part => ({...part, bytes: Buffer.alloc(1_000_000)})).kind).toEqual('damaged');
+			expect(receiveChanged(reply => ({...reply, part: {...reply.part!, offset: 0}})).kind).toEqual('damaged');
+			expect(receiveChanged(reply => ({...reply, attachment: new Uint8Array()})).kind).toEqual('damaged');
+			expect(receiveChanged(reply => ({...reply, attachment: Buffer.alloc(1_000_000)})).kind).toEqual('damaged');
 		});
 
 		it('refuses bytes that do not match the digest, and then transfers the document anew', () => {
 			const receiver = new DocumentReceiver();
-			const {part} = sender.reply(receiver.request(-1));
-			receiver.receive({...part!, bytes: Buffer.alloc(part!.bytes.byteLength)});
+			const reply = sender.reply(receiver.request(-1));
+			receiver.receive({...reply, attachment: Buffer.alloc(reply.attachment!.byteLength)});
 			expect(finish(sender, receiver)).toEqual(document.text);
 		});
 	});
--- a/packages/fleet-link/src/document-transfer.ts
+++ b/packages/fleet-link/src/document-transfer.ts
@@ -61,8 +61,9 @@
 		return {
 			version: newest.version,
 			part: {
-				transferId: id, transferVersion: version, baseId, totalBytes: bytes.length, offset, bytes: bytes.subarray(offset, offset + maxPartBytes),
+				transferId: id, transferVersion: version, baseId, totalBytes: bytes.length, offset,
 			},
+			attachment: bytes.subarray(offset, offset + maxPartBytes),
 		};
 	}
 
@@ -105,8 +106,13 @@
 		return {heldVersion, heldId: this.#held?.id, ...(this.#transfer && {transfer: {id: this.#transfer.id, offset: this.#transfer.receivedBytes}})};
 	}
 
-	/** Adds a part. */
-	receive({transferId, transferVersion, baseId, totalBytes, offset, bytes}: NonNullable<DocumentReply['part']>): ReceiveResult {
+	/** Adds the part of a reply. */
+	receive({part, attachment}: DocumentReply): ReceiveResult {
+		if (!part || !attachment) {
+			return {kind: 'damaged'};
+		}
+
+		const {transferId, transferVersion, baseId, totalBytes, offset} = part;
 		if (this.#transfer?.id !== transferId) {
 			this.#transfer = {
 				id: transferId, version: transferVersion, baseId, totalBytes, parts: [], receivedBytes: 0,
@@ -114,9 +120,9 @@
 		}
 
 		const transfer = this.#transfer;
-		transfer.parts.push(bytes);
-		transfer.receivedBytes += bytes.byteLength;
-		const isInSequence = offset + bytes.byteLength === transfer.receivedBytes && bytes.byteLength > 0;
+		transfer.parts.push(attachment);
+		transfer.receivedBytes += attachment.byteLength;
+		const isInSequence = offset + attachment.byteLength === transfer.receivedBytes && attachment.byteLength > 0;
 		if (!isInSequence || transfer.receivedBytes > transfer.totalBytes || transfer.totalBytes > maxDocumentBytes) {
 			this.#transfer = undefined;
 			return {kind: 'damaged'};
--- a/packages/fleet-link/src/link-service.ts
+++ b/packages/fleet-link/src/link-service.ts
@@ -1,10 +1,15 @@
-/** The gRPC service between daemons. Messages are encoded as JSON, or as MessagePack where they carry bytes. */
+/**
+The gRPC service between daemons. Messages are encoded as JSON; some may have an attachment of bytes, for content that is much shorter in an encoding
+of its own.
+*/
 
 import {Buffer} from 'node:buffer';
-import {decode, encode} from '@msgpack/msgpack';
 import type {MethodDefinition} from '@grpc/grpc-js';
 import type {DownMessage, UpMessage} from './messages.js';
 
+/** Bytes that are sent along with a message, without any encoding. */
+export type Attachment = {readonly attachment?: Uint8Array};
+
 /** Requests the next part of the document if it is newer than the version the daemon holds. */
 export type DocumentRequest = {
 	readonly heldVersion: number;
@@ -14,8 +19,8 @@
 	readonly transfer?: {readonly id: string; readonly offset: number};
 };
 
-/** The version that the answering process holds (-1 if none), and a part of a newer document than the requester's. */
-export type DocumentReply = {
+/** The version that the answering process holds (-1 if none), and a part of a newer document than the requester's, whose bytes are attached. */
+export type DocumentReply = Attachment & {
 	readonly version: number;
 	readonly part?: {
 		/** Digest of all bytes of the transfer, so that its parts may come from several processes. */
@@ -25,7 +30,6 @@
 		readonly baseId?: string;
 		readonly totalBytes: number;
 		readonly offset: number;
-		readonly bytes: Uint8Array;
 	};
 };
 
@@ -42,43 +46,110 @@
 export type JoinReply = {readonly isMember: boolean; readonly leaderAddress?: string};
 
 /** An order for the engine on the agent's VM, or a query of its state. */
-export type RankRequest<Order = unknown> = {readonly targetAddress: string} & (
-	| {readonly kind: 'state' | 'counts' | 'experts'}
+export type RankRequest<Order = unknown> = Attachment & {readonly targetAddress: string} & (
+	| {readonly kind: 'state' | 'experts'}
+	/** `base` asks for an attachment instead of a list: the differences to the sample with this number, if the agent still has it. No sample has the number 0. */
+	| {readonly kind: 'counts'; readonly base?: number}
 	| {readonly kind: 'order'; readonly order: Order}
 );
 
 /** The engine's answer; `answer` is absent if the engine did not answer. */
-export type RankReply<Answer = unknown> = {readonly answer?: Answer};
-
-type Format = {readonly serialize: (message: unknown) => Buffer; readonly parse: (bytes: Buffer) => unknown};
-
-const json: Format = {
-	serialize: message => Buffer.from(JSON.stringify(message)),
-	parse: bytes => JSON.parse(bytes.toString()) as unknown,
-};
-
-const messagePack: Format = {
-	serialize: message => Buffer.from(encode(message, {ignoreUndefined: true})),
-	parse: bytes => decode(bytes),
-};
+export type RankReply<Answer = unknown> = Attachment & {readonly answer?: Answer};
 
 /** The methods of the service. */
 export const linkService = {
 	follow: method<UpMessage, DownMessage>('Follow', true),
-	document: method<DocumentRequest, DocumentReply>('Document', false, messagePack),
+	document: {...method<DocumentRequest, DocumentReply>('Document', false), responseSerialize: serializeWithAttachment, responseDeserialize: parseDocumentReply},
 	submit: method<SubmitRequest, SubmitReply>('Submit', false),
 	join: method<JoinRequest, JoinReply>('Join', false),
-	rank: method<RankRequest, RankReply>('Rank', false),
+	rank: rankMethod(),
 };
 
-function method<Request, Reply>(name: string, isStream: boolean, {serialize, parse} = json): MethodDefinition<Request, Reply> {
+function method<Request, Reply>(name: string, isStream: boolean): MethodDefinition<Request, Reply> {
 	return {
 		path: `/rattanspring.FleetLink/${name}`,
 		requestStream: isStream,
 		responseStream: isStream,
-		requestSerialize: serialize,
-		requestDeserialize: parse as (bytes: Buffer) => Request,
-		responseSerialize: serialize,
-		responseDeserialize: parse as (bytes: Buffer) => Reply,
+		requestSerialize: serializeJson,
+		requestDeserialize: parseJson as (bytes: Buffer) => Request,
+		responseSerialize: serializeJson,
+		responseDeserialize: parseJson as (bytes: Buffer) => Reply,
+	};
+}
+
+function rankMethod(): MethodDefinition<RankRequest, RankReply> {
+	return {
+		...method<RankRequest, RankReply>('Rank', false),
+		requestSerialize: serializeWithAttachment,
+		requestDeserialize: parseRankRequest,
+		responseSerialize: serializeWithAttachment,
+		responseDeserialize: parseWithAttachment,
 	};
 }
+
+function serializeJson(message: unknown): Buffer {
+	return Buffer.from(JSON.stringify(message));
+}
+
+function parseJson(bytes: Buffer): unknown {
+	return JSON.parse(bytes.toString());
+}
+
+/** First byte of a message with an attachment, which no JSON text begins with. The length of the JSON text follows in four bytes, then the text, then the attachment. */
+const attachmentMarker = 1;
+const attachmentHeadBytes = 5;
+
+function serializeWithAttachment({attachment, ...message}: Attachment): Buffer {
+	const text = serializeJson(message);
+	if (!attachment) {
+		return text;
+	}
+
+	const head = Buffer.alloc(attachmentHeadBytes);
+	head.writeUInt8(attachmentMarker, 0);
+	head.writeUInt32BE(text.length, 1);
+	return Buffer.concat([head, text, attachment]);
+}
+
+/** Throws if the bytes are not a message; the library then fails the call. */
+function parseWithAttachment(bytes: Buffer): Attachment {
+	if (bytes[0] !== attachmentMarker) {
+		return parseObject(bytes);
+	}
+
+	const textEnd = attachmentHeadBytes + bytes.readUInt32BE(1);
+	if (textEnd > bytes.length) {
+		throw new RangeError('The message is shorter than its head says.');
+	}
+
+	return {...parseObject(bytes.subarray(attachmentHeadBytes, textEnd)), attachment: bytes.subarray(textEnd)};
+}
+
+function parseObject(bytes: Buffer): object {
+	const message = parseJson(bytes);
+	if (typeof message !== 'object' || message === null) {
+		throw new TypeError('The message is not an object.');
+	}
+
+	return message;
+}
+
+function parseDocumentReply(bytes: Buffer): DocumentReply {
+	const reply = parseWithAttachment(bytes) as Partial<DocumentReply>;
+	if (typeof reply.version !== 'number') {
+		throw new TypeError('The reply has no version.');
+	}
+
+	return reply as DocumentReply;
+}
+
+const rankRequestKinds: ReadonlySet<unknown> = new Set<RankRequest['kind']>(['state', 'counts', 'experts', 'order']);
+
+function parseRankRequest(bytes: Buffer): RankRequest {
+	const request = parseWithAttachment(bytes) as Partial<RankRequest>;
+	if (typeof request.targetAddress !== 'string' || !rankRequestKinds.has(request.kind)) {
+		throw new TypeError('The request names no target, or is of an unknown kind.');
+	}
+
+	return request as RankRequest;
+}
--- a/packages/gateway/src/document-follower.ts
+++ b/packages/gateway/src/document-follower.ts
@@ -118,13 +118,13 @@
 		return [...new Set([...connected, ...newer])];
 	}
 
-	#onReply(source: string, {version, part}: DocumentReply, startedAtMs: number): 'progress' | 'inForce' | 'notServed' | 'damaged' | 'unreadable' {
-		this.#announcedVersions.set(source, version);
-		if (!part) {
+	#onReply(source: string, reply: DocumentReply, startedAtMs: number): 'progress' | 'inForce' | 'notServed' | 'damaged' | 'unreadable' {
+		this.#announcedVersions.set(source, reply.version);
+		if (!reply.part) {
 			return 'notServed';
 		}
 
-		const received = this.#receiver.receive(part);
+		const received = this.#receiver.receive(reply);
 		if (received.kind !== 'whole') {
 			return received.kind === 'partial' ? 'progress' : 'damaged';
 		}
--- a/packages/rank-agent/src/group-engine-clients.ts
+++ b/packages/rank-agent/src/group-engine-clients.ts
@@ -2,8 +2,10 @@
 
 import type {LinkCalls, NodeCard} from '@rattanspring/fleet-link';
 import type {RankPlace} from '@rattanspring/target-table';
+import {ReceivedSamples} from './count-samples.js';
 import type {EngineClient} from './engine-client.js';
-import {RemoteEngineClient} from './remote-engine-client.js';
+import {RemoteEngineClient, type UnansweredRequest} from './remote-engine-client.js';
+import {TransferPacer} from './transfer-pacer.js';
 
 /** The rank at which the group is held during a map switch, if the group has several ranks. */
 export const holdingRank = 1;
@@ -22,17 +24,19 @@
 	readonly nodeId: string;
 	/** The engine on this VM. */
 	readonly localEngine: EngineClient;
-	readonly calls: LinkCalls;
+	readonly calls: Pick<LinkCalls, 'call'>;
 	/** Creates a client that reaches the engine on another VM directly, bypassing its agent. */
 	readonly createEngineClient: (targetAddress: string) => EngineClient;
 	/** Called when the agent of a target did not answer in time. */
-	readonly onAgentTimeout: (targetAddress: string) => void;
+	readonly onAgentTimeout: (unanswered: UnansweredRequest) => void;
 };
 
 /** Creates clients for the engines of this agent's group, through their agents or directly. */
 export class GroupEngineClients {
 	readonly #options: GroupEngineClientsOptions;
 	readonly #directClients = new Map<string, EngineClient>();
+	readonly #samples = new ReceivedSamples();
+	readonly #pacer = new TransferPacer();
 	#outsideAgentTurn = 0;
 
 	constructor(options: GroupEngineClientsOptions) {
@@ -42,6 +46,7 @@
 	/** The ranks of the group that this place belongs to; undefined unless the agents of all ranks are known and report the same open formation. */
 	ranks(place: RankPlace, cards: readonly NodeCard[]): GroupRanks | undefined {
 		const {nodeId, localEngine} = this.#options;
+		this.#samples.retain(new Set(cards.flatMap(({targetAddress}) => targetAddress ? [targetAddress] : [])));
 		const ranks = findGroupRanks(place, cards, card => card.nodeId === nodeId ? localEngine : this.#createRemoteClient(card));
 		return ranks && {...ranks, holdEngine: this.#createHoldEngine(place.group, cards)};
 	}
@@ -66,6 +71,8 @@
 			calls: this.#options.calls,
 			linkAddress: linkAddress!,
 			targetAddress: targetAddress!,
+			samples: this.#samples,
+			pacer: this.#pacer,
 			directClient: address => this.directClient(address),
 			onAgentTimeout: this.#options.onAgentTimeout,
 		});
