--- a/packages/fleet-link/src/messages.ts
+++ b/packages/fleet-link/src/messages.ts
@@ -20,6 +20,8 @@
 	readonly rankPlace?: RankPlace;
 	/** Whether it is shutting down. */
 	readonly isLeaving: boolean;
+	/** Whether callers may use it; entries only. */
+	readonly isReady?: boolean;
 };
 
 /** Reports a request that was running when its target crashed. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -64,6 +64,8 @@
 	#isQueueProcessingScheduled = false;
 	#entries: readonly NodeCard[] = [];
 	#entryPosition: EntryPosition = {index: 0, count: 1};
+	#hasNodeList = false;
+	#isInformed = false;
 	#isLeaving = false;
 
 	constructor(options: GatewayOptions) {
@@ -122,6 +124,7 @@
 			onState: state => {
 				this.#server.setLimits(state.limits);
 				metrics.revisionInForce.set(state.version);
+				this.#updateInformed();
 			},
 			onNewestVersion(version) {
 				metrics.newestRevision.set(version);
@@ -135,7 +138,9 @@
 				this.#onMessage(message, address);
 			},
 			onNodes: cards => {
+				this.#hasNodeList ||= cards.some(card => card.role === 'control');
 				this.#updateEntries(cards.filter(card => card.role === 'entry'));
+				this.#updateInformed();
 			},
 			onConnectionChange(linkAddress, isUp) {
 				logger.log(isUp ? 'info' : 'warn', isUp ? 'controlReached' : 'controlLost', {linkAddress});
@@ -143,9 +148,9 @@
 		});
 	}
 
-	/** Whether this entry may receive callers: it has a desired state and is not draining. */
+	/** Whether this entry may receive callers: it has a desired state, knows the other entries, and is not draining. */
 	get isReady(): boolean {
-		return !this.#isLeaving && this.#documents.table !== undefined;
+		return this.#isInformed && !this.#isLeaving;
 	}
 
 	/** Number of requests in progress. */
@@ -161,10 +166,14 @@
 		});
 	}
 
-	/** Returns entry addresses for a caller in the given failure domain. */
-	entryAddressesFor(failureDomain: string | undefined): string[] {
+	/** Returns the addresses of ready entries for a caller in the given failure domain; undefined until this entry knows them. */
+	entryAddressesFor(failureDomain: string | undefined): string[] | undefined {
+		if (!this.#isInformed) {
+			return undefined;
+		}
+
 		const own = this.#card();
-		const cards = [...this.#entries.filter(card => card.nodeId !== own.nodeId), own].filter(card => !card.isLeaving);
+		const cards = [...this.#entries.filter(card => card.nodeId !== own.nodeId), own].filter(card => card.isReady);
 		const local = cards.filter(card => card.failureDomain === failureDomain);
 		const selected = local.length >= minLocalEntries ? local : cards;
 		return selected.flatMap(card => card.callerAddress ?? []).slice(0, maxEntryAddresses);
@@ -220,10 +229,18 @@
 		this.#entryPosition = {index: ids.indexOf(nodeId), count: ids.length};
 	}
 
+	/** Announces this entry as ready once it has a desired state and a node list. It keeps both when it loses its control processes. */
+	#updateInformed(): void {
+		if (!this.#isInformed && this.#hasNodeList && this.#documents.table !== undefined) {
+			this.#isInformed = true;
+			this.#links.sendHello();
+		}
+	}
+
 	#card(): NodeCard {
 		const {nodeId, failureDomain, callerHost, callerPort} = this.#options;
 		return {
-			nodeId, role: 'entry', failureDomain, callerAddress: `${callerHost}:${callerPort}`, isLeaving: this.#isLeaving,
+			nodeId, role: 'entry', failureDomain, callerAddress: `${callerHost}:${callerPort}`, isLeaving: this.#isLeaving, isReady: this.isReady,
 		};
 	}
 
