--- a/packages/fleet-link/src/control-links.ts
+++ b/packages/fleet-link/src/control-links.ts
@@ -1,19 +1,24 @@
 /**
 Maintains a daemon's streams to all known control processes: initially the seeds, then also those that the control
 processes advertise. The node lists received are merged: a daemon is present as long as one control process lists it.
+A list shrinks for a moment after its control process has restarted, until all daemons have reconnected; the daemons listed
+before are therefore retained for a short time.
 */
 
 import {LinkClient} from './link-client.js';
 import type {DownMessage, NodeCard, UpMessage} from './messages.js';
+import {RetainedCards} from './retained-cards.js';
 
 /** A control process that is not a seed is removed after it has been unreachable for this long; while others advertise it, it is added again. */
 const unreachableRemovalMs = 20_000;
 
-/** Retention of the node list of a lost stream while other streams are connected. */
-const lostStreamRetentionMs = 3000;
+/** Retention of the node list of a lost stream while other streams are connected, and of the previous list after a new stream began. */
+const cardRetentionMs = 3000;
 
 const updateIntervalMs = 1000;
 
+type CardChange = Pick<Extract<DownMessage, {type: 'nodesChanged'}>, 'cards' | 'goneIds'>;
+
 type Link = {readonly client: LinkClient; cards: readonly NodeCard[]; lastConnectedAtMs: number};
 
 /** Options of `ControlLinks`. */
@@ -32,6 +37,7 @@
 	readonly #options: ControlLinksOptions;
 	readonly #links = new Map<string, Link>();
 	readonly #timer: NodeJS.Timeout;
+	readonly #retained = new RetainedCards();
 	#nodes = new Map<string, NodeCard>();
 
 	constructor(options: ControlLinksOptions) {
@@ -112,10 +118,10 @@
 			nowMs: this.#options.nowMs,
 			card,
 			onMessage: message => {
-				if (message.type === 'nodes' || message.type === 'nodesChanged') {
-					const link = this.#links.get(address)!;
-					link.cards = message.type === 'nodes' ? message.cards : applyCardChanges(link.cards, message);
-					this.#mergeNodes();
+				if (message.type === 'nodes') {
+					this.#replaceCards(this.#links.get(address)!, message.cards);
+				} else if (message.type === 'nodesChanged') {
+					this.#changeCards(this.#links.get(address)!, message);
 				} else if (message.type !== 'beat') {
 					onMessage(message, address);
 				}
@@ -129,12 +135,39 @@
 		});
 	}
 
+	/** Stores the first list of a new stream and retains the daemons that were listed before; if no other stream is connected, from any stream. */
+	#replaceCards(link: Link, cards: readonly NodeCard[]): void {
+		const isOnlyStream = [...this.#links.values()].every(other => other === link || !other.client.isConnected);
+		const previous = isOnlyStream ? this.#nodes.values() : link.cards.filter(({nodeId}) => this.#nodes.has(nodeId));
+		this.#retained.retain(previous, this.#options.nowMs() + cardRetentionMs);
+		link.cards = cards;
+		this.#mergeNodes();
+	}
+
+	/** Applies changes to the list of a stream. The removals take precedence over cards that no connected stream lists. */
+	#changeCards(link: Link, change: CardChange): void {
+		link.cards = applyCardChanges(link.cards, change);
+		const {goneIds} = change;
+		this.#retained.remove(goneIds);
+		for (const other of this.#links.values()) {
+			if (!other.client.isConnected) {
+				other.cards = applyCardChanges(other.cards, {cards: [], goneIds});
+			}
+		}
+
+		this.#mergeNodes();
+	}
+
 	#mergeNodes(): void {
 		const nowMs = this.#options.nowMs();
 		const isAnyConnected = [...this.#links.values()].some(({client}) => client.isConnected);
+		if (isAnyConnected) {
+			this.#retained.removeExpired(nowMs);
+		}
+
 		const nodes = new Map<string, NodeCard>();
 		for (const {client, cards, lastConnectedAtMs} of this.#links.values()) {
-			if (client.isConnected || !isAnyConnected || nowMs - lastConnectedAtMs < lostStreamRetentionMs) {
+			if (client.isConnected || !isAnyConnected || nowMs - lastConnectedAtMs < cardRetentionMs) {
 				for (const card of cards) {
 					const known = nodes.get(card.nodeId);
 					nodes.set(card.nodeId, known?.isLeaving ? known : card);
@@ -142,12 +175,16 @@
 			}
 		}
 
+		for (const card of this.#retained.cards) {
+			nodes.set(card.nodeId, nodes.get(card.nodeId) ?? card);
+		}
+
 		this.#nodes = nodes;
 		this.#options.onNodes?.([...nodes.values()]);
 	}
 }
 
-function applyCardChanges(cards: readonly NodeCard[], {cards: changed, goneIds}: {readonly cards: readonly NodeCard[]; readonly goneIds: readonly string[]}): NodeCard[] {
+function applyCardChanges(cards: readonly NodeCard[], {cards: changed, goneIds}: CardChange): NodeCard[] {
 	const replaced = new Set([...goneIds, ...changed.map(card => card.nodeId)]);
 	return [...cards.filter(card => !replaced.has(card.nodeId)), ...changed];
 }
