--- a/packages/fleet-link/src/link-client.ts
+++ b/packages/fleet-link/src/link-client.ts
@@ -30,6 +30,8 @@
 	readonly #timer: NodeJS.Timeout;
 	#client: Client | undefined;
 	#call: ClientDuplexStream<UpMessage, DownMessage> | undefined;
+	/** The card last written to the current stream, as JSON. */
+	#writtenCard = '';
 	#heardAtMs = 0;
 	#isConnected = false;
 	#isClosed = false;
@@ -54,9 +56,11 @@
 		}
 	}
 
-	/** Sends this daemon's card, after it has changed. */
+	/** Sends this daemon's card, after it has changed. If the stream is not connected yet, that is done once it is. */
 	sendHello(): void {
-		this.send({type: 'hello', card: this.#options.card()});
+		if (this.#isConnected && this.#call) {
+			this.#writeHello(this.#call);
+		}
 	}
 
 	/** Closes the stream without reconnecting. */
@@ -89,7 +93,13 @@
 		call.on('end', () => {
 			this.#handleDisconnect(call);
 		});
-		call.write({type: 'hello', card: this.#options.card()});
+		this.#writeHello(call);
+	}
+
+	#writeHello(call: ClientDuplexStream<UpMessage, DownMessage>): void {
+		const card = this.#options.card();
+		this.#writtenCard = JSON.stringify(card);
+		call.write({type: 'hello', card});
 	}
 
 	#beat(): void {
@@ -125,6 +135,10 @@
 	#setConnected(isUp: boolean): void {
 		if (this.#isConnected !== isUp) {
 			this.#isConnected = isUp;
+			if (isUp && JSON.stringify(this.#options.card()) !== this.#writtenCard) {
+				this.sendHello();
+			}
+
 			this.#options.onConnectionChange(isUp);
 		}
 	}
