--- a/packages/fleet-control/src/fleet-control.ts
+++ b/packages/fleet-control/src/fleet-control.ts
@@ -63,7 +63,7 @@
 		const nowMs = () => options.clock.monotonicMs();
 		this.#linkServer = new LinkServer({
 			nowMs,
-			ownCard: () => this.#card(),
+			ownCard: () => this.#controlLinks.card,
 			initialMessages: role => this.#initialMessages(role),
 			onMessage: message => {
 				this.#onFollowerMessage(message);
--- a/packages/fleet-link/src/control-links.test.ts
+++ b/packages/fleet-link/src/control-links.test.ts
@@ -6,7 +6,7 @@
 import {freePorts, waitUntil} from '@rattanspring/test-kit';
 import {expect} from 'earl';
 import {
-	ControlLinks, type DownMessage, LinkServer, linkService, listen, type NodeCard, type UpMessage,
+	ControlLinks, type DownMessage, LinkClient, LinkServer, linkService, listen, type NodeCard, type UpMessage,
 } from './index.js';
 
 const nowMs = () => performance.now();
@@ -60,7 +60,7 @@
 describe('the node list of a daemon', () => {
 	let addresses: string[];
 	const controls: TestControl[] = [];
-	const followers: ControlLinks[] = [];
+	const followers: Array<{close: () => void}> = [];
 
 	beforeEach(async () => {
 		const ports = await freePorts(2);
@@ -151,6 +151,38 @@
 		});
 	});
 
+	it('has the newest card of a daemon, whichever control process still lists an older one', async () => {
+		for (const index of [0, 1]) {
+			await startControl(index);
+			followers.push(new LinkClient({
+				address: addresses[index], nowMs, card: () => entryCard('e1', {revision: {bornMs: 5, sequence: 2 - index}}), onMessage: () => undefined, onConnectionChange: () => undefined,
+			}));
+		}
+
+		for (const seeds of [addresses, addresses.toReversed()]) {
+			const observer = followAs('e0', seeds);
+			await eventually(() => observer.connectedAddresses().length === 2);
+			await sleep(300);
+			expect(observer.nodes.get('e1')?.revision).toEqual({bornMs: 5, sequence: 2});
+		}
+	});
+
+	it('has cards whose sequence grows with each change, and only then', async () => {
+		const control = await startControl();
+		let card = entryCard('e0');
+		const links = follow(() => card);
+		const held = () => control.links.cards.find(({nodeId}) => nodeId === 'e0');
+		await eventually(() => held() !== undefined && links.connectedAddresses().length === 1);
+		const first = held()?.revision?.sequence;
+		links.sendHello();
+		await sleep(200);
+		expect(held()?.revision?.sequence).toEqual(first);
+		card = entryCard('e0', {isLeaving: true});
+		links.sendHello();
+		await eventually(() => held()?.isLeaving === true);
+		expect(held()?.revision?.sequence).toEqual(first! + 1);
+	});
+
 	it('does not regain a daemon that left while one of two control processes restarted', async () => {
 		const first = await startControl(0);
 		await startControl(1);
--- a/packages/fleet-link/src/control-links.ts
+++ b/packages/fleet-link/src/control-links.ts
@@ -1,10 +1,11 @@
 /**
 Maintains a daemon's streams to all known control processes: initially the seeds, then also those that the control
-processes advertise. The node lists received are merged: a daemon is present as long as one control process lists it.
+processes advertise. The node lists received are merged: a daemon is present as long as one control process lists it, with the newest card.
 A list shrinks for a moment after its control process has restarted, until all daemons have reconnected; the daemons listed
 before are therefore retained for a short time.
 */
 
+import {newerCard, RevisedCard} from './card-revision.js';
 import {LinkClient} from './link-client.js';
 import type {DownMessage, NodeCard, UpMessage} from './messages.js';
 import {RetainedCards} from './retained-cards.js';
@@ -37,17 +38,24 @@
 	readonly #options: ControlLinksOptions;
 	readonly #links = new Map<string, Link>();
 	readonly #timer: NodeJS.Timeout;
+	readonly #card: RevisedCard;
 	readonly #retained = new RetainedCards();
 	#nodes = new Map<string, NodeCard>();
 
 	constructor(options: ControlLinksOptions) {
 		this.#options = options;
+		this.#card = new RevisedCard(options.card, Date.now());
 		this.#updateLinks();
 		this.#timer = setInterval(() => {
 			this.#updateLinks();
 		}, updateIntervalMs);
 	}
 
+	/** This daemon's card, with its revision. */
+	get card(): NodeCard {
+		return this.#card.current;
+	}
+
 	/** Daemons that at least one control process lists, by node ID. */
 	get nodes(): ReadonlyMap<string, NodeCard> {
 		return this.#nodes;
@@ -112,11 +120,11 @@
 	}
 
 	#add(address: string, nowMs: number): void {
-		const {card, onConnectionChange, onMessage} = this.#options;
+		const {onConnectionChange, onMessage} = this.#options;
 		const client = new LinkClient({
 			address,
 			nowMs: this.#options.nowMs,
-			card,
+			card: () => this.card,
 			onMessage: message => {
 				if (message.type === 'nodes') {
 					this.#replaceCards(this.#links.get(address)!, message.cards);
@@ -168,22 +176,23 @@
 		const nodes = new Map<string, NodeCard>();
 		for (const {client, cards, lastConnectedAtMs} of this.#links.values()) {
 			if (client.isConnected || !isAnyConnected || nowMs - lastConnectedAtMs < cardRetentionMs) {
-				for (const card of cards) {
-					const known = nodes.get(card.nodeId);
-					nodes.set(card.nodeId, known?.isLeaving ? known : card);
-				}
+				addCards(nodes, cards);
 			}
 		}
 
-		for (const card of this.#retained.cards) {
-			nodes.set(card.nodeId, nodes.get(card.nodeId) ?? card);
-		}
-
+		addCards(nodes, this.#retained.cards.filter(({nodeId}) => !nodes.has(nodeId)));
 		this.#nodes = nodes;
 		this.#options.onNodes?.([...nodes.values()]);
 	}
 }
 
+function addCards(nodes: Map<string, NodeCard>, cards: readonly NodeCard[]): void {
+	for (const card of cards) {
+		const known = nodes.get(card.nodeId);
+		nodes.set(card.nodeId, known ? newerCard(known, card) : card);
+	}
+}
+
 function applyCardChanges(cards: readonly NodeCard[], {cards: changed, goneIds}: CardChange): NodeCard[] {
 	const replaced = new Set([...goneIds, ...changed.map(card => card.nodeId)]);
 	return [...cards.filter(card => !replaced.has(card.nodeId)), ...changed];
--- a/packages/fleet-link/src/messages.ts
+++ b/packages/fleet-link/src/messages.ts
@@ -5,6 +5,14 @@
 /** The role of a daemon. */
 export type NodeRole = 'control' | 'entry' | 'agent';
 
+/** Of two cards of a daemon, the one of the later lifetime is newer, then the one with the higher sequence. */
+export type CardRevision = {
+	/** Unix millisecond of the start of the process. */
+	readonly bornMs: number;
+	/** Increases with each change of the card. */
+	readonly sequence: number;
+};
+
 /** Identity and addresses of a daemon. */
 export type NodeCard = {
 	readonly nodeId: string;
@@ -22,6 +30,8 @@
 	readonly isLeaving: boolean;
 	/** Whether callers may use it; entries only. */
 	readonly isReady?: boolean;
+	/** Set by the daemon's `ControlLinks`. */
+	readonly revision?: CardRevision;
 };
 
 /** Reports a request that was running when its target crashed. */
