--- /dev/null
+++ b/packages/fleet-link/src/link-server.test.ts
@@ -0,0 +1,93 @@
+import {
+	afterEach, beforeEach, describe, it,
+} from 'node:test';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {
+	Client, type ClientDuplexStream, credentials, Metadata, Server,
+} from '@grpc/grpc-js';
+import type {TargetReport} from '@rattanspring/target-table';
+import {freePorts, waitUntil} from '@rattanspring/test-kit';
+import {expect} from 'earl';
+import {
+	type DownMessage, LinkServer, linkService, listen, type UpMessage,
+} from './index.js';
+
+const nowMs = () => performance.now();
+
+/** A message of about 100 kB. */
+function largeMessage(sequence: number): DownMessage {
+	const report: TargetReport = {
+		targetId: 'x'.repeat(100_000), bornMs: 1, sequence, service: 's', address: '10.0.0.1:80', failureDomain: 'a', slots: 8, state: 'ready', coldLeftMs: 0,
+	};
+	return {type: 'targets', reports: [report]};
+}
+
+describe('a follower that does not read', () => {
+	let links: LinkServer;
+	let server: Server;
+	let client: Client;
+	let stream: ClientDuplexStream<UpMessage, DownMessage>;
+	let received: DownMessage[];
+	let beats: NodeJS.Timeout;
+
+	beforeEach(async () => {
+		const [port] = await freePorts(1);
+		links = new LinkServer({
+			nowMs,
+			ownCard: () => ({
+				nodeId: 'control', role: 'control', failureDomain: 'a', isLeaving: false,
+			}),
+			initialMessages: () => [],
+			onMessage: () => undefined,
+		});
+		server = new Server();
+		server.addService({follow: linkService.follow}, {
+			follow(call: Parameters<LinkServer['accept']>[0]) {
+				links.accept(call);
+			},
+		});
+		await listen(server, `127.0.0.1:${port}`);
+		const {path, requestSerialize, responseDeserialize} = linkService.follow;
+		client = new Client(`127.0.0.1:${port}`, credentials.createInsecure());
+		stream = client.makeBidiStreamRequest(path, requestSerialize, responseDeserialize, new Metadata());
+		received = [];
+		stream.on('data', (message: DownMessage) => {
+			received.push(message);
+		});
+		stream.on('error', () => undefined);
+		stream.write({
+			type: 'hello', card: {
+				nodeId: 'n', role: 'entry', failureDomain: 'a', isLeaving: false,
+			},
+		});
+		beats = setInterval(() => {
+			stream.write({type: 'beat'});
+		}, 500);
+		await waitUntil(() => received.length > 0, {timeoutMs: 5000});
+		stream.pause();
+	});
+	afterEach(() => {
+		clearInterval(beats);
+		stream.cancel();
+		client.close();
+		links.close();
+		server.forceShutdown();
+	});
+
+	const followerCount = () => links.cards.length - 1;
+
+	it('is disconnected once more than 8 MB wait for it, and not before', async () => {
+		for (let sequence = 0; sequence < 70; sequence++) {
+			links.broadcast(largeMessage(sequence), ['entry']);
+			await sleep(1);
+		}
+
+		expect(followerCount()).toEqual(1);
+		for (let sequence = 70; sequence < 130; sequence++) {
+			links.broadcast(largeMessage(sequence), ['entry']);
+			await sleep(1);
+		}
+
+		expect(followerCount()).toEqual(0);
+	});
+});
--- a/packages/fleet-link/src/link-server.ts
+++ b/packages/fleet-link/src/link-server.ts
@@ -1,6 +1,7 @@
 /** The control side of the streams: accepts streams from other daemons and broadcasts messages to them. */
 
 import type {ServerDuplexStream} from '@grpc/grpc-js';
+import {FollowerStream, sized, type SizedMessage} from './follower-stream.js';
 import {
 	visibleRoles, type DownMessage, type NodeCard, type NodeRole, type UpMessage,
 } from './messages.js';
@@ -11,14 +12,18 @@
 /** A stream that received no message for this long is closed. */
 export const heartbeatTimeoutMs = 2200;
 
-/** Limit of the send buffer of one daemon. A daemon that does not read is disconnected and has to open a new stream. */
-const maxBufferedBytes = 8_388_608;
+/** Limit of what waits to be sent to one daemon. A daemon that does not read is disconnected and has to open a new stream. */
+const maxWaitingBytes = 8_388_608;
+
+const roles = Object.keys(visibleRoles) as NodeRole[];
 
 /** Changes of the node list are batched for this long. */
 const nodesUpdateDelayMs = 60;
 
+const beat = sized({type: 'beat'});
+
 type Call = ServerDuplexStream<UpMessage, DownMessage>;
-type Follower = {readonly call: Call; card?: NodeCard; heardAtMs: number};
+type Follower = {readonly stream: FollowerStream; card?: NodeCard; heardAtMs: number};
 
 /** Options of `LinkServer`. */
 export type LinkServerOptions = {
@@ -59,7 +64,7 @@
 
 	/** Handles a new stream. */
 	accept(call: Call): void {
-		const follower: Follower = {call, heardAtMs: this.#options.nowMs()};
+		const follower: Follower = {stream: new FollowerStream(call), heardAtMs: this.#options.nowMs()};
 		this.#followers.add(follower);
 		call.on('data', (message: UpMessage) => {
 			this.#onMessage(follower, message);
@@ -77,10 +82,11 @@
 	}
 
 	/** Sends a message to all connected daemons with one of the given roles. */
-	broadcast(message: DownMessage, roles: ReadonlyArray<NodeCard['role']>): void {
+	broadcast(message: DownMessage, receivers: readonly NodeRole[]): void {
+		const sizedMessage = sized(message);
 		for (const follower of this.#followers) {
-			if (follower.card && roles.includes(follower.card.role)) {
-				this.#send(follower, message);
+			if (follower.card && receivers.includes(follower.card.role)) {
+				this.#send(follower, sizedMessage);
 			}
 		}
 	}
@@ -88,8 +94,8 @@
 	close(): void {
 		clearInterval(this.#timer);
 		clearTimeout(this.#nodesTimer);
-		for (const {call} of this.#followers) {
-			call.end();
+		for (const {stream} of this.#followers) {
+			stream.end();
 		}
 	}
 
@@ -101,9 +107,9 @@
 			this.scheduleNodesUpdate();
 			if (isNew) {
 				const {role} = message.card;
-				this.#send(follower, {type: 'nodes', cards: visibleTo(role, this.cards)});
+				this.#send(follower, sized({type: 'nodes', cards: visibleTo(role, this.cards)}));
 				for (const initialMessage of this.#options.initialMessages(role)) {
-					this.#send(follower, initialMessage);
+					this.#send(follower, sized(initialMessage));
 				}
 			}
 		} else if (follower.card && message.type !== 'beat') {
@@ -111,13 +117,13 @@
 		}
 	}
 
-	#send(follower: Follower, message: DownMessage): void {
-		if (follower.call.writableLength > maxBufferedBytes) {
+	#send(follower: Follower, message: SizedMessage): void {
+		if (follower.stream.waitingBytes > maxWaitingBytes) {
 			this.#disconnect(follower);
 			return;
 		}
 
-		follower.call.write(message);
+		follower.stream.write(message);
 	}
 
 	#beat(): void {
@@ -126,13 +132,13 @@
 			if (follower.heardAtMs < oldestHeardAtMs) {
 				this.#disconnect(follower);
 			} else {
-				this.#send(follower, {type: 'beat'});
+				this.#send(follower, beat);
 			}
 		}
 	}
 
 	#disconnect(follower: Follower): void {
-		follower.call.destroy();
+		follower.stream.destroy();
 		this.#removeFollower(follower);
 	}
 
@@ -147,14 +153,11 @@
 		const changed = [...current.values()].filter(card => JSON.stringify(card) !== JSON.stringify(this.#lastSentCards.get(card.nodeId)));
 		const gone = [...this.#lastSentCards.values()].filter(card => !current.has(card.nodeId));
 		this.#lastSentCards = current;
-		for (const follower of this.#followers) {
-			if (follower.card) {
-				const {role} = follower.card;
-				const cards = visibleTo(role, changed);
-				const goneIds = visibleTo(role, gone).map(card => card.nodeId);
-				if (cards.length + goneIds.length > 0) {
-					this.#send(follower, {type: 'nodesChanged', cards, goneIds});
-				}
+		for (const role of roles) {
+			const cards = visibleTo(role, changed);
+			const goneIds = visibleTo(role, gone).map(card => card.nodeId);
+			if (cards.length + goneIds.length > 0) {
+				this.broadcast({type: 'nodesChanged', cards, goneIds}, [role]);
 			}
 		}
 	}
