--- a/packages/fleet-link/src/follower-stream.ts
+++ b/packages/fleet-link/src/follower-stream.ts
@@ -1,7 +1,11 @@
-/** The sending side of a follower's stream. Counts the bytes that wait to be sent, as the library's own count is one of messages. */
+/**
+The sending side of a follower's stream. Counts the bytes that wait to be sent, as the library's own count is one of messages.
+At most one message of load figures waits at a time; of the figures that come meanwhile, the newest of each target are kept.
+*/
 
 import {Buffer} from 'node:buffer';
 import type {ServerDuplexStream} from '@grpc/grpc-js';
+import type {TargetLoad} from '@rattanspring/target-table';
 import type {DownMessage, UpMessage} from './messages.js';
 
 /** A message with its length, so that both are computed once for all followers. */
@@ -14,6 +18,8 @@
 /** One stream to a follower. */
 export class FollowerStream {
 	readonly #call: ServerDuplexStream<UpMessage, DownMessage>;
+	readonly #newestLoads = new Map<string, TargetLoad>();
+	#areLoadsWaiting = false;
 	#waitingBytes = 0;
 
 	constructor(call: ServerDuplexStream<UpMessage, DownMessage>) {
@@ -25,11 +31,21 @@
 		return this.#waitingBytes;
 	}
 
-	write({message, sizeBytes}: SizedMessage): void {
-		this.#waitingBytes += sizeBytes;
-		this.#call.write(message, () => {
-			this.#waitingBytes -= sizeBytes;
-		});
+	write(sizedMessage: SizedMessage): void {
+		const {message} = sizedMessage;
+		if (message.type !== 'loads') {
+			this.#write(sizedMessage, () => undefined);
+		} else if (this.#areLoadsWaiting) {
+			for (const load of message.loads) {
+				this.#newestLoads.set(load.address, load);
+			}
+		} else {
+			this.#areLoadsWaiting = true;
+			this.#write(sizedMessage, () => {
+				this.#areLoadsWaiting = false;
+				this.#writeNewestLoads();
+			});
+		}
 	}
 
 	end(): void {
@@ -39,4 +55,22 @@
 	destroy(): void {
 		this.#call.destroy();
 	}
+
+	#writeNewestLoads(): void {
+		if (this.#newestLoads.size > 0) {
+			const loads = [...this.#newestLoads.values()];
+			this.#newestLoads.clear();
+			this.write(sized({type: 'loads', loads}));
+		}
+	}
+
+	#write({message, sizeBytes}: SizedMessage, onAccepted: () => void): void {
+		this.#waitingBytes += sizeBytes;
+		this.#call.write(message, (error?: Error | null) => {
+			this.#waitingBytes -= sizeBytes;
+			if (!error) {
+				onAccepted();
+			}
+		});
+	}
 }
--- a/packages/fleet-link/src/link-server.test.ts
+++ b/packages/fleet-link/src/link-server.test.ts
@@ -5,7 +5,7 @@
 import {
 	Client, type ClientDuplexStream, credentials, Metadata, Server,
 } from '@grpc/grpc-js';
-import type {TargetReport} from '@rattanspring/target-table';
+import type {TargetLoad, TargetReport} from '@rattanspring/target-table';
 import {freePorts, waitUntil} from '@rattanspring/test-kit';
 import {expect} from 'earl';
 import {
@@ -22,6 +22,12 @@
 	return {type: 'targets', reports: [report]};
 }
 
+function loadOf(address: string, active: number): TargetLoad {
+	return {
+		address, bornMs: 1, active, queued: 0, memoryShare: 0, pace: 1,
+	};
+}
+
 describe('a follower that does not read', () => {
 	let links: LinkServer;
 	let server: Server;
@@ -90,4 +96,23 @@
 
 		expect(followerCount()).toEqual(0);
 	});
+
+	it('receives only the newest load of each target when it reads again', async () => {
+		for (let sequence = 0; sequence < 20; sequence++) {
+			links.broadcast(largeMessage(sequence), ['entry']);
+		}
+
+		for (let index = 0; index < 500; index++) {
+			links.broadcast({type: 'loads', loads: [loadOf(`10.0.0.${index % 2}:80`, index)]}, ['entry']);
+		}
+
+		await sleep(100);
+		stream.resume();
+		await waitUntil(() => received.filter(({type}) => type === 'targets').length === 20, {timeoutMs: 5000});
+		await sleep(300);
+		const messages = received.flatMap(message => message.type === 'loads' ? [message.loads] : []);
+		expect(messages.length).toBeLessThanOrEqual(2);
+		expect(messages.at(-1)?.toSorted((left, right) => left.active - right.active)).toEqual([loadOf('10.0.0.0:80', 498), loadOf('10.0.0.1:80', 499)]);
+		expect(followerCount()).toEqual(1);
+	});
 });
