--- a/packages/fleet-link/src/link-client.test.ts
+++ b/packages/fleet-link/src/link-client.test.ts
@@ -61,3 +61,43 @@
 		expect(links.cards.map(({nodeId, isReady}) => [nodeId, isReady])).toEqual([['n', true], ['control', undefined]]);
 	});
 });
+
+describe('reconnecting to a control process', () => {
+	it('takes a time that differs between daemons and attempts, so that they do not all come at once', async () => {
+		const [port] = await freePorts(1);
+		const acceptedAtMs: number[] = [];
+		const server = new Server();
+		server.addService({follow: linkService.follow}, {
+			follow(call: Parameters<LinkServer['accept']>[0]) {
+				acceptedAtMs.push(nowMs());
+				call.end();
+			},
+		});
+		await listen(server, `127.0.0.1:${port}`);
+		const delaysMs: number[] = [];
+		for (const random of [0, 0.5, 0.999]) {
+			acceptedAtMs.length = 0;
+			const client = new LinkClient({
+				address: `127.0.0.1:${port}`,
+				nowMs,
+				random: () => random,
+				card: () => ({
+					nodeId: 'n', role: 'entry', failureDomain: 'a', isLeaving: false,
+				}),
+				onMessage: () => undefined,
+				onConnectionChange: () => undefined,
+			});
+			await waitUntil(() => acceptedAtMs.length >= 5, {timeoutMs: 10_000});
+			client.close();
+			const intervalsMs = acceptedAtMs.slice(1).map((atMs, index) => atMs - acceptedAtMs[index]);
+			delaysMs.push(Math.min(...intervalsMs));
+		}
+
+		server.forceShutdown();
+		const [shortMs, middleMs, longMs] = delaysMs;
+		expect(shortMs).toBeGreaterThan(100);
+		expect(middleMs - shortMs).toBeGreaterThan(60);
+		expect(longMs - middleMs).toBeGreaterThan(60);
+		expect(longMs).toBeLessThan(700);
+	});
+});
--- a/packages/fleet-link/src/link-client.ts
+++ b/packages/fleet-link/src/link-client.ts
@@ -11,8 +11,9 @@
 import {linkService} from './link-service.js';
 import type {DownMessage, NodeCard, UpMessage} from './messages.js';
 
-/** Delay before a lost stream is reopened. */
-const reconnectDelayMs = 250;
+/** Delay before a lost stream is reopened, and the largest random addition: all daemons lose a control process at the same time. */
+const minReconnectDelayMs = 125;
+const reconnectSpreadMs = 250;
 
 /** Options of `LinkClient`. */
 export type LinkClientOptions = {
@@ -22,6 +23,8 @@
 	readonly card: () => NodeCard;
 	readonly onMessage: (message: DownMessage) => void;
 	readonly onConnectionChange: (isUp: boolean) => void;
+	/** Random numbers in [0, 1). */
+	readonly random?: () => number;
 };
 
 /** One stream, reconnected until it is closed. */
@@ -126,9 +129,10 @@
 		this.#client?.close();
 		this.#setConnected(false);
 		if (!this.#isClosed) {
+			const random = this.#options.random ?? Math.random;
 			setTimeout(() => {
 				this.#open();
-			}, reconnectDelayMs);
+			}, minReconnectDelayMs + (reconnectSpreadMs * random()));
 		}
 	}
 
