--- a/packages/fleet-link/src/control-links.ts
+++ b/packages/fleet-link/src/control-links.ts
@@ -1,19 +1,25 @@
 /**
 Maintains a daemon's streams to all known control processes: initially the seeds, then also those that the control
-processes advertise. The node lists received are merged: a daemon is present as long as one control process lists it.
+processes advertise. The node lists received are merged: a daemon is present as long as one control process lists it, with the newest card.
+A list shrinks for a moment after its control process has restarted, until all daemons have reconnected; the daemons listed
+before are therefore retained for a short time.
 */
 
+import {newerCard, RevisedCard} from './card-revision.js';
 import {LinkClient} from './link-client.js';
 import type {DownMessage, NodeCard, UpMessage} from './messages.js';
+import {RetainedCards} from './retained-cards.js';
 
 /** A control process that is not a seed is removed after it has been unreachable for this long; while others advertise it, it is added again. */
 const unreachableRemovalMs = 20_000;
 
-/** Retention of the node list of a lost stream while other streams are connected. */
-const lostStreamRetentionMs = 3000;
+/** Retention of the node list of a lost stream while other streams are connected, and of the previous list after a new stream began. */
+const cardRetentionMs = 3000;
 
 const updateIntervalMs = 1000;
 
+type CardChange = Pick<Extract<DownMessage, {type: 'nodesChanged'}>, 'cards' | 'goneIds'>;
+
 type Link = {readonly client: LinkClient; cards: readonly NodeCard[]; lastConnectedAtMs: number};
 
 /** Options of `ControlLinks`. */
@@ -32,16 +38,24 @@
 	readonly #options: ControlLinksOptions;
 	readonly #links = new Map<string, Link>();
 	readonly #timer: NodeJS.Timeout;
+	readonly #card: RevisedCard;
+	readonly #retained = new RetainedCards();
 	#nodes = new Map<string, NodeCard>();
 
 	constructor(options: ControlLinksOptions) {
 		this.#options = options;
+		this.#card = new RevisedCard(options.card, Date.now());
 		this.#updateLinks();
 		this.#timer = setInterval(() => {
 			this.#updateLinks();
 		}, updateIntervalMs);
 	}
 
+	/** This daemon's card, with its revision. */
+	get card(): NodeCard {
+		return this.#card.current;
+	}
+
 	/** Daemons that at least one control process lists, by node ID. */
 	get nodes(): ReadonlyMap<string, NodeCard> {
 		return this.#nodes;
@@ -106,16 +120,16 @@
 	}
 
 	#add(address: string, nowMs: number): void {
-		const {card, onConnectionChange, onMessage} = this.#options;
+		const {onConnectionChange, onMessage} = this.#options;
 		const client = new LinkClient({
 			address,
 			nowMs: this.#options.nowMs,
-			card,
+			card: () => this.card,
 			onMessage: message => {
-				if (message.type === 'nodes' || message.type === 'nodesChanged') {
-					const link = this.#links.get(address)!;
-					link.cards = message.type === 'nodes' ? message.cards : applyCardChanges(link.cards, message);
-					this.#mergeNodes();
+				if (message.type === 'nodes') {
+					this.#replaceCards(this.#links.get(address)!, message.cards);
+				} else if (message.type === 'nodesChanged') {
+					this.#changeCards(this.#links.get(address)!, message);
 				} else if (message.type !== 'beat') {
 					onMessage(message, address);
 				}
@@ -129,25 +143,57 @@
 		});
 	}
 
+	/** Stores the first list of a new stream and retains the daemons that were listed before; if no other stream is connected, from any stream. */
+	#replaceCards(link: Link, cards: readonly NodeCard[]): void {
+		const isOnlyStream = [...this.#links.values()].every(other => other === link || !other.client.isConnected);
+		const previous = isOnlyStream ? this.#nodes.values() : link.cards.filter(({nodeId}) => this.#nodes.has(nodeId));
+		this.#retained.retain(previous, this.#options.nowMs() + cardRetentionMs);
+		link.cards = cards;
+		this.#mergeNodes();
+	}
+
+	/** Applies changes to the list of a stream. The removals take precedence over cards that no connected stream lists. */
+	#changeCards(link: Link, change: CardChange): void {
+		link.cards = applyCardChanges(link.cards, change);
+		const {goneIds} = change;
+		this.#retained.remove(goneIds);
+		for (const other of this.#links.values()) {
+			if (!other.client.isConnected) {
+				other.cards = applyCardChanges(other.cards, {cards: [], goneIds});
+			}
+		}
+
+		this.#mergeNodes();
+	}
+
 	#mergeNodes(): void {
 		const nowMs = this.#options.nowMs();
 		const isAnyConnected = [...this.#links.values()].some(({client}) => client.isConnected);
+		if (isAnyConnected) {
+			this.#retained.removeExpired(nowMs);
+		}
+
 		const nodes = new Map<string, NodeCard>();
 		for (const {client, cards, lastConnectedAtMs} of this.#links.values()) {
-			if (client.isConnected || !isAnyConnected || nowMs - lastConnectedAtMs < lostStreamRetentionMs) {
-				for (const card of cards) {
-					const known = nodes.get(card.nodeId);
-					nodes.set(card.nodeId, known?.isLeaving ? known : card);
-				}
+			if (client.isConnected || !isAnyConnected || nowMs - lastConnectedAtMs < cardRetentionMs) {
+				addCards(nodes, cards);
 			}
 		}
 
+		addCards(nodes, this.#retained.cards.filter(({nodeId}) => !nodes.has(nodeId)));
 		this.#nodes = nodes;
 		this.#options.onNodes?.([...nodes.values()]);
 	}
 }
 
-function applyCardChanges(cards: readonly NodeCard[], {cards: changed, goneIds}: {readonly cards: readonly NodeCard[]; readonly goneIds: readonly string[]}): NodeCard[] {
+function addCards(nodes: Map<string, NodeCard>, cards: readonly NodeCard[]): void {
+	for (const card of cards) {
+		const known = nodes.get(card.nodeId);
+		nodes.set(card.nodeId, known ? newerCard(known, card) : card);
+	}
+}
+
+function applyCardChanges(cards: readonly NodeCard[], {cards: changed, goneIds}: CardChange): NodeCard[] {
 	const replaced = new Set([...goneIds, ...changed.map(card => card.nodeId)]);
 	return [...cards.filter(card => !replaced.has(card.nodeId)), ...changed];
 }
--- /dev/null
+++ b/packages/fleet-link/src/link-client.test.ts
@@ -0,0 +1,103 @@
+import {
+	afterEach, beforeEach, describe, it,
+} from 'node:test';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {Server} from '@grpc/grpc-js';
+import {freePorts, waitUntil} from '@rattanspring/test-kit';
+import {expect} from 'earl';
+import {
+	LinkClient, LinkServer, linkService, listen, type NodeCard,
+} from './index.js';
+
+const nowMs = () => performance.now();
+
+/** Time until the server handles a new stream. */
+const acceptDelayMs = 600;
+
+describe('a stream to a control process', () => {
+	let address: string;
+	let links: LinkServer;
+	let server: Server;
+
+	beforeEach(async () => {
+		const [port] = await freePorts(1);
+		address = `127.0.0.1:${port}`;
+		links = new LinkServer({
+			nowMs,
+			ownCard: () => ({
+				nodeId: 'control', role: 'control', failureDomain: 'a', isLeaving: false,
+			}),
+			initialMessages: () => [],
+			onMessage: () => undefined,
+		});
+		server = new Server();
+		server.addService({follow: linkService.follow}, {
+			follow(call: Parameters<LinkServer['accept']>[0]) {
+				setTimeout(() => {
+					links.accept(call);
+				}, acceptDelayMs);
+			},
+		});
+		await listen(server, address);
+	});
+	afterEach(() => {
+		links.close();
+		server.forceShutdown();
+	});
+
+	it('delivers a card that changed while the stream was being connected', async () => {
+		let card: NodeCard = {
+			nodeId: 'n', role: 'entry', failureDomain: 'a', isLeaving: false, isReady: false,
+		};
+		const client = new LinkClient({
+			address, nowMs, card: () => card, onMessage: () => undefined, onConnectionChange: () => undefined,
+		});
+		await sleep(acceptDelayMs / 2);
+		card = {...card, isReady: true};
+		client.sendHello();
+		await waitUntil(() => client.isConnected, {timeoutMs: 5000});
+		await sleep(1000);
+		client.close();
+		expect(links.cards.map(({nodeId, isReady}) => [nodeId, isReady])).toEqual([['n', true], ['control', undefined]]);
+	});
+});
+
+describe('reconnecting to a control process', () => {
+	it('takes a time that differs between daemons and attempts, so that they do not all come at once', async () => {
+		const [port] = await freePorts(1);
+		const acceptedAtMs: number[] = [];
+		const server = new Server();
+		server.addService({follow: linkService.follow}, {
+			follow(call: Parameters<LinkServer['accept']>[0]) {
+				acceptedAtMs.push(nowMs());
+				call.end();
+			},
+		});
+		await listen(server, `127.0.0.1:${port}`);
+		const delaysMs: number[] = [];
+		for (const random of [0, 0.5, 0.999]) {
+			acceptedAtMs.length = 0;
+			const client = new LinkClient({
+				address: `127.0.0.1:${port}`,
+				nowMs,
+				random: () => random,
+				card: () => ({
+					nodeId: 'n', role: 'entry', failureDomain: 'a', isLeaving: false,
+				}),
+				onMessage: () => undefined,
+				onConnectionChange: () => undefined,
+			});
+			await waitUntil(() => acceptedAtMs.length >= 5, {timeoutMs: 10_000});
+			client.close();
+			const intervalsMs = acceptedAtMs.slice(1).map((atMs, index) => atMs - acceptedAtMs[index]);
+			delaysMs.push(Math.min(...intervalsMs));
+		}
+
+		server.forceShutdown();
+		const [shortMs, middleMs, longMs] = delaysMs;
+		expect(shortMs).toBeGreaterThan(100);
+		expect(middleMs - shortMs).toBeGreaterThan(60);
+		expect(longMs - middleMs).toBeGreaterThan(60);
+		expect(longMs).toBeLessThan(700);
+	});
+});
--- a/packages/fleet-link/src/link-client.ts
+++ b/packages/fleet-link/src/link-client.ts
@@ -11,8 +11,9 @@
 import {linkService} from './link-service.js';
 import type {DownMessage, NodeCard, UpMessage} from './messages.js';
 
-/** Delay before a lost stream is reopened. */
-const reconnectDelayMs = 250;
+/** Delay before a lost stream is reopened, and the largest random addition: all daemons lose a control process at the same time. */
+const minReconnectDelayMs = 125;
+const reconnectSpreadMs = 250;
 
 /** Options of `LinkClient`. */
 export type LinkClientOptions = {
@@ -22,6 +23,8 @@
 	readonly card: () => NodeCard;
 	readonly onMessage: (message: DownMessage) => void;
 	readonly onConnectionChange: (isUp: boolean) => void;
+	/** Random numbers in [0, 1). */
+	readonly random?: () => number;
 };
 
 /** One stream, reconnected until it is closed. */
@@ -30,6 +33,8 @@
 	readonly #timer: NodeJS.Timeout;
 	#client: Client | undefined;
 	#call: ClientDuplexStream<UpMessage, DownMessage> | undefined;
+	/** The card last written to the current stream, as JSON. */
+	#writtenCard = '';
 	#heardAtMs = 0;
 	#isConnected = false;
 	#isClosed = false;
@@ -54,9 +59,11 @@
 		}
 	}
 
-	/** Sends this daemon's card, after it has changed. */
+	/** Sends this daemon's card, after it has changed. If the stream is not connected yet, that is done once it is. */
 	sendHello(): void {
-		this.send({type: 'hello', card: this.#options.card()});
+		if (this.#isConnected && this.#call) {
+			this.#writeHello(this.#call);
+		}
 	}
 
 	/** Closes the stream without reconnecting. */
@@ -89,7 +96,13 @@
 		call.on('end', () => {
 			this.#handleDisconnect(call);
 		});
-		call.write({type: 'hello', card: this.#options.card()});
+		this.#writeHello(call);
+	}
+
+	#writeHello(call: ClientDuplexStream<UpMessage, DownMessage>): void {
+		const card = this.#options.card();
+		this.#writtenCard = JSON.stringify(card);
+		call.write({type: 'hello', card});
 	}
 
 	#beat(): void {
@@ -116,15 +129,20 @@
 		this.#client?.close();
 		this.#setConnected(false);
 		if (!this.#isClosed) {
+			const random = this.#options.random ?? Math.random;
 			setTimeout(() => {
 				this.#open();
-			}, reconnectDelayMs);
+			}, minReconnectDelayMs + (reconnectSpreadMs * random()));
 		}
 	}
 
 	#setConnected(isUp: boolean): void {
 		if (this.#isConnected !== isUp) {
 			this.#isConnected = isUp;
+			if (isUp && JSON.stringify(this.#options.card()) !== this.#writtenCard) {
+				this.sendHello();
+			}
+
 			this.#options.onConnectionChange(isUp);
 		}
 	}
