--- a/packages/rank-agent/src/map-rebalancer.ts
+++ b/packages/rank-agent/src/map-rebalancer.ts
@@ -98,9 +98,9 @@
 		return this.#options.nowMs() < this.#backoffUntilMs ? 'backingOff' : this.#plan(ranks, holdingRank, lists, samplingMs);
 	}
 
-	/** The expert lists of the map in use; fetched once per version. */
+	/** The expert lists of the map in use: those of the last switch, or else fetched once per version. */
 	async #currentLists(ranks: GroupRanks, version: number | undefined): Promise<RankLists | undefined> {
-		const key = `${ranks.group} ${ranks.epoch} ${version}`;
+		const key = mapKey(ranks, version);
 		if (this.#known?.key !== key) {
 			const lists = await fetchExpertLists(ranks.engines, version);
 			this.#known = lists && {key, lists};
@@ -195,6 +195,9 @@
 			sinceChangeMs: this.#changeNoticedAtMs === undefined ? undefined : Math.round(nowMs() - this.#changeNoticedAtMs),
 		});
 		this.#noteOutcome(outcome);
+		if (outcome === 'switched') {
+			this.#known = {key: mapKey(ranks, version), lists: plan.lists};
+		}
 	}
 
 	#noteOutcome(outcome: SwitchOutcome): void {
@@ -208,6 +211,11 @@
 	}
 }
 
+/** Identifies a map: versions are unique within a formation of a group. */
+function mapKey({group, epoch}: GroupRanks, version: number | undefined): string {
+	return `${group} ${epoch} ${version}`;
+}
+
 function newForecast(): ExponentialAverageForecast {
 	return new ExponentialAverageForecast({newestWeight: newestSampleWeight, changeLimit: suddenChangeShare});
 }
