--- a/packages/rank-agent/src/map-switch.ts
+++ b/packages/rank-agent/src/map-switch.ts
@@ -19,9 +19,13 @@
 /** Number of steps over which switches that start from the same step are spread, so that they use different ones. */
 const armSpreadSteps = 3;
 
-/** Intervals between recovery attempts, and between checks whether all ranks are prepared. */
+/** Interval between recovery attempts. */
 const recoverPollMs = 40;
-const preparePollMs = 80;
+
+/** Pauses between checks whether all ranks are prepared: a share of the time that they have taken so far, within bounds, so that short copies are noticed early and long ones cost few checks. */
+const preparePollShare = 0.25;
+const minPreparePollMs = 20;
+const maxPreparePollMs = 80;
 
 /** Time limits for copying weights, for arming a held group (which stalls meanwhile; a slower arming is undone), and for recovering it. */
 const prepareLimitMs = 9000;
@@ -214,18 +218,23 @@
 		return this.#timed('copying', async () => this.#waitUntilPrepared(version, untilMs));
 	}
 
+	/** Polls the ranks that have not yet copied their weights. */
 	async #waitUntilPrepared(version: number, untilMs: number): Promise<boolean> {
+		const startedAtMs = this.#nowMs();
+		let copying = this.#ranks.engines;
 		for (;;) {
-			const states = await this.#fetchStates();
+			const states = await this.#fetchStates(copying);
 			if (!states || this.#nowMs() > untilMs) {
 				return false;
 			}
 
-			if (states.every(state => state.preparedVersion === version)) {
+			copying = copying.filter((_, index) => states[index].preparedVersion !== version);
+			if (copying.length === 0) {
 				return true;
 			}
 
-			await this.#sleep(preparePollMs);
+			const pauseMs = (this.#nowMs() - startedAtMs) * preparePollShare;
+			await this.#sleep(Math.min(maxPreparePollMs, Math.max(minPreparePollMs, pauseMs)));
 		}
 	}
 
@@ -261,9 +270,9 @@
 		return false;
 	}
 
-	/** The states of all ranks; undefined if one did not answer or belongs to another formation. */
-	async #fetchStates(): Promise<EngineState[] | undefined> {
-		const states = await Promise.all(this.#ranks.engines.map(async engine => engine.state()));
+	/** The states of ranks, by default of all; undefined if one did not answer or belongs to another formation. */
+	async #fetchStates(engines = this.#ranks.engines): Promise<EngineState[] | undefined> {
+		const states = await Promise.all(engines.map(async engine => engine.state()));
 		const isWhole = states.every(state => state?.rankPlace?.epoch === this.#ranks.epoch && state.rankPlace.isOpen);
 		return isWhole ? states as EngineState[] : undefined;
 	}
