--- a/packages/rank-agent/src/rank-agent.ts
+++ b/packages/rank-agent/src/rank-agent.ts
@@ -15,6 +15,7 @@
 import type {RankPlace, TargetLoad} from '@rattanspring/target-table';
 import type {Clock} from '@rattanspring/types';
 import type {EngineClient, EngineOrder, EngineState} from './engine-client.js';
+import {ExclusiveTask} from './exclusive-task.js';
 import {FencedEngineClient} from './fenced-engine-client.js';
 import {GroupEngineClients, type GroupRanks, holdingRank} from './group-engine-clients.js';
 import {MapRebalancer} from './map-rebalancer.js';
@@ -80,7 +81,8 @@
 	#isClosed = false;
 	#rebalancer: MapRebalancer | undefined;
 	#place: RankPlace | undefined;
-	#isChangingMap = false;
+	/** Switches or recovers the group's map. */
+	readonly #mapChange: ExclusiveTask;
 	#heldSinceMs: number | undefined;
 	#isEngineReachable = true;
 	#lastReportedLoad: TargetLoad | undefined;
@@ -90,6 +92,7 @@
 
 	constructor(options: RankAgentOptions) {
 		this.#options = options;
+		this.#mapChange = new ExclusiveTask(options.logger);
 		this.#fencedEngine = new FencedEngineClient(options.engineClient);
 		this.#engineClients = new GroupEngineClients({
 			...options,
@@ -194,7 +197,7 @@
 	/** Runs one rebalancing round if this agent is the coordinator. */
 	async #rebalanceMap(): Promise<void> {
 		const engine = this.#options.engine();
-		if (this.#isChangingMap || !engine || this.#place?.rank !== coordinatorRank) {
+		if (this.#mapChange.isRunning || !engine || this.#place?.rank !== coordinatorRank) {
 			return;
 		}
 
@@ -204,9 +207,8 @@
 			this.#rebalancer ??= new MapRebalancer({
 				engine, nowMs: () => this.#suspendAwareClock.nowMs(), versions: this.#versions, logger,
 			});
-			this.#isChangingMap = true;
-			await this.#rebalancer.round(ranks, Math.min(holdingRank, ranks.engines.length - 1));
-			this.#isChangingMap = false;
+			const rebalancer = this.#rebalancer;
+			await this.#mapChange.run('rebalancing', async () => rebalancer.round(ranks, Math.min(holdingRank, ranks.engines.length - 1)));
 		}
 	}
 
@@ -214,22 +216,25 @@
 	async #releaseIfAbandoned({heldStep, rankPlace}: EngineState): Promise<void> {
 		const nowMs = this.#options.clock.monotonicMs();
 		this.#heldSinceMs = heldStep === undefined ? undefined : this.#heldSinceMs ?? nowMs;
-		if (this.#heldSinceMs === undefined || heldStep === undefined || this.#isChangingMap || nowMs - this.#heldSinceMs < abandonedAfterMs) {
+		if (this.#heldSinceMs === undefined || heldStep === undefined || this.#mapChange.isRunning || nowMs - this.#heldSinceMs < abandonedAfterMs) {
 			return;
 		}
 
 		const ranks = this.#ranks();
 		if (ranks && rankPlace) {
-			this.#isChangingMap = true;
-			const outcome = await new MapSwitch({ranks, holdingRank: rankPlace.rank, nowMs: () => this.#suspendAwareClock.nowMs()}).recover(heldStep, () => this.#versions.next());
-			this.#isChangingMap = false;
-			this.#heldSinceMs = undefined;
-			this.#options.logger.log('warn', 'abandonedGroupReleased', {
-				group: ranks.group, epoch: ranks.epoch, step: heldStep, outcome,
-			});
+			await this.#mapChange.run('release', async () => this.#release(ranks, rankPlace.rank, heldStep));
 		}
 	}
 
+	async #release(ranks: GroupRanks, ownRank: number, heldStep: number): Promise<void> {
+		const mapSwitch = new MapSwitch({ranks, holdingRank: ownRank, nowMs: () => this.#suspendAwareClock.nowMs()});
+		const outcome = await mapSwitch.recover(heldStep, () => this.#versions.next());
+		this.#heldSinceMs = undefined;
+		this.#options.logger.log('warn', 'abandonedGroupReleased', {
+			group: ranks.group, epoch: ranks.epoch, step: heldStep, outcome,
+		});
+	}
+
 	#ranks(): GroupRanks | undefined {
 		return this.#place?.isOpen ? this.#engineClients.ranks(this.#place, [...this.#links.nodes.values()]) : undefined;
 	}
