--- a/packages/expert-map/src/planner/even-share-placement.ts
+++ b/packages/expert-map/src/planner/even-share-placement.ts
@@ -3,11 +3,11 @@
 relative to the mean load of a rank.
 */
 
-/** A new replica of an expert on a rank. */
+/** A change of the experts that a rank holds. */
 export type PlacementChange = {
-	/** Rank that receives the expert `add`. */
 	readonly to: number;
-	readonly add: number;
+	/** Expert that the rank receives. */
+	readonly add?: number;
 	/** Expert that the rank gives up. */
 	readonly drop?: number;
 	/** Rank that takes over the expert `drop` and gives up its replica of `add`. */
@@ -107,13 +107,16 @@
 	apply({to, add, drop, from}: PlacementChange): void {
 		if (drop !== undefined) {
 			this.#remove(to, drop);
-			if (from !== undefined) {
-				this.#remove(from, add);
-				this.#insert(from, drop);
-			}
 		}
 
-		this.#insert(to, add);
+		if (from !== undefined && add !== undefined && drop !== undefined) {
+			this.#remove(from, add);
+			this.#insert(from, drop);
+		}
+
+		if (add !== undefined) {
+			this.#insert(to, add);
+		}
 	}
 
 	#insert(rank: number, expert: number): void {
--- a/packages/expert-map/src/planner/even-share-search.test.ts
+++ b/packages/expert-map/src/planner/even-share-search.test.ts
@@ -36,11 +36,10 @@
 			const search = new EvenShareSearch(placement, limits);
 			let changes = 0;
 			for (let best = search.bestChange(); best && best.gainPerCopy > 1e-6; best = search.bestChange()) {
-				const {to, add, drop, from} = best.change;
-				const copies = (placement.isNew(to, add) ? 1 : 0) + (from !== undefined && drop !== undefined && placement.isNew(from, drop) ? 1 : 0);
-				const before = scoreOf(placement.lists, tokens);
+				const before = {score: scoreOf(placement.lists, tokens), copies: placement.copies};
 				placement.apply(best.change);
-				expect(Math.abs(before - scoreOf(placement.lists, tokens) - (best.gainPerCopy * Math.max(1, copies)))).toBeLessThan(1e-9);
+				const copies = Math.max(1, placement.copies - before.copies);
+				expect(Math.abs(before.score - scoreOf(placement.lists, tokens) - (best.gainPerCopy * copies))).toBeLessThan(1e-9);
 				changes++;
 			}
 
@@ -63,4 +62,22 @@
 			expect(Math.abs(placement.skew - Math.max(...timesOf(placement.lists, tokens)))).toBeLessThan(1e-9);
 		});
 	}
+
+	it('lets the slowest rank give up a replica, which needs no copy', () => {
+		const current = [[0, 1, 2], [0, 3], [0, 4]];
+		const placement = new EvenSharePlacement({current, tokens: [30, 40, 40, 35, 35], paces: [1, 1, 1]});
+		const best = new EvenShareSearch(placement, {placesPerRank: 3, newPerRank: 0}).bestChange();
+		expect(best?.change).toEqual({to: 0, drop: 0});
+	});
+
+	it('replaces a copy that is not yet made by another one when a rank may receive no more', () => {
+		const placement = new EvenSharePlacement({current: [[0, 1], [2, 3], [4, 5]], tokens: [60, 60, 10, 20, 10, 20], paces: [1, 1, 1]});
+		placement.apply({
+			to: 1, add: 4, drop: 2, from: 2,
+		});
+		const best = new EvenShareSearch(placement, {placesPerRank: 2, newPerRank: 1}).bestChange();
+		expect(best !== undefined && best.gainPerCopy > 0).toEqual(true);
+		placement.apply(best!.change);
+		expect(placement.lists.every((_, rank) => placement.newCount(rank) <= 1)).toEqual(true);
+	});
 });
--- a/packages/expert-map/src/planner/even-share-search.ts
+++ b/packages/expert-map/src/planner/even-share-search.ts
@@ -29,7 +29,7 @@
 export class EvenShareSearch {
 	readonly #placement: EvenSharePlacement;
 	readonly #limits: PlaceLimits;
-	/** The best candidate by number of copies. */
+	/** The best candidate by number of copies; one that needs none counts as one. */
 	#best: Array<Candidate | undefined> = [];
 	/** Difference that an expert's remaining holders make if a rank gives it up, by rank and place in its list. */
 	#dropDifferences: number[][] = [];
@@ -39,16 +39,20 @@
 		this.#limits = limits;
 	}
 
-	/** The best change that gives the slowest rank's share of an expert to another rank: into a free place, over a redundant replica, or in exchange for an expert. */
+	/**
+	The best change that relieves the slowest rank: it gives up a redundant replica, or another rank receives one of its experts
+	into a free place, over a redundant replica, or in exchange.
+	*/
 	bestChange(): RatedChange | undefined {
 		const placement = this.#placement;
 		const slowest = placement.slowestRank;
 		this.#best = [];
 		this.#dropDifferences = placement.lists.map((experts, rank) => experts.map(expert => this.#dropDifference(rank, expert)));
+		this.#tryDrops(slowest);
 		for (const add of placement.lists[slowest]) {
 			const addDifference = this.#addDifference(add);
 			for (let to = 0; to < placement.rankCount; to++) {
-				if (to !== slowest && !placement.holds(to, add) && this.#canReceive(to, add)) {
+				if (to !== slowest && !placement.holds(to, add)) {
 					this.#tryReplicas(add, to, addDifference);
 					this.#tryExchanges(add, to, slowest);
 				}
@@ -58,24 +62,36 @@
 		return this.#bestPerCopy();
 	}
 
+	#tryDrops(rank: number): void {
+		const placement = this.#placement;
+		for (const [place, drop] of placement.lists[rank].entries()) {
+			if (placement.holders[drop].length > 1) {
+				const difference = this.#dropDifferences[rank][place] + this.#difference(rank, -placement.share(drop));
+				if (this.#isBest(difference, 1)) {
+					this.#best[1] = {change: {to: rank, drop}, difference};
+				}
+			}
+		}
+	}
+
 	#tryReplicas(add: number, to: number, addDifference: number): void {
 		const placement = this.#placement;
 		const experts = placement.lists[to];
 		const share = placement.share(add, placement.holders[add].length + 1);
-		const copies = placement.isNew(to, add) ? 1 : 0;
-		if (experts.length < this.#limits.placesPerRank) {
+		const canReceive = this.#canReceive(to, this.#copiesOf(to, add));
+		if (canReceive && experts.length < this.#limits.placesPerRank) {
 			const difference = addDifference + this.#difference(to, share);
-			if (this.#isBest(difference, copies)) {
-				this.#best[copies] = {change: {to, add}, difference};
+			if (this.#isBest(difference, 1)) {
+				this.#best[1] = {change: {to, add}, difference};
 			}
 		}
 
 		for (const [place, drop] of experts.entries()) {
-			if (placement.holders[drop].length > 1) {
+			if (placement.holders[drop].length > 1 && (canReceive || placement.isNew(to, drop))) {
 				const difference = addDifference + this.#dropDifferences[to][place] + this.#commonDifference(add, drop, to)
 					+ this.#difference(to, share - placement.share(drop));
-				if (this.#isBest(difference, copies)) {
-					this.#best[copies] = {change: {to, add, drop}, difference};
+				if (this.#isBest(difference, 1)) {
+					this.#best[1] = {change: {to, add, drop}, difference};
 				}
 			}
 		}
@@ -83,12 +99,17 @@
 
 	#tryExchanges(add: number, to: number, from: number): void {
 		const placement = this.#placement;
-		const copiesOfAdd = placement.isNew(to, add) ? 1 : 0;
 		for (const drop of placement.lists[to]) {
-			if (placement.holders[drop].length === 1 && this.#canReceive(from, drop)) {
+			if (placement.holders[drop].length > 1) {
+				continue;
+			}
+
+			const copiesTo = this.#copiesOf(to, add, drop);
+			const copiesFrom = this.#copiesOf(from, drop, add);
+			if (this.#canReceive(to, copiesTo) && this.#canReceive(from, copiesFrom)) {
 				const more = placement.share(add) - placement.share(drop);
 				const difference = this.#difference(to, more) + this.#difference(from, -more);
-				const copies = copiesOfAdd + (placement.isNew(from, drop) ? 1 : 0);
+				const copies = Math.max(1, copiesTo + copiesFrom);
 				if (this.#isBest(difference, copies)) {
 					this.#best[copies] = {
 						change: {
@@ -101,8 +122,14 @@
 		}
 	}
 
-	#canReceive(rank: number, expert: number): boolean {
-		return !this.#placement.isNew(rank, expert) || this.#placement.newCount(rank) < this.#limits.newPerRank;
+	/** Number of additional copies that a rank needs if it receives one expert and gives up another; a copy of the latter that is not yet made is saved. */
+	#copiesOf(rank: number, add: number, drop?: number): number {
+		const placement = this.#placement;
+		return (placement.isNew(rank, add) ? 1 : 0) - (drop !== undefined && placement.isNew(rank, drop) ? 1 : 0);
+	}
+
+	#canReceive(rank: number, copies: number): boolean {
+		return copies <= 0 || this.#placement.newCount(rank) + copies <= this.#limits.newPerRank;
 	}
 
 	#isBest(difference: number, copies: number): boolean {
@@ -112,10 +139,10 @@
 	#bestPerCopy(): RatedChange | undefined {
 		const sum = this.#placement.lists.reduce((total, _, rank) => total + power(this.#placement.time(rank)), 0);
 		let best: RatedChange | undefined;
-		for (let copies = 0; copies <= maxCopies; copies++) {
+		for (let copies = 1; copies <= maxCopies; copies++) {
 			const candidate = this.#best[copies];
 			if (candidate) {
-				const gainPerCopy = (this.#score(sum) - this.#score(sum + candidate.difference)) / Math.max(1, copies);
+				const gainPerCopy = (this.#score(sum) - this.#score(sum + candidate.difference)) / copies;
 				best = best && best.gainPerCopy >= gainPerCopy ? best : {change: candidate.change, gainPerCopy};
 			}
 		}
