--- a/packages/replicated-log/src/simulation/oracle.ts
+++ b/packages/replicated-log/src/simulation/oracle.ts
@@ -31,6 +31,11 @@
 		return this.#acknowledgedIndex;
 	}
 
+	/** Number of terms that had a leader. */
+	get electionCount(): number {
+		return this.#leaders.size;
+	}
+
 	/** Number of committed entries. */
 	get committedCount(): number {
 		return this.#committed.size;
--- a/packages/replicated-log/src/simulation/simulated-group.ts
+++ b/packages/replicated-log/src/simulation/simulated-group.ts
@@ -7,6 +7,8 @@
 import {currentMembership, initialLog} from '../replica-state.js';
 import type {ReplicaOptions} from '../options.js';
 import {encodeCommand} from './command-id.js';
+import {LimitedLink} from './limited-link.js';
+import {messageBytes} from './message-bytes.js';
 import {Oracle, reportViolation} from './oracle.js';
 import {SimulatedMember} from './simulated-member.js';
 
@@ -21,6 +23,8 @@
 	/** Random numbers in [0, 1). */
 	readonly random: () => number;
 	readonly replica?: Partial<ReplicaOptions>;
+	/** Bandwidth from each member to each other one; unlimited and without an order of messages if undefined. */
+	readonly bytesPerMs?: number;
 };
 
 type InFlight = {readonly envelope: Envelope; readonly dueMs: number};
@@ -37,8 +41,10 @@
 	readonly #options: SimulatedGroupOptions;
 	readonly #initialMembership: IndexedMembership;
 	readonly #blockedLinks = new Set<string>();
+	readonly #limitedLinks = new Map<string, LimitedLink>();
 	#inFlight: InFlight[] = [];
 	#nowMs = 0;
+	#sentBytes = 0;
 	#nextId = 1;
 	#nextRequestId = 1;
 
@@ -52,6 +58,16 @@
 		}
 	}
 
+	/** Simulated time since the group was created. */
+	get nowMs(): number {
+		return this.#nowMs;
+	}
+
+	/** Bytes of all messages that were sent. */
+	get sentBytes(): number {
+		return this.#sentBytes;
+	}
+
 	get running(): SimulatedMember[] {
 		return this.members.filter(member => member.state);
 	}
@@ -85,10 +101,10 @@
 		return condition();
 	}
 
-	/** Proposes a command to a member; returns the command's id. */
-	propose(member: SimulatedMember): number {
+	/** Proposes a command, padded to `commandBytes`, to a member; returns the command's id. */
+	propose(member: SimulatedMember, commandBytes = 0): number {
 		const requestId = this.#nextRequestId++;
-		member.handle({type: 'propose', proposals: [{requestId, command: encodeCommand(requestId)}]});
+		member.handle({type: 'propose', proposals: [{requestId, command: encodeCommand(requestId, commandBytes)}]});
 		return requestId;
 	}
 
@@ -222,10 +238,23 @@
 
 		const copies = random() < this.duplicateRate ? 2 : 1;
 		for (let copy = 0; copy < copies; copy++) {
-			this.#inFlight.push({envelope, dueMs: this.#nowMs + (random() * this.maxDelayMs)});
+			this.#inFlight.push({envelope, dueMs: this.#leavesLinkAtMs(envelope) + (random() * this.maxDelayMs)});
 		}
 	}
 
+	#leavesLinkAtMs({from, to, message}: Envelope): number {
+		this.#sentBytes += messageBytes(message);
+		const {bytesPerMs} = this.#options;
+		if (bytesPerMs === undefined) {
+			return this.#nowMs;
+		}
+
+		const name = `${from}>${to}`;
+		const link = this.#limitedLinks.get(name) ?? new LimitedLink(bytesPerMs);
+		this.#limitedLinks.set(name, link);
+		return link.send(message, this.#nowMs);
+	}
+
 	/** Delivers due messages in the order of their delivery times, so that they may be reordered. */
 	#deliver(): void {
 		const due = this.#inFlight.filter(message => message.dueMs <= this.#nowMs).toSorted((left, right) => left.dueMs - right.dueMs);
--- a/packages/replicated-log/src/simulation/simulated-member.ts
+++ b/packages/replicated-log/src/simulation/simulated-member.ts
@@ -112,9 +112,9 @@
 		}
 	}
 
-	/** Takes a snapshot of the applied state. */
-	compact(): void {
-		const state = new TextEncoder().encode(JSON.stringify(this.#applied));
+	/** Takes a snapshot of the applied state, padded to `snapshotBytes`. */
+	compact(snapshotBytes = 0): void {
+		const state = new TextEncoder().encode(JSON.stringify(this.#applied).padEnd(snapshotBytes));
 		this.handle({type: 'compact', index: this.#appliedIndex, state});
 	}
 
