--- a/packages/replicated-log/src/append-reply.ts
+++ b/packages/replicated-log/src/append-reply.ts
@@ -1,6 +1,7 @@
 /** The leader's handling of append replies. */
 
 import {advanceCommit} from './commit.js';
+import {recordContact} from './contact.js';
 import {becomeFollower, type Context} from './context.js';
 import type {VoterId} from './log-entry.js';
 import {promoteCaughtUpLearners} from './membership-change.js';
@@ -23,8 +24,7 @@
 		return;
 	}
 
-	progress.acknowledgedRound = Math.max(progress.acknowledgedRound, message.round);
-	progress.acknowledgedSentAtMs = Math.max(progress.acknowledgedSentAtMs, message.sentAtMs);
+	recordContact(progress, message);
 	updateMatchIndex(progress, message);
 	advanceCommit(context);
 	if (!state.leader) {
--- a/packages/replicated-log/src/context.ts
+++ b/packages/replicated-log/src/context.ts
@@ -65,3 +65,10 @@
 		setRole(context, 'follower', leaderId);
 	}
 }
+
+/** Follows the leader of a term that is not lower than the current one, after a message from it, and restarts the election timeout. */
+export function followLeader(context: Context, leaderId: VoterId, term: number): void {
+	becomeFollower(context, term, leaderId);
+	context.state.lastContactMs = context.nowMs;
+	resetElectionDeadline(context);
+}
--- a/packages/replicated-log/src/follower.ts
+++ b/packages/replicated-log/src/follower.ts
@@ -1,7 +1,7 @@
 /** Replication on the follower's side. */
 
 import {
-	becomeFollower, type Context, resetElectionDeadline, sendAfterSync,
+	type Context, followLeader, sendAfterSync,
 } from './context.js';
 import type {LogEntry, VoterId} from './log-entry.js';
 import {membershipsIn} from './membership.js';
@@ -49,15 +49,12 @@
 
 /** Accepts the sender as leader and restarts the election timeout; returns false if the sender's term is outdated. */
 function acceptLeader(context: Context, from: VoterId, message: LeaderMessage): boolean {
-	const {state, nowMs} = context;
-	if (message.term < state.voteState.term) {
+	if (message.term < context.state.voteState.term) {
 		reply(context, from, message, {success: false, prevIndex: 0, matchIndex: 0});
 		return false;
 	}
 
-	becomeFollower(context, message.term, from);
-	state.lastContactMs = nowMs;
-	resetElectionDeadline(context);
+	followLeader(context, from, message.term);
 	return true;
 }
 
--- a/packages/replicated-log/src/index.ts
+++ b/packages/replicated-log/src/index.ts
@@ -3,7 +3,7 @@
 export * from './events.js';
 export type * from './log-entry.js';
 export * from './membership.js';
-export type * from './messages.js';
+export * from './messages.js';
 export * from './options.js';
 export * from './ports.js';
 export * from './replica-state.js';
--- a/packages/replicated-log/src/messages.ts
+++ b/packages/replicated-log/src/messages.ts
@@ -38,6 +38,12 @@
 /** A complete snapshot, for a member that needs entries before the start of the leader's log. */
 export type SnapshotMessage = Round & {readonly type: 'snapshot'; readonly term: number; readonly snapshot: LogSnapshot};
 
+/** Tells a member that its leader is alive while entries or a snapshot are on their way to it, however long these take. */
+export type ContactMessage = Round & {readonly type: 'contact'; readonly term: number};
+
+/** Reply to `contact`. It says nothing about the sender's log; `term` is the sender's own. */
+export type ContactReplyMessage = Round & {readonly type: 'contactReply'; readonly term: number};
+
 /** Asks the receiver to start an election immediately. */
 export type TimeoutNowMessage = {readonly type: 'timeoutNow'; readonly term: number};
 
@@ -49,7 +55,19 @@
 		| AppendMessage
 		| AppendReplyMessage
 		| SnapshotMessage
+		| ContactMessage
+		| ContactReplyMessage
 		| TimeoutNowMessage;
 
 /** A message with its sender and receiver. A receiver ignores messages addressed to another identity. */
 export type Envelope = {readonly from: VoterId; readonly to: VoterId; readonly message: PeerMessage};
+
+/**
+How a message is to be sent. Messages of the lane `bulk` keep their order: an append that arrives shows whether those before it did. Messages
+of the lane `prompt` are small, and may not wait behind `bulk` ones.
+*/
+export type MessageLane = 'bulk' | 'prompt';
+
+export function laneOf(message: PeerMessage): MessageLane {
+	return message.type === 'append' || message.type === 'snapshot' ? 'bulk' : 'prompt';
+}
--- a/packages/replicated-log/src/ports.ts
+++ b/packages/replicated-log/src/ports.ts
@@ -18,7 +18,7 @@
 	abstract close(): Promise<void>;
 }
 
-/** Unreliable message transport between replicas. */
+/** Unreliable message transport between replicas. It sends the messages of each lane (`laneOf`) apart from those of the other. */
 export abstract class PeerTransport {
 	/** Sends a message to the member at `toAddress` without waiting. `fromAddress` lets a receiver reply that does not know the sender yet. */
 	abstract send(envelope: Envelope, toAddress: string, fromAddress: string): void;
--- a/packages/replicated-log/src/replication.ts
+++ b/packages/replicated-log/src/replication.ts
@@ -49,6 +49,7 @@
 	leader.nextHeartbeatMs = context.nowMs + context.state.options.heartbeatIntervalMs;
 	for (const member of members(currentMembership(context.state))) {
 		if (member.voterId !== context.state.id) {
+			sendContactIfBehind(context, member.voterId);
 			sendAppend(context, member.voterId, {isHeartbeat: true});
 		}
 	}
@@ -105,6 +106,18 @@
 	progress.nextIndex += entries.length;
 }
 
+/** Sends a contact message to a member that has not acknowledged all that was sent to it earlier, as a heartbeat may have to wait behind that. */
+function sendContactIfBehind(context: Context, to: VoterId): void {
+	const {state, nowMs} = context;
+	const leader = state.leader!;
+	const progress = leader.progress.get(to);
+	if (progress && (progress.matchIndex < progress.nextIndex - 1 || progress.snapshotSentAtMs !== undefined)) {
+		sendNow(context, to, {
+			type: 'contact', term: state.voteState.term, round: leader.round, sentAtMs: nowMs,
+		});
+	}
+}
+
 function nextEntries(state: ReplicaState, progress: Progress): LogEntry[] {
 	const {maxEntriesPerMessage, maxEntriesInFlight} = state.options;
 	const isWithinWindow = progress.nextIndex - progress.matchIndex <= maxEntriesInFlight;
--- a/packages/replicated-log/src/simulation/simulated-group.ts
+++ b/packages/replicated-log/src/simulation/simulated-group.ts
@@ -238,21 +238,21 @@
 
 		const copies = random() < this.duplicateRate ? 2 : 1;
 		for (let copy = 0; copy < copies; copy++) {
-			this.#inFlight.push({envelope, dueMs: this.#leavesLinkAtMs(envelope) + (random() * this.maxDelayMs)});
+			this.#inFlight.push({envelope, dueMs: this.#arrivalMs(envelope, random() * this.maxDelayMs)});
 		}
 	}
 
-	#leavesLinkAtMs({from, to, message}: Envelope): number {
+	#arrivalMs({from, to, message}: Envelope, delayMs: number): number {
 		this.#sentBytes += messageBytes(message);
 		const {bytesPerMs} = this.#options;
 		if (bytesPerMs === undefined) {
-			return this.#nowMs;
+			return this.#nowMs + delayMs;
 		}
 
 		const name = `${from}>${to}`;
 		const link = this.#limitedLinks.get(name) ?? new LimitedLink(bytesPerMs);
 		this.#limitedLinks.set(name, link);
-		return link.send(message, this.#nowMs);
+		return link.send(message, this.#nowMs, delayMs);
 	}
 
 	/** Delivers due messages in the order of their delivery times, so that they may be reordered. */
--- a/packages/replicated-log/src/step.ts
+++ b/packages/replicated-log/src/step.ts
@@ -2,6 +2,7 @@
 
 import type {Transition} from '@rattanspring/types';
 import {onAppendReply} from './append-reply.js';
+import {onContact, onContactReply} from './contact.js';
 import {advanceCommit} from './commit.js';
 import type {Context} from './context.js';
 import {
@@ -127,6 +128,16 @@
 			break;
 		}
 
+		case 'contact': {
+			onContact(context, from, message);
+			break;
+		}
+
+		case 'contactReply': {
+			onContactReply(context, from, message);
+			break;
+		}
+
 		case 'timeoutNow': {
 			onTimeoutNow(context, message);
 			break;
--- a/packages/voter-group/src/grpc-peer-transport.ts
+++ b/packages/voter-group/src/grpc-peer-transport.ts
@@ -1,4 +1,7 @@
-/** Sends messages of the replicated log over one gRPC stream per peer address. */
+/**
+Sends messages of the replicated log over one gRPC stream per peer address and lane. The streams of an address share a
+connection; its flow control lets small messages pass large ones that are under way in the other lane.
+*/
 
 import {Buffer} from 'node:buffer';
 import {decode, encode} from '@msgpack/msgpack';
@@ -7,12 +10,14 @@
 } from '@grpc/grpc-js';
 import {GrpcClientPool} from '@rattanspring/control-client';
 import {peerProtocol, type KeyMaterial} from '@rattanspring/protocol';
-import {type Envelope, type PeerMessage, PeerTransport} from '@rattanspring/replicated-log';
+import {
+	type Envelope, laneOf, type MessageLane, type PeerMessage, PeerTransport,
+} from '@rattanspring/replicated-log';
 
 /** Maximum payload of one frame; larger messages are split. */
 const maxFrameBytes = 1_048_576;
 
-/** Maximum bytes buffered per peer. Messages above the limit are dropped; the replicated log retransmits them. */
+/** Maximum bytes buffered per stream. Messages above the limit are dropped; the replicated log retransmits them. */
 const maxBufferedBytes = 67_108_864;
 
 type Frame = peerProtocol.PeerFrame;
@@ -26,9 +31,10 @@
 /** Keepalive pings detect a dead connection within one or two election timeouts. */
 const peerChannelOptions = {'grpc.keepalive_time_ms': 1000, 'grpc.keepalive_timeout_ms': 1000};
 
-/** Opens a stream to a peer on first use, and a new one after a failure. */
+/** Opens the stream of a lane to a peer on first use, and a new one after a failure. */
 export class GrpcPeerTransport extends PeerTransport {
 	readonly #clients: GrpcClientPool<peerProtocol.PeerClient>;
+	/** Streams by address and lane. */
 	readonly #streams = new Map<string, Stream>();
 	#isClosed = false;
 
@@ -42,7 +48,8 @@
 			return;
 		}
 
-		const stream = this.#streams.get(toAddress) ?? this.#open(toAddress);
+		const lane = laneOf(envelope.message);
+		const stream = this.#streams.get(streamName(toAddress, lane)) ?? this.#open(toAddress, lane);
 		if (stream.bufferedBytes > maxBufferedBytes) {
 			return;
 		}
@@ -65,29 +72,30 @@
 		this.#clients.close();
 	}
 
-	#open(address: string): Stream {
+	#open(address: string, lane: MessageLane): Stream {
 		const client = this.#clients.clientFor(address);
+		const name = streamName(address, lane);
 		const call = client.exchange(() => {
-			this.#removeStream(address, call);
+			this.#removeStream(name, call);
 		});
 		call.on('error', () => {
-			this.#removeStream(address, call);
+			this.#removeStream(name, call);
 		});
 		const stream = {call, bufferedBytes: 0};
-		this.#streams.set(address, stream);
+		this.#streams.set(name, stream);
 		setTimeout(() => {
-			if (this.#streams.get(address) === stream && client.getChannel().getConnectivityState(false) !== connectivityState.READY) {
-				this.#removeStream(address, call);
+			if (this.#streams.get(name) === stream && client.getChannel().getConnectivityState(false) !== connectivityState.READY) {
+				this.#removeStream(name, call);
 				call.cancel();
-				this.#clients.discard(address);
+				this.#clients.discard(address, client);
 			}
 		}, connectTimeoutMs).unref();
 		return stream;
 	}
 
-	#removeStream(address: string, call: Stream['call']): void {
-		if (this.#streams.get(address)?.call === call) {
-			this.#streams.delete(address);
+	#removeStream(name: string, call: Stream['call']): void {
+		if (this.#streams.get(name)?.call === call) {
+			this.#streams.delete(name);
 		}
 	}
 }
@@ -110,6 +118,10 @@
 	});
 }
 
+function streamName(address: string, lane: MessageLane): string {
+	return `${lane} ${address}`;
+}
+
 function splitIntoFrames({from, to, message}: Envelope, fromAddress: string): Frame[] {
 	const bytes = encode(message, {ignoreUndefined: true});
 	const frames: Frame[] = [];
--- a/spec/replicated-log.pml
+++ b/spec/replicated-log.pml
@@ -13,6 +13,7 @@
 // fault: UNCAUGHT_LEARNER
 // fault: REUSE_IDENTITY
 // fault: VOTE_TWICE
+// fault: CONTACT_ACKNOWLEDGES
 
 #define MEMBERS 4
 #define MAX_LOG 5
@@ -140,6 +141,19 @@
 	k = 0
 }
 
+/* Leader m shows member n that it is alive. The member's log stays as it is, and its reply acknowledges no entries. */
+inline contact() {
+	currentTerm[n] = currentTerm[m];
+	leads[n] = false
+#ifdef CONTACT_ACKNOWLEDGES
+	;
+	if
+	:: currentTerm[m] == leaderTerm -> matched[n] = logs[m].length
+	:: else
+	fi
+#endif
+}
+
 /* Commits the whole log of leader m. Enabled only if a quorum holds it and its last entry is of the leader's own term. */
 inline commit() {
 	committedLength = logs[m].length;
@@ -185,7 +199,7 @@
 		:: !lost[m] && !leads[m] && currentTerm[m] < MAX_TERM && counts(m, newest(m)) -> elect()
 		/* The leader appends a command. */
 		:: leadsNow(m) && logs[m].length < MAX_LOG -> append(newest(m))
-		/* Replication to one member; the learner, member 3, may receive the log at any time. */
+		/* Replication to one member, or contact with it only; the learner, member 3, may receive the log at any time. */
 		:: leadsNow(m) ->
 			if
 			:: n = 0
@@ -195,6 +209,7 @@
 			fi;
 			if
 			:: n != m && !lost[n] && currentTerm[n] <= currentTerm[m] -> replicate()
+			:: n != m && !lost[n] && currentTerm[n] <= currentTerm[m] -> contact()
 			:: else
 			fi;
 			n = 0
