--- a/packages/replicated-log/src/append-reply.ts
+++ b/packages/replicated-log/src/append-reply.ts
@@ -44,10 +44,14 @@
 		progress.matchIndex = Math.max(progress.matchIndex, message.matchIndex);
 		progress.nextIndex = Math.max(progress.nextIndex, progress.matchIndex + 1);
 		progress.isProbing = false;
-		progress.snapshotSentAtMs = undefined;
+		progress.snapshot = undefined;
 		return;
 	}
 
+	if (progress.snapshot && message.sentAtMs > progress.snapshot.sentAtMs) {
+		progress.snapshot.isMissing = true;
+	}
+
 	const isStale = message.prevIndex <= progress.matchIndex;
 	if (!isStale) {
 		progress.nextIndex = Math.max(progress.matchIndex + 1, Math.min(message.prevIndex, message.matchIndex + 1));
--- a/packages/replicated-log/src/large-transfers.known-red.test.ts
+++ b/packages/replicated-log/src/large-transfers.test.ts
@@ -67,6 +67,20 @@
 	expect(outcomes.filter(({sentBytes}) => sentBytes > bounds.sentBytes + besidesBytes)).toEqual([]);
 }
 
+/** A group with links of 1 MB/s, one stopped member, and a snapshot that this member needs. */
+function groupWithLateMember(seed: number, snapshotBytes: number): {group: SimulatedGroup; leader: SimulatedMember; late: SimulatedMember} {
+	const {group, leader} = groupWithLeader(seed, 1000);
+	const late = group.members.find(member => member !== leader)!;
+	late.crash(0);
+	for (let count = 0; count < 10; count++) {
+		group.propose(leader);
+		group.advance(100);
+	}
+
+	leader.compact(snapshotBytes);
+	return {group, leader, late};
+}
+
 describe('large transfers over slow links', () => {
 	for (const {bytes, bytesPerMs} of cases) {
 		it(`commit an entry of ${bytes / megabyte} MB at ${bytesPerMs / 1000} MB/s and acknowledge it within twice its transfer time without a new leader`, test => {
@@ -96,15 +110,7 @@
 	it('send a snapshot once to a member that needs it, however long it takes', test => {
 		const bytes = 4 * megabyte;
 		const outcomes = seeds.map(seed => {
-			const {group, leader} = groupWithLeader(seed, 1000);
-			const late = group.members.find(member => member !== leader)!;
-			late.crash(0);
-			for (let count = 0; count < 10; count++) {
-				group.propose(leader);
-				group.advance(100);
-			}
-
-			leader.compact(bytes);
+			const {group, leader, late} = groupWithLateMember(seed, bytes);
 			return measure(group, () => {
 				late.start();
 			}, () => late.applied.length === leader.applied.length);
@@ -112,4 +118,20 @@
 		test.diagnostic(describeOutcomes(outcomes));
 		expectEach(outcomes, {tookMs: 2 * bytes / 1000, sentBytes: bytes});
 	});
+
+	it('repeat a snapshot once whose first copy was lost', test => {
+		const bytes = 4 * megabyte;
+		const outcomes = seeds.map(seed => {
+			const {group, leader, late} = groupWithLateMember(seed, bytes);
+			return measure(group, () => {
+				late.start();
+				group.advance(bytes / 2000);
+				late.crash(0);
+				group.advance(bytes / 1000);
+				late.start();
+			}, () => late.applied.length === leader.applied.length);
+		});
+		test.diagnostic(describeOutcomes(outcomes));
+		expectEach(outcomes, {tookMs: 2.5 * bytes / 1000, sentBytes: 2 * bytes});
+	});
 });
--- a/packages/replicated-log/src/replica-state.ts
+++ b/packages/replicated-log/src/replica-state.ts
@@ -16,14 +16,21 @@
 	matchIndex: number;
 	/** Whether the matching position is still being searched for, with empty messages only. */
 	isProbing: boolean;
-	/** When an unacknowledged snapshot was sent; undefined if there is none. */
-	snapshotSentAtMs?: number;
+	/** An unacknowledged snapshot; undefined if there is none. */
+	snapshot?: SentSnapshot;
 	/** Send time, by the leader's clock, of the latest broadcast that the member acknowledged. */
 	acknowledgedSentAtMs: number;
 	/** Round of the latest broadcast that the member acknowledged. */
 	acknowledgedRound: number;
 };
 
+/** A snapshot on its way to a member. */
+export type SentSnapshot = {
+	readonly sentAtMs: number;
+	/** Whether a reply shows that the member lacks the snapshot although a message sent later has arrived. */
+	isMissing: boolean;
+};
+
 /** A read that is waiting for a quorum to acknowledge its round. */
 export type PendingRead = {readonly requestId: number; readonly index: number; readonly round: number};
 
--- a/packages/replicated-log/src/replication.ts
+++ b/packages/replicated-log/src/replication.ts
@@ -111,7 +111,7 @@
 	const {state, nowMs} = context;
 	const leader = state.leader!;
 	const progress = leader.progress.get(to);
-	if (progress && (progress.matchIndex < progress.nextIndex - 1 || progress.snapshotSentAtMs !== undefined)) {
+	if (progress && (progress.matchIndex < progress.nextIndex - 1 || progress.snapshot)) {
 		sendNow(context, to, {
 			type: 'contact', term: state.voteState.term, round: leader.round, sentAtMs: nowMs,
 		});
@@ -125,16 +125,16 @@
 	return canSendEntries ? state.entries.slice(progress.nextIndex, maxEntriesPerMessage) : [];
 }
 
-/** Sends the snapshot, and resends it after an election timeout without a reply. Heartbeats continue meanwhile. */
+/** Sends the snapshot, and resends it if it is missing, but not more often than once an election timeout. Heartbeats continue meanwhile. */
 function sendSnapshot(context: Context, to: VoterId, progress: Progress): void {
 	const {state, nowMs} = context;
 	const {round} = state.leader!;
-	const isInFlight = progress.snapshotSentAtMs !== undefined && nowMs - progress.snapshotSentAtMs < state.options.electionTimeoutMs;
-	if (isInFlight || !state.snapshot) {
+	const isDue = !progress.snapshot || (progress.snapshot.isMissing && nowMs - progress.snapshot.sentAtMs >= state.options.electionTimeoutMs);
+	if (!isDue || !state.snapshot) {
 		return;
 	}
 
-	progress.snapshotSentAtMs = nowMs;
+	progress.snapshot = {sentAtMs: nowMs, isMissing: false};
 	sendNow(context, to, {
 		type: 'snapshot', term: state.voteState.term, snapshot: state.snapshot, round, sentAtMs: nowMs,
 	});
