--- a/packages/gateway/src/entry-listing.test.ts
+++ b/packages/gateway/src/entry-listing.test.ts
@@ -64,7 +64,7 @@
 class TestControl {
 	hasDocument = true;
 	readonly links: LinkServer;
-	readonly #sender = new DocumentSender(() => this.hasDocument ? {version: 1, text: '1'} : undefined);
+	readonly #sender = new DocumentSender();
 	readonly #server = new Server();
 
 	constructor(readonly address: string) {
@@ -85,6 +85,10 @@
 				this.links.accept(call);
 			},
 			document: (call: ServerUnaryCall<DocumentRequest, DocumentReply>, done: sendUnaryData<DocumentReply>) => {
+				if (this.hasDocument) {
+					this.#sender.publish({version: 1, text: '1'});
+				}
+
 				done(null, this.#sender.reply(call.request));
 			},
 		});
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -173,7 +173,7 @@
 		}
 
 		const own = this.#card();
-		const cards = [...this.#entries.filter(card => card.nodeId !== own.nodeId), own].filter(card => card.isReady);
+		const cards = [...this.#entries.filter(card => card.nodeId !== own.nodeId), own].filter(card => !card.isLeaving && card.isReady !== false);
 		const local = cards.filter(card => card.failureDomain === failureDomain);
 		const selected = local.length >= minLocalEntries ? local : cards;
 		return selected.flatMap(card => card.callerAddress ?? []).slice(0, maxEntryAddresses);
