--- a/packages/fleet-link/src/link-service.test.ts
+++ b/packages/fleet-link/src/link-service.test.ts
@@ -1,8 +1,12 @@
 import {Buffer} from 'node:buffer';
-import {describe, it} from 'node:test';
+import {after, describe, it} from 'node:test';
+import {
+	type handleUnaryCall, Server, ServerCredentials,
+} from '@grpc/grpc-js';
 import {expect} from 'earl';
 import * as fc from 'fast-check';
-import {linkService, type RankRequest} from './link-service.js';
+import {LinkCalls} from './link-calls.js';
+import {linkService, type RankReply, type RankRequest} from './link-service.js';
 
 const {requestSerialize, requestDeserialize, responseSerialize, responseDeserialize} = linkService.rank;
 
@@ -42,3 +46,39 @@
 		}));
 	});
 });
+
+describe('calls of the method rank', () => {
+	const server = new Server();
+	const calls = new LinkCalls();
+	after(() => {
+		calls.close();
+		server.forceShutdown();
+	});
+
+	it('fail on damaged bytes in either direction, and later ones are answered', async () => {
+		const {rank} = linkService;
+		let damagedReply = false;
+		const handler: handleUnaryCall<RankRequest, RankReply> = (call, done) => {
+			done(null, {answer: call.request.kind});
+		};
+
+		server.addService({rank: {...rank, responseSerialize: (reply: RankReply) => damagedReply ? Buffer.from([1, 0]) : rank.responseSerialize(reply)}}, {rank: handler});
+		const port = await new Promise<number>((resolve, reject) => {
+			server.bindAsync('127.0.0.1:0', ServerCredentials.createInsecure(), (error, bound) => {
+				if (error) {
+					reject(error);
+				} else {
+					resolve(bound);
+				}
+			});
+		});
+		const request: RankRequest = {targetAddress: 'target', kind: 'state'};
+		const call = async (method = rank): Promise<RankReply | undefined> => calls.call(`127.0.0.1:${port}`, method, request, 5000);
+		expect(await call()).toEqual({answer: 'state'});
+		expect(await call({...rank, requestSerialize: () => Buffer.from([1, 255, 255, 255, 255])})).toEqual(undefined);
+		damagedReply = true;
+		expect(await call()).toEqual(undefined);
+		damagedReply = false;
+		expect(await call()).toEqual({answer: 'state'});
+	});
+});
--- a/packages/rank-agent/src/engine-client.ts
+++ b/packages/rank-agent/src/engine-client.ts
@@ -49,6 +49,31 @@
 	| {readonly kind: 'go'; readonly step: number}
 );
 
+/** The fields of each kind of order that have to be numbers. */
+const numbersOfOrders: Readonly<Record<EngineOrder['kind'], readonly string[]>> = {
+	fence: [], prepare: ['version'], arm: ['version', 'step'], disarm: ['version'], hold: ['step'], go: ['step'],
+};
+
+/** Whether a value from another process is an order: an incomplete one must not change the fencing number of a rank. */
+export function isEngineOrder(value: unknown): value is EngineOrder {
+	if (typeof value !== 'object' || value === null) {
+		return false;
+	}
+
+	const order = value as Record<string, unknown>;
+	if (typeof order.kind !== 'string' || !Object.hasOwn(numbersOfOrders, order.kind)) {
+		return false;
+	}
+
+	const numbers = ['fencing', 'epoch', ...numbersOfOrders[order.kind as EngineOrder['kind']]];
+	return numbers.every(name => Number.isFinite(order[name])) && (order.kind !== 'prepare' || isMap(order.map));
+}
+
+function isMap(value: unknown): boolean {
+	const isListOf = (list: unknown, isItem: (item: unknown) => boolean): boolean => Array.isArray(list) && list.every(item => isItem(item));
+	return isListOf(value, ranks => isListOf(ranks, experts => isListOf(experts, expert => Number.isFinite(expert))));
+}
+
 /** Result of an order. After `unknown` the engine may have applied the order already, or may still apply it later. */
 export type OrderOutcome = 'begun' | 'done' | 'refused' | 'unknown';
 
--- a/packages/rank-agent/src/group-traffic.test.ts
+++ b/packages/rank-agent/src/group-traffic.test.ts
@@ -1,5 +1,5 @@
 import {describe, it} from 'node:test';
-import type {NodeCard} from '@rattanspring/fleet-link';
+import type {NodeCard, RankRequest} from '@rattanspring/fleet-link';
 import {seededRandom} from '@rattanspring/test-kit';
 import {expect} from 'earl';
 import type {EngineClient} from './engine-client.js';
@@ -55,7 +55,7 @@
 			});
 			this.links.addServer(card.linkAddress!, async request => {
 				this.#advance();
-				return handler.handle(request as Parameters<RankRequestHandler['handle']>[0]);
+				return handler.handle(request as RankRequest);
 			});
 		}
 
--- a/packages/rank-agent/src/map-rebalancer.ts
+++ b/packages/rank-agent/src/map-rebalancer.ts
@@ -113,7 +113,7 @@
 	async #count(ranks: GroupRanks, sets: number): Promise<SkipReason | undefined> {
 		const answers = await Promise.all(ranks.engines.map(async engine => engine.counts()));
 		const known = answers.flatMap(answer => answer?.epoch === ranks.epoch ? [answer] : []);
-		if (known.length < ranks.engines.length) {
+		if (known.length < ranks.engines.length || known.some(({counts}) => counts.length !== known[0].counts.length)) {
 			return 'countsMissing';
 		}
 
--- a/packages/rank-agent/src/rank-agent.ts
+++ b/packages/rank-agent/src/rank-agent.ts
@@ -14,7 +14,7 @@
 import {serverOptions} from '@rattanspring/protocol';
 import type {RankPlace, TargetLoad} from '@rattanspring/target-table';
 import type {Clock} from '@rattanspring/types';
-import type {EngineClient, EngineOrder, EngineState} from './engine-client.js';
+import type {EngineClient, EngineState} from './engine-client.js';
 import {ExclusiveTask} from './exclusive-task.js';
 import {FencedEngineClient} from './fenced-engine-client.js';
 import {GroupEngineClients, type GroupRanks, holdingRank} from './group-engine-clients.js';
@@ -188,7 +188,7 @@
 			directClient: address => this.#engineClients.directClient(address),
 		});
 		return (call, done) => {
-			void handler.handle(call.request as RankRequest<EngineOrder>).then(reply => {
+			void handler.handle(call.request).then(reply => {
 				done(null, reply);
 			});
 		};
--- a/packages/rank-agent/src/rank-request-handler.ts
+++ b/packages/rank-agent/src/rank-request-handler.ts
@@ -2,7 +2,9 @@
 
 import type {RankReply, RankRequest} from '@rattanspring/fleet-link';
 import {SentSamples} from './count-samples.js';
-import type {EngineClient, EngineOrder} from './engine-client.js';
+import {
+	type EngineClient, type EngineOrder, isEngineOrder, type OrderOutcome,
+} from './engine-client.js';
 import {decodeMap} from './map-encoding.js';
 
 /** Options of a handler. */
@@ -24,35 +26,41 @@
 		this.#options = options;
 	}
 
-	async handle(request: RankRequest<EngineOrder>): Promise<RankReply> {
-		const {engine, targetAddress, directClient} = this.#options;
-		if (request.targetAddress !== targetAddress) {
-			const isHold = request.kind === 'order' && request.order.kind === 'hold';
-			return toReply(isHold ? await directClient(request.targetAddress).order(request.order) : undefined);
+	async handle(request: RankRequest): Promise<RankReply> {
+		if (request.kind === 'order') {
+			const order = toEngineOrder(request);
+			return toReply(order ? await this.#order(request.targetAddress, order) : 'refused');
 		}
 
-		if (request.kind === 'order') {
-			const order = withAttachedMap(request.order, request.attachment);
-			return toReply(order ? await engine.order(order) : 'refused');
+		const {engine, targetAddress} = this.#options;
+		if (request.targetAddress !== targetAddress) {
+			return {};
 		}
 
 		return request.kind === 'counts' && request.base !== undefined ? this.#sample(request.base) : toReply(await engine[request.kind]());
 	}
 
+	async #order(address: string, order: EngineOrder): Promise<OrderOutcome | undefined> {
+		const {engine, targetAddress, directClient} = this.#options;
+		if (address === targetAddress) {
+			return engine.order(order);
+		}
+
+		return order.kind === 'hold' ? directClient(address).order(order) : undefined;
+	}
+
 	async #sample(base: number): Promise<RankReply> {
 		const counts = await this.#options.engine.counts();
 		return counts ? this.#samples.reply(counts, base) : {};
 	}
 }
 
-/** The order with the map that is attached to it, if there is one; undefined if the attachment is damaged. */
-function withAttachedMap(order: EngineOrder, attachment: Uint8Array | undefined): EngineOrder | undefined {
-	if (!attachment) {
-		return order;
-	}
-
-	const map = decodeMap(attachment);
-	return map && order.kind === 'prepare' ? {...order, map} : undefined;
+/** The order of a request, with the map that is attached to it; undefined if it is damaged. */
+function toEngineOrder({order, attachment}: {readonly order: unknown; readonly attachment?: Uint8Array}): EngineOrder | undefined {
+	const map = attachment && decodeMap(attachment);
+	const whole: unknown = map ? {...order as object, map} : order;
+	const isDamaged = attachment !== undefined && map === undefined;
+	return !isDamaged && isEngineOrder(whole) ? whole : undefined;
 }
 
 function toReply(answer: unknown): RankReply {
