--- a/packages/replicated-log/src/large-transfers.test.ts
+++ b/packages/replicated-log/src/large-transfers.test.ts
@@ -134,4 +134,32 @@
 		test.diagnostic(describeOutcomes(outcomes));
 		expectEach(outcomes, {tookMs: 2.5 * bytes / 1000, sentBytes: 2 * bytes});
 	});
+
+	it('send many large entries to a member that lacks them in messages of limited size, few of them at a time', test => {
+		const bytes = 0.42 * megabyte;
+		const count = 60;
+		const outcomes = seeds.map(seed => {
+			const {group, leader} = groupWithLeader(seed, 6250);
+			const late = group.members.find(member => member !== leader)!;
+			late.crash(0);
+			for (let index = 0; index < count; index++) {
+				group.propose(leader, bytes);
+				group.advance(100);
+			}
+
+			let mostInFlightBytes = 0;
+			const outcome = measure(group, () => {
+				late.start();
+			}, () => {
+				mostInFlightBytes = Math.max(mostInFlightBytes, group.inFlightBytes);
+				return late.applied.length === count;
+			});
+			return {...outcome, mostInFlightBytes, largestMessageBytes: group.largestMessageBytes};
+		});
+		test.diagnostic(describeOutcomes(outcomes));
+		test.diagnostic(outcomes.map(({mostInFlightBytes, largestMessageBytes}) => `${(mostInFlightBytes / megabyte).toFixed(1)} MB on their way, messages of up to ${(largestMessageBytes / megabyte).toFixed(1)} MB`).join('; '));
+		expectEach(outcomes, {tookMs: 1.25 * count * bytes / 6250, sentBytes: count * bytes});
+		expect(outcomes.filter(({largestMessageBytes}) => largestMessageBytes > 1.1 * megabyte)).toEqual([]);
+		expect(outcomes.filter(({mostInFlightBytes}) => mostInFlightBytes > 10 * megabyte)).toEqual([]);
+	});
 });
--- a/packages/replicated-log/src/options.ts
+++ b/packages/replicated-log/src/options.ts
@@ -9,8 +9,12 @@
 	/** Maximum relative error of any voter's clock rate; 0.05 allows 5 % fast or slow. */
 	readonly clockDriftBound: number;
 	readonly maxEntriesPerMessage: number;
+	/** Maximum size of the entries in a message; a larger entry is sent by itself. */
+	readonly maxBytesPerMessage: number;
 	/** Maximum number of entries sent to a member and not yet acknowledged. */
 	readonly maxEntriesInFlight: number;
+	/** Size of the entries sent to a member and not yet acknowledged, from which on no more are sent. */
+	readonly maxBytesInFlight: number;
 	/** Number of entries before the last snapshot that are retained in memory for members that are slightly behind. */
 	readonly trailingEntries: number;
 };
@@ -20,7 +24,9 @@
 	electionTimeoutMs: 1000,
 	clockDriftBound: 0.05,
 	maxEntriesPerMessage: 256,
+	maxBytesPerMessage: 1_048_576,
 	maxEntriesInFlight: 2048,
+	maxBytesInFlight: 8_388_608,
 	trailingEntries: 1000,
 };
 
--- a/packages/replicated-log/src/replicated-log.test.ts
+++ b/packages/replicated-log/src/replicated-log.test.ts
@@ -206,5 +206,11 @@
 			expect(figures.committedEntries).toBeGreaterThan(100);
 			expect(figures.confirmedReads).toBeGreaterThan(10);
 		});
+
+		it('violates no invariant with little on the way to each member', () => {
+			const figures = runFuzz({seed: 2, runs: 15, replica: {maxBytesPerMessage: 150, maxBytesInFlight: 300}});
+			expect(figures.committedEntries).toBeGreaterThan(100);
+			expect(figures.confirmedReads).toBeGreaterThan(10);
+		});
 	});
 });
--- a/packages/replicated-log/src/replication.ts
+++ b/packages/replicated-log/src/replication.ts
@@ -1,6 +1,7 @@
 /** Replication on the leader's side: entries, heartbeats and snapshots. */
 
 import {type Context, sendNow, setRole} from './context.js';
+import {entryBytes, limitBytes} from './entry-bytes.js';
 import type {LogEntry, LogPayload, VoterId} from './log-entry.js';
 import {members} from './membership.js';
 import {
@@ -119,10 +120,17 @@
 }
 
 function nextEntries(state: ReplicaState, progress: Progress): LogEntry[] {
-	const {maxEntriesPerMessage, maxEntriesInFlight} = state.options;
+	const {maxEntriesPerMessage, maxBytesPerMessage, maxEntriesInFlight, maxBytesInFlight} = state.options;
 	const isWithinWindow = progress.nextIndex - progress.matchIndex <= maxEntriesInFlight;
-	const canSendEntries = isWithinWindow && !progress.isProbing;
-	return canSendEntries ? state.entries.slice(progress.nextIndex, maxEntriesPerMessage) : [];
+	const canSendEntries = isWithinWindow && !progress.isProbing && bytesInFlight(state, progress) < maxBytesInFlight;
+	return canSendEntries ? limitBytes(state.entries.slice(progress.nextIndex, maxEntriesPerMessage), maxBytesPerMessage) : [];
+}
+
+/** Size of the entries that were sent to a member and not yet acknowledged. */
+function bytesInFlight({entries}: ReplicaState, {matchIndex, nextIndex}: Progress): number {
+	const lastAcknowledged = Math.max(matchIndex, entries.baseIndex);
+	const sent = entries.slice(lastAcknowledged + 1, Math.max(0, nextIndex - 1 - lastAcknowledged));
+	return sent.map(entry => entryBytes(entry)).reduce((sum, bytes) => sum + bytes, 0);
 }
 
 /** Sends the snapshot, and resends it if it is missing, but not more often than once an election timeout. Heartbeats continue meanwhile. */
--- a/packages/replicated-log/src/simulation/simulated-group.ts
+++ b/packages/replicated-log/src/simulation/simulated-group.ts
@@ -45,6 +45,7 @@
 	#inFlight: InFlight[] = [];
 	#nowMs = 0;
 	#sentBytes = 0;
+	#largestMessageBytes = 0;
 	#nextId = 1;
 	#nextRequestId = 1;
 
@@ -63,6 +64,16 @@
 		return this.#nowMs;
 	}
 
+	/** Bytes of the largest message that was sent. */
+	get largestMessageBytes(): number {
+		return this.#largestMessageBytes;
+	}
+
+	/** Bytes that were sent and have not arrived yet. */
+	get inFlightBytes(): number {
+		return this.#inFlight.map(({envelope}) => messageBytes(envelope.message)).reduce((sum, bytes) => sum + bytes, 0);
+	}
+
 	/** Bytes of all messages that were sent. */
 	get sentBytes(): number {
 		return this.#sentBytes;
@@ -243,7 +254,9 @@
 	}
 
 	#arrivalMs({from, to, message}: Envelope, delayMs: number): number {
-		this.#sentBytes += messageBytes(message);
+		const bytes = messageBytes(message);
+		this.#sentBytes += bytes;
+		this.#largestMessageBytes = Math.max(this.#largestMessageBytes, bytes);
 		const {bytesPerMs} = this.#options;
 		if (bytesPerMs === undefined) {
 			return this.#nowMs + delayMs;
