--- a/packages/expert-map/src/planner/even-share.test.ts
+++ b/packages/expert-map/src/planner/even-share.test.ts
@@ -61,4 +61,27 @@
 			expect(plan.lists).toEqual(current);
 		});
 	});
+
+	describe('with two equally slow ranks', () => {
+		// Relieving one of them gains nothing yet; the peak falls from 1.6 to 1.2 with two copies.
+		const current = [[[0, 1], [2, 3], [4, 5], [6, 7]]];
+		const loads = [[80, 80, 80, 80, 20, 20, 20, 20]];
+		const gainPerCopy = (1.6 - 1.2) / 2 * current[0].length;
+
+		it('relieves both if that justifies the copies of both', () => {
+			const plan = runToEnd(planEvenShares({
+				current, loads, placesPerRank: 3, newPerRank: 1, minGainPerCopy: 0.9 * gainPerCopy,
+			}));
+			expect(plan.copies).toEqual(2);
+			expect(Math.abs(plan.skewAfter - 1.2)).toBeLessThan(1e-9);
+		});
+
+		it('changes nothing if the copies gain less than they have to', () => {
+			const plan = runToEnd(planEvenShares({
+				current, loads, placesPerRank: 3, newPerRank: 1, minGainPerCopy: 1.1 * gainPerCopy,
+			}));
+			expect(plan.copies).toEqual(0);
+			expect(plan.lists).toEqual(current);
+		});
+	});
 });
--- a/packages/expert-map/src/planner/even-share.ts
+++ b/packages/expert-map/src/planner/even-share.ts
@@ -1,7 +1,7 @@
 /**
 Plans a map for engines that split each expert's tokens evenly among the ranks that hold it. The plan balances time rather
 than tokens, because a slow rank takes longer for the same tokens. Starting from the map in use, it repeatedly applies the
-change with the largest gain in balance per copied expert, as long as the gain justifies the copies.
+change with the largest gain in balance per copied expert, and keeps as many of the changes as justify their copies.
 */
 
 import {EvenSharePlacement} from './even-share-placement.js';
@@ -21,8 +21,13 @@
 	readonly newPerRank: number;
 	/** Time that each rank takes per token, relative to the published time; 1 for all by default. */
 	readonly rankPaces?: readonly number[];
-	/** Smallest decrease of a set's peak load, as a share of its mean load, that justifies one copy. */
+	/**
+	Smallest gain that justifies one copy: decrease of a set's peak load, as a share of its mean load, summed over the ranks. All
+	ranks wait for the slowest one, while a copy occupies only the rank that receives it.
+	*/
 	readonly minGainPerCopy: number;
+	/** Peak load of a set, as a multiple of its mean load, at which the set counts as even. */
+	readonly goalSkew?: number;
 };
 
 /** A planned map and its effect. */
@@ -34,6 +39,15 @@
 	readonly copies: number;
 };
 
+/** Peak over mean that is even enough: forecasts from short samples are no more precise. */
+const defaultGoalSkew = 1.05;
+
+/** Smallest decrease of the score that counts as progress. */
+const minProgress = 1e-5;
+
+/** A placement at some stage of a plan, and its peak plus what its copies have to gain. */
+type Stage = {readonly lists: number[][]; readonly skew: number; readonly copies: number; readonly cost: number};
+
 /** Computes a plan; the caller may pause it at every `yield`. */
 export function * planEvenShares(input: EvenSharePlanInput): Generator<undefined, EvenSharePlan> {
 	const lists: number[][][] = [];
@@ -43,10 +57,10 @@
 	for (const [set, current] of input.current.entries()) {
 		const placement = new EvenSharePlacement({current, tokens: input.loads[set], paces: current.map((_, rank) => input.rankPaces?.[rank] ?? 1)});
 		before += placement.skew;
-		yield * balance(placement, input);
-		after += placement.skew;
-		copies += placement.copies;
-		lists.push(placement.lists);
+		const stage = yield * balance(placement, input);
+		after += stage.skew;
+		copies += stage.copies;
+		lists.push(stage.lists);
 	}
 
 	const sets = Math.max(1, input.current.length);
@@ -61,18 +75,35 @@
 	return skews.reduce((sum, skew) => sum + skew, 0) / Math.max(1, skews.length);
 }
 
-/** Applies changes to a placement while their gain per copy is large enough. */
-function * balance(placement: EvenSharePlacement, input: EvenSharePlanInput): Generator<undefined, void> {
-	const search = new EvenShareSearch(placement, input);
-	for (;;) {
-		const best = search.bestChange();
-		if (!best || best.gainPerCopy <= input.minGainPerCopy) {
-			return;
+/**
+Applies changes to a placement until it is even, and returns the lists and copies of the stage whose peak, plus what its copies
+have to gain, is lowest. A change is not judged on its own, because where several ranks are about equally slow, the peak falls only after the last
+of them is relieved.
+*/
+function * balance(placement: EvenSharePlacement, {minGainPerCopy, goalSkew = defaultGoalSkew, ...limits}: EvenSharePlanInput): Generator<undefined, Stage> {
+	const search = new EvenShareSearch(placement, limits);
+	const costPerCopy = minGainPerCopy / placement.rankCount;
+	let best = stageOf(placement, costPerCopy);
+	while (placement.skew > goalSkew && goalSkew + (placement.copies * costPerCopy) < best.cost) {
+		const next = search.bestChange();
+		if (!next || next.gainPerCopy < minProgress) {
+			break;
 		}
 
-		placement.apply(best.change);
+		placement.apply(next.change);
+		const stage = stageOf(placement, costPerCopy);
+		best = stage.cost < best.cost ? stage : best;
 		yield;
 	}
+
+	return best;
+}
+
+function stageOf(placement: EvenSharePlacement, costPerCopy: number): Stage {
+	const {skew, copies} = placement;
+	return {
+		lists: placement.lists.map(experts => [...experts]), skew, copies, cost: skew + (copies * costPerCopy),
+	};
 }
 
 function rankLoads(ranks: ReadonlyArray<readonly number[]>, loads: readonly number[]): number[] {
