--- a/packages/fleet-control/src/fleet-control.ts
+++ b/packages/fleet-control/src/fleet-control.ts
@@ -36,6 +36,8 @@
 	readonly linkAddress: string;
 	/** Folder of the replicated log and the identity of its disk. */
 	readonly dataFolder: string;
+	/** Number of VMs whose loss at the same time has to be tolerated; 0 by default. */
+	readonly faultTolerance?: number;
 	readonly seeds: () => readonly string[];
 	readonly isFirstStart: boolean;
 	readonly clock: Clock;
--- /dev/null
+++ b/packages/fleet-control/src/test-group.ts
@@ -0,0 +1,129 @@
+/** Control processes of one deployment in a test, each with a folder that stands for its disk. */
+
+import {mkdtemp, rm} from 'node:fs/promises';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {FatalErrorHandler} from '@rattanspring/log-storage';
+import {SilentLogger} from '@rattanspring/logger';
+import {freePorts, waitUntil} from '@rattanspring/test-kit';
+import {SystemClock} from '@rattanspring/voter-group';
+import {FleetControl} from './fleet-control.js';
+
+/** Timeout for a group of processes to reach an expected state. */
+const settleTimeoutMs = 15_000;
+
+/** Time between the starts of the first and the last process. */
+const startSpreadMs = 300;
+
+/** Maximum number of seeds in the settings. */
+const seedCount = 3;
+
+class ThrowingFatalErrorHandler extends FatalErrorHandler {
+	end(): void {
+		throw new Error('unexpected storage failure');
+	}
+}
+
+export type TestGroupOptions = {
+	readonly size: number;
+	/** Number of VMs whose loss at the same time has to be tolerated. */
+	readonly faultTolerance: number;
+	readonly failureDomainCount: number;
+};
+
+export class TestGroup {
+	static async create(options: TestGroupOptions): Promise<TestGroup> {
+		const ports = await freePorts(options.size);
+		return new TestGroup(options, await mkdtemp(path.join(tmpdir(), 'test-group-')), ports.map(port => `127.0.0.1:${port}`));
+	}
+
+	readonly #options: TestGroupOptions;
+	readonly #folder: string;
+	readonly #addresses: readonly string[];
+	readonly #running = new Map<number, FleetControl>();
+
+	private constructor(options: TestGroupOptions, folder: string, addresses: readonly string[]) {
+		this.#options = options;
+		this.#folder = folder;
+		this.#addresses = addresses;
+	}
+
+	/** Positions of all processes, running or not. */
+	get positions(): number[] {
+		return this.#addresses.map((_address, index) => index);
+	}
+
+	get(index: number): FleetControl {
+		return this.#running.get(index)!;
+	}
+
+	/** Starts all processes for the first time, the last one first, within the time that deployments allow. */
+	async startFirst(): Promise<void> {
+		const stepMs = startSpreadMs / this.#addresses.length;
+		await Promise.all(this.positions.toReversed().map(async (index, position) => {
+			await sleep(position * stepMs);
+			await this.start(index, true);
+		}));
+	}
+
+	async start(index: number, isFirstStart = false): Promise<void> {
+		const {faultTolerance, failureDomainCount} = this.#options;
+		const control = new FleetControl({
+			nodeId: `n${index}`,
+			failureDomain: `z${index % failureDomainCount}`,
+			linkAddress: this.#addresses[index],
+			dataFolder: this.#diskOf(index),
+			seeds: () => this.#addresses.slice(0, seedCount),
+			faultTolerance,
+			isFirstStart,
+			clock: new SystemClock(),
+			logger: new SilentLogger(),
+			fatalErrorHandler: new ThrowingFatalErrorHandler(),
+		});
+		this.#running.set(index, control);
+		await control.start();
+	}
+
+	async stop(...indices: readonly number[]): Promise<void> {
+		await Promise.all(indices.map(async index => {
+			const control = this.#running.get(index);
+			this.#running.delete(index);
+			await control?.stop();
+		}));
+	}
+
+	/** Empties the disks of stopped processes. */
+	async wipe(...indices: readonly number[]): Promise<void> {
+		await Promise.all(indices.map(async index => rm(this.#diskOf(index), {recursive: true, force: true})));
+	}
+
+	/** Offers a document to a process until it is acknowledged. */
+	async replace(index: number, version: number): Promise<void> {
+		await this.eventually(async () => await this.get(index).replace({version, text: `document ${version}`}) !== undefined);
+	}
+
+	/** Version of the document that a confirmed read at a process returns. */
+	async confirmedVersion(index: number): Promise<number | undefined> {
+		let version: number | undefined;
+		await this.eventually(async () => {
+			const {isConfirmed, document} = await this.get(index).read();
+			version = document?.version;
+			return isConfirmed;
+		});
+		return version;
+	}
+
+	async eventually(condition: () => Promise<boolean>): Promise<void> {
+		await waitUntil(condition, {timeoutMs: settleTimeoutMs, pollMs: 30});
+	}
+
+	async close(): Promise<void> {
+		await this.stop(...this.#running.keys());
+		await rm(this.#folder, {recursive: true, force: true});
+	}
+
+	#diskOf(index: number): string {
+		return path.join(this.#folder, `disk-${index}`);
+	}
+}
