--- /dev/null
+++ b/packages/fleet-control/src/candidate-table.ts
@@ -0,0 +1,38 @@
+/** The processes that ask the leader to join the group. Each asks again as long as it is not a voter. */
+
+import type {Voter} from '@rattanspring/replicated-log';
+
+/** Time without a request after which a process is no longer a candidate. */
+const candidateLifetimeMs = 2500;
+
+type Candidate = Voter & {lastAskedAtMs: number};
+
+export class CandidateTable {
+	readonly #candidates = new Map<string, Candidate>();
+
+	/** Records a join request. */
+	add({voterId, address}: Voter, nowMs: number): void {
+		const known = this.#candidates.get(voterId);
+		if (known) {
+			known.lastAskedAtMs = nowMs;
+		} else {
+			this.#candidates.set(voterId, {voterId, address, lastAskedAtMs: nowMs});
+		}
+	}
+
+	/** Processes that asked recently, in the order in which they first asked. */
+	current(nowMs: number): Voter[] {
+		for (const [voterId, {lastAskedAtMs}] of this.#candidates) {
+			if (nowMs - lastAskedAtMs > candidateLifetimeMs) {
+				this.#candidates.delete(voterId);
+			}
+		}
+
+		return [...this.#candidates.values()].map(({voterId, address}) => ({voterId, address}));
+	}
+
+	/** Whether a process asked recently. */
+	has(voterId: string, nowMs: number): boolean {
+		return this.current(nowMs).some(candidate => candidate.voterId === voterId);
+	}
+}
--- /dev/null
+++ b/packages/fleet-control/src/control-group.ts
@@ -0,0 +1,36 @@
+/** A control process's access to the group that stores the document, as a member of it or through its leader. */
+
+import type {ReplaceOutcome, StoredDocument} from '@rattanspring/desired-state';
+import type {JoinReply, JoinRequest} from '@rattanspring/fleet-link';
+import type {GrpcService} from '@rattanspring/voter-group';
+import type {ConfirmedRead} from './leader-access.js';
+
+export abstract class ControlGroup {
+	/** The peer service, to be served at the link address. */
+	abstract readonly service: GrpcService;
+
+	/** The newest document held locally; may be older than the newest committed one. */
+	abstract get document(): StoredDocument | undefined;
+
+	/** Whether this process is a voter in its latest known membership. */
+	abstract get isVoter(): boolean;
+
+	abstract start(): Promise<void>;
+
+	/** Commits a document, forwarding it to the leader if necessary. Returns undefined if the outcome is unknown. */
+	abstract replace(document: StoredDocument): Promise<ReplaceOutcome | undefined>;
+
+	/** Commits a document that another process forwarded. Returns undefined if this process is not the leader. */
+	abstract submit(document: StoredDocument): Promise<ReplaceOutcome | undefined>;
+
+	/** Linearizable read of the document. */
+	abstract read(): Promise<ConfirmedRead>;
+
+	/** Handles a join request, or a question for the leader's address. */
+	abstract join(request: JoinRequest): Promise<JoinReply>;
+
+	/** Starts a leadership transfer if this process is the leader. */
+	abstract transferLeadership(): void;
+
+	abstract stop(): Promise<void>;
+}
--- a/packages/fleet-control/src/disk-losses.known-red.test.ts
+++ b/packages/fleet-control/src/disk-losses.test.ts
@@ -6,6 +6,11 @@
 /** Time after the start of all processes from which on the tolerated losses may happen. */
 const completeAfterMs = 3000;
 
+/** Time after which the place of a stopped voter has been taken. */
+const replacedAfterMs = 5000;
+
+const oneOfFour: TestGroupOptions = {size: 4, faultTolerance: 1, failureDomainCount: 4};
+
 const twoOfSix: TestGroupOptions = {size: 6, faultTolerance: 2, failureDomainCount: 3};
 
 let group: TestGroup;
@@ -51,6 +56,13 @@
 		expect(await confirmedVersions()).toEqual([7, 7, 7, 7, 7, 7]);
 	});
 
+	it('after which the group has voters in every failure domain and is complete', async () => {
+		await startGroup(twoOfSix);
+		const voters = group.positions.filter(index => group.get(index).isVoter);
+		expect(voters.length).toEqual(5);
+		expect(new Set(voters.map(index => index % twoOfSix.failureDomainCount)).size).toEqual(3);
+	});
+
 	it('two of eight in four failure domains, which do not return', async () => {
 		await startGroup({size: 8, faultTolerance: 2, failureDomainCount: 4});
 		await group.replace(1, 7);
@@ -66,8 +78,50 @@
 	});
 
 	it('acknowledges documents and reads them back through the leader', async () => {
-		await startGroup({size: 4, faultTolerance: 1, failureDomainCount: 4});
+		await startGroup(oneOfFour);
+		await group.replace(3, 7);
+		expect(group.get(3).isVoter).toEqual(false);
+		expect(await confirmedVersions()).toEqual([7, 7, 7, 7]);
+	});
+
+	it('reads and acknowledges through the leader after another one has taken its place, and takes the place of the next that is lost', async () => {
+		await startGroup(oneOfFour);
+		await group.replace(0, 7);
+		await group.stop(2);
+		await group.eventually(async () => group.get(3).isVoter);
+		await group.start(2);
+		await group.replace(2, 8);
+		expect(await group.confirmedVersion(2)).toEqual(8);
+		await group.stop(3);
+		await sleep(replacedAfterMs);
+		await group.stop(0);
+		await group.replace(2, 9);
+		expect(await group.confirmedVersion(1)).toEqual(9);
+	});
+});
+
+describe('a control process without a disk', () => {
+	afterEach(async () => {
+		await group.close();
+	});
+
+	it('never votes, but acknowledges documents and reads them back through the leader', async () => {
+		await startGroup({...oneOfFour, diskless: [3]});
 		await group.replace(3, 7);
+		await group.stop(2);
+		await sleep(replacedAfterMs);
+		expect(group.get(3).isVoter).toEqual(false);
+		expect(await group.confirmedVersion(3)).toEqual(7);
+		await group.stop(1);
+		expect(await group.get(3).replace({version: 8, text: 'alone'})).toEqual(undefined);
+		const read = await group.get(3).read();
+		expect(read.isConfirmed).toEqual(false);
+	});
+
+	it('does not keep the group from forming if it is a seed', async () => {
+		await startGroup({...oneOfFour, diskless: [1]});
+		await group.replace(1, 7);
 		expect(await confirmedVersions()).toEqual([7, 7, 7, 7]);
+		expect(group.positions.filter(index => group.get(index).isVoter)).toEqual([0, 2, 3]);
 	});
 });
--- a/packages/fleet-control/src/document-group.ts
+++ b/packages/fleet-control/src/document-group.ts
@@ -1,7 +1,8 @@
 /**
 The consensus group of control processes that stores the configuration document. On the first start the group is formed
-from the seeds. A process that starts with an empty disk later joins under a new identity, and becomes a voter only once
-it has caught up.
+from the seeds; the leader then adds further processes until a quorum would remain after the losses that the fault tolerance
+allows. A process that starts with an empty disk later joins under a new identity, and becomes a voter only once it has
+caught up. Processes that the group does not need keep asking to join and pass documents and reads on to the leader.
 */
 
 import {randomInt, randomUUID} from 'node:crypto';
@@ -9,20 +10,23 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {toJsonBytes} from '@rattanspring/control-client';
 import type {ReplaceOutcome, StoredDocument} from '@rattanspring/desired-state';
-import {
-	type JoinReply, type JoinRequest, LinkCalls, linkService,
-} from '@rattanspring/fleet-link';
+import type {JoinReply, JoinRequest} from '@rattanspring/fleet-link';
 import {type FatalErrorHandler, FileLogStorage, loadOrCreateDiskIdentity} from '@rattanspring/log-storage';
 import type {Logger} from '@rattanspring/logger';
 import {
-	currentMembership, findMember, initialLog, isVoter, type Membership, type RecoveredLog,
+	currentMembership, findMember, initialLog, isVoter, type Learner, type Membership, type RecoveredLog, type Voter,
 } from '@rattanspring/replicated-log';
 import {type Clock, FailureError} from '@rattanspring/types';
 import {
 	formGroup, GrpcPeerTransport, type GrpcService, PeerCalls, peerService, ReplicaDriver,
 } from '@rattanspring/voter-group';
+import {CandidateTable} from './candidate-table.js';
+import {ControlGroup} from './control-group.js';
 import {DocumentStateMachine} from './document-state-machine.js';
-import {surplusVoter, voterToReplace} from './replacement.js';
+import {type ConfirmedRead, LeaderAccess, submitTimeoutMs} from './leader-access.js';
+import {
+	groupSizes, type GroupSizes, nextLearner, staleLearner, surplusVoter,
+} from './replacement.js';
 
 /** Number of applied entries between snapshots. */
 const snapshotEveryEntries = 64;
@@ -30,12 +34,21 @@
 /** How long a read waits for the local state machine to apply the index that the leader confirmed. */
 const catchUpTimeoutMs = 800;
 
-/** Timeout of a command that is committed by the leader. */
-const submitTimeoutMs = 1500;
-
 const readTimeoutMs = 800;
-const joinTimeoutMs = 500;
+
+/** Pause between join requests, at first and after the group had time to add this process. */
 const joinPauseMs = 300;
+const longJoinPauseMs = 1000;
+const quickJoinCount = 30;
+
+/** Time after its election during which a leader only replaces voters, so that all candidates are known when it adds some. */
+const growthDelayMs = 400;
+
+/** Attempts to add a learner while an earlier membership change is in progress. */
+const maxAddAttempts = 10;
+const addRetryPauseMs = 50;
+
+const formationPauseMs = 100;
 const maintenanceIntervalMs = 1000;
 const tickIntervalMs = 50;
 const transferTimeoutMs = 1000;
@@ -55,6 +68,10 @@
 	readonly seeds: () => readonly string[];
 	/** Link addresses of the other control processes discovered so far. */
 	readonly otherAddresses: () => readonly string[];
+	/** Number of VMs whose loss at the same time has to be tolerated. */
+	readonly faultTolerance: number;
+	/** Failure domain of the control process at a link address, as far as known. */
+	readonly failureDomainOf: (address: string) => string | undefined;
 	/** Whether the whole system starts for the first time, so that no group exists yet. */
 	readonly isFirstStart: boolean;
 	readonly fatalErrorHandler: FatalErrorHandler;
@@ -64,15 +81,16 @@
 };
 
 /** The local member of the group. */
-export class DocumentGroup {
-	/** The peer service, to be served at the link address. */
+export class DocumentGroup extends ControlGroup {
 	readonly service: GrpcService;
 	readonly #options: DocumentGroupOptions;
 	readonly #stateMachine = new DocumentStateMachine();
 	readonly #storage: FileLogStorage;
 	readonly #transport = new GrpcPeerTransport({});
 	readonly #peerCalls = new PeerCalls(undefined);
-	readonly #linkCalls = new LinkCalls();
+	readonly #leaderAccess: LeaderAccess;
+	readonly #candidates = new CandidateTable();
+	#isAdding = false;
 	#driver: ReplicaDriver<ReplaceOutcome> | undefined;
 	#voterId = '';
 	#timer: NodeJS.Timeout | undefined;
@@ -80,7 +98,9 @@
 	#isStopped = false;
 
 	constructor(options: DocumentGroupOptions) {
+		super();
 		this.#options = options;
+		this.#leaderAccess = new LeaderAccess({linkAddress: options.linkAddress, addresses: () => this.#otherAddresses});
 		this.#storage = new FileLogStorage({folder: path.join(options.dataFolder, 'log'), fatalErrorHandler: options.fatalErrorHandler});
 		this.service = peerService({
 			voterId: () => this.#voterId === '' ? undefined : this.#voterId,
@@ -95,7 +115,6 @@
 		});
 	}
 
-	/** The newest document applied locally; may be older than the newest committed one. */
 	get document(): StoredDocument | undefined {
 		return this.#stateMachine.document;
 	}
@@ -105,7 +124,6 @@
 		return this.#driver?.state.role === 'leader';
 	}
 
-	/** Whether this member is a voter in its latest known membership. */
 	get isVoter(): boolean {
 		return this.#driver !== undefined && isVoter(currentMembership(this.#driver.state), this.#voterId);
 	}
@@ -128,10 +146,9 @@
 		this.#timer = setInterval(() => {
 			void this.#maintainMembership();
 		}, maintenanceIntervalMs);
-		void this.#joinUntilVoter();
+		void this.#keepMembership();
 	}
 
-	/** Commits a document, forwarding it to the leader if necessary. Returns undefined if the outcome is unknown. */
 	async replace(document: StoredDocument): Promise<ReplaceOutcome | undefined> {
 		const driver = this.#driver;
 		if (!driver) {
@@ -143,54 +160,47 @@
 			return result?.ok ? result.value : undefined;
 		}
 
-		const leader = findMember(currentMembership(driver.state), driver.state.leaderId);
-		if (!leader || leader.voterId === this.#voterId) {
-			return undefined;
-		}
-
-		const reply = await this.#linkCalls.call(leader.address, linkService.submit, document, submitTimeoutMs);
-		return reply?.outcome as ReplaceOutcome | undefined;
+		return this.#leaderAccess.submit(document, this.#leaderInContact(driver)?.address);
 	}
 
-	/** Commits a document that another member forwarded. Returns undefined if this member is not the leader. */
 	async submit(document: StoredDocument): Promise<ReplaceOutcome | undefined> {
 		return this.isLeader ? this.replace(document) : undefined;
 	}
 
-	/** Linearizable read of the document; `isConfirmed` is false if no quorum confirmed it. */
-	async read(): Promise<{readonly isConfirmed: boolean; readonly document?: StoredDocument}> {
+	async read(): Promise<ConfirmedRead> {
 		const driver = this.#driver;
 		if (!driver) {
 			return {isConfirmed: false};
 		}
 
+		if (driver.state.role !== 'leader' && !this.#leaderInContact(driver)) {
+			return this.#leaderAccess.read();
+		}
+
 		const isConfirmed = driver.state.role === 'leader'
 			? await confirmRead(driver)
 			: await this.#catchUpWithLeader(driver);
 		return {isConfirmed, document: isConfirmed ? this.#stateMachine.document : undefined};
 	}
 
-	/** Handles a join request: the leader adds the sender as a learner, any other member returns the leader's address. */
+	/** The leader records the sender as a candidate and adds it if the group needs it; any other member returns the leader's address. */
 	async join({voterId, address}: JoinRequest): Promise<JoinReply> {
 		const driver = this.#driver;
 		if (!driver) {
 			return {isMember: false};
 		}
 
-		const membership = currentMembership(driver.state);
-		if (isVoter(membership, voterId)) {
-			return {isMember: true};
-		}
-
+		const isMember = voterId !== undefined && isVoter(currentMembership(driver.state), voterId);
 		if (driver.state.role !== 'leader') {
-			return {isMember: false, leaderAddress: findMember(membership, driver.state.leaderId)?.address};
+			return {isMember, leaderAddress: this.#leaderInContact(driver)?.address ?? this.#leaderAccess.leaderAddress};
 		}
 
-		if (!findMember(membership, voterId)) {
-			await this.#addLearner(driver, membership, {voterId, address});
+		if (voterId !== undefined && !isMember) {
+			this.#candidates.add({voterId, address}, this.#options.clock.monotonicMs());
+			void this.#addLearners(driver);
 		}
 
-		return {isMember: false};
+		return {isMember, leaderAddress: this.#options.linkAddress};
 	}
 
 	/** Transfers leadership to another voter and stops. */
@@ -205,11 +215,10 @@
 
 		this.#transport.close();
 		this.#peerCalls.close();
-		this.#linkCalls.close();
+		this.#leaderAccess.close();
 		await this.#storage.close();
 	}
 
-	/** Starts a leadership transfer if this member is the leader. */
 	transferLeadership(): void {
 		this.#driver?.transferLeadership();
 	}
@@ -232,12 +241,12 @@
 	}
 
 	async #form(): Promise<Membership | undefined> {
-		const {seeds, linkAddress, logger} = this.#options;
+		const {linkAddress, logger} = this.#options;
 		try {
 			return await formGroup({
 				voterId: this.#voterId,
 				ownAddress: linkAddress,
-				addresses: seeds(),
+				addresses: await this.#seedsWithDisk(),
 				calls: this.#peerCalls,
 				isStopped: () => this.#isStopped,
 			});
@@ -251,6 +260,28 @@
 		}
 	}
 
+	/** The seeds that form the group: those with a disk. All of them come to the same result, since each waits until all others have answered. */
+	async #seedsWithDisk(): Promise<string[]> {
+		const {seeds, linkAddress} = this.#options;
+		const withDisk = new Map([[linkAddress, true]]);
+		while (!this.#isStopped) {
+			const unknown = seeds().filter(address => !withDisk.has(address));
+			if (unknown.length === 0) {
+				break;
+			}
+
+			await Promise.all(unknown.map(async address => {
+				const isDiskless = await this.#leaderAccess.isDiskless(address);
+				if (isDiskless !== undefined) {
+					withDisk.set(address, !isDiskless);
+				}
+			}));
+			await sleep(withDisk.size < seeds().length ? formationPauseMs : 0);
+		}
+
+		return [...withDisk].filter(([, hasDisk]) => hasDisk).map(([address]) => address);
+	}
+
 	#createDriver(recovered: RecoveredLog): ReplicaDriver<ReplaceOutcome> {
 		const {clock, logger} = this.#options;
 		return new ReplicaDriver({
@@ -281,48 +312,99 @@
 	}
 
 	async #catchUpWithLeader(driver: ReplicaDriver<ReplaceOutcome>): Promise<boolean> {
-		const leader = findMember(currentMembership(driver.state), driver.state.leaderId);
+		const leader = this.#leaderInContact(driver);
 		const index = leader && await this.#peerCalls.confirmIndex(leader.address);
 		return index !== undefined && driver.waitForIndex(index, catchUpTimeoutMs);
 	}
 
-	/** Sends join requests to the other members until this member is a voter. */
-	async #joinUntilVoter(): Promise<void> {
-		while (!this.#isStopped && !this.isVoter) {
-			const {linkAddress, seeds, otherAddresses} = this.#options;
-			const addresses = new Set([...seeds(), ...otherAddresses()].filter(address => address !== linkAddress));
-			const request = {voterId: this.#voterId, address: linkAddress};
-			await Promise.all([...addresses].map(async address => this.#linkCalls.call(address, linkService.join, request, joinTimeoutMs)));
-			await sleep(joinPauseMs);
+	/** The leader that replicates to this member; undefined if this process is no member, leads itself, or has not heard from a leader recently. */
+	#leaderInContact({state}: ReplicaDriver<ReplaceOutcome>): Voter | undefined {
+		const isRecent = this.#options.clock.monotonicMs() - state.lastContactMs < 2 * replicaOptions.electionTimeoutMs;
+		return isRecent && state.role === 'follower' ? findMember(currentMembership(state), state.leaderId) : undefined;
+	}
+
+	/** Whether this process is a voter as far as the leader tells it; a voter that was replaced meanwhile no longer hears from the leader. */
+	get #isSettled(): boolean {
+		const driver = this.#driver;
+		return this.isVoter && driver !== undefined && (driver.state.role === 'leader' || this.#leaderInContact(driver) !== undefined);
+	}
+
+	/** Asks to join whenever this process is not a voter. */
+	async #keepMembership(): Promise<void> {
+		let askedCount = 0;
+		while (!this.#isStopped) {
+			if (this.#isSettled) {
+				askedCount = 0;
+			} else {
+				askedCount++;
+				await this.#leaderAccess.ask(this.#voterId);
+			}
+
+			await sleep(this.#isSettled || askedCount > quickJoinCount ? longJoinPauseMs : joinPauseMs);
 		}
 	}
 
-	/** Desired number of voters. */
-	get #size(): number {
-		return Math.max(1, this.#options.seeds().length);
+	get #otherAddresses(): string[] {
+		const {linkAddress, seeds, otherAddresses} = this.#options;
+		return [...new Set([...seeds(), ...otherAddresses()])].filter(address => address !== linkAddress);
 	}
 
-	async #addLearner(driver: ReplicaDriver<ReplaceOutcome>, membership: Membership, newMember: {voterId: string; address: string}): Promise<void> {
-		const replaces = voterToReplace({membership, newMember, silentMsOf: voterId => this.#silentMsOf(driver, voterId)});
-		if (replaces === undefined && membership.voters.length >= this.#size) {
+	get #sizes(): GroupSizes {
+		const {faultTolerance, seeds} = this.#options;
+		return groupSizes({faultTolerance, seedCount: seeds().length});
+	}
+
+	/** As the leader, adds the candidates that the group needs, one after another. */
+	async #addLearners(driver: ReplicaDriver<ReplaceOutcome>): Promise<void> {
+		if (this.#isAdding) {
 			return;
 		}
 
-		const result = await driver.changeMembership({kind: 'add', learner: {...newMember, ...(replaces !== undefined && {replaces})}});
-		this.#options.logger.log('info', 'memberJoins', {
-			voterId: newMember.voterId, address: newMember.address, replaces, outcome: result.ok ? 'accepted' : result.failure.type,
+		this.#isAdding = true;
+		for (let attempt = 0; attempt < maxAddAttempts; attempt++) {
+			const learner = this.#nextLearner(driver);
+			if (!learner) {
+				break;
+			}
+
+			const result = await driver.changeMembership({kind: 'add', learner});
+			if (result.ok || result.failure.type !== 'changeInProgress') {
+				this.#options.logger.log('info', 'memberJoins', {...learner, outcome: result.ok ? 'accepted' : result.failure.type});
+			}
+
+			await sleep(result.ok ? 0 : addRetryPauseMs);
+		}
+
+		this.#isAdding = false;
+	}
+
+	#nextLearner(driver: ReplicaDriver<ReplaceOutcome>): Learner | undefined {
+		const {leader} = driver.state;
+		if (!leader) {
+			return undefined;
+		}
+
+		const nowMs = this.#options.clock.monotonicMs();
+		return nextLearner({
+			membership: currentMembership(driver.state),
+			candidates: this.#candidates.current(nowMs),
+			size: nowMs - leader.termStart.nowMs < growthDelayMs ? 0 : this.#sizes.desired,
+			silentMsOf: voterId => this.#silentMsOf(driver, voterId),
+			failureDomainOf: this.#options.failureDomainOf,
 		});
 	}
 
-	/** As the leader, removes unreachable voters in excess of the group size, and learners that rejoined under a new identity. */
+	/** As the leader, adds the candidates that the group needs, and removes unreachable voters in excess of its size and stale learners. */
 	async #maintainMembership(): Promise<void> {
 		const driver = this.#driver;
 		if (driver?.state.role !== 'leader') {
 			return;
 		}
 
+		await this.#addLearners(driver);
 		const membership = currentMembership(driver.state);
-		const surplus = surplusVoter(membership, this.#size, voterId => this.#silentMsOf(driver, voterId)) ?? staleLearner(membership);
+		const surplus = surplusVoter(membership, this.#sizes.kept, voterId => this.#silentMsOf(driver, voterId))
+			?? staleLearner(membership, voterId => this.#silentMsOf(driver, voterId));
 		if (surplus !== undefined) {
 			const result = await driver.changeMembership({kind: 'remove', voterId: surplus});
 			this.#options.logger.log('info', 'memberRemoved', {voterId: surplus, outcome: result.ok ? 'accepted' : result.failure.type});
@@ -330,12 +412,12 @@
 	}
 
 	#silentMsOf(driver: ReplicaDriver<ReplaceOutcome>, voterId: string): number {
-		if (voterId === this.#voterId) {
+		const {leader} = driver.state;
+		const nowMs = this.#options.clock.monotonicMs();
+		if (voterId === this.#voterId || this.#candidates.has(voterId, nowMs)) {
 			return 0;
 		}
 
-		const {leader} = driver.state;
-		const nowMs = this.#options.clock.monotonicMs();
 		const heardAtMs = leader?.progress.get(voterId)?.acknowledgedSentAtMs ?? Number.NEGATIVE_INFINITY;
 		return nowMs - Math.max(heardAtMs, leader?.termStart.nowMs ?? nowMs);
 	}
@@ -346,11 +428,6 @@
 	return read?.ok ?? false;
 }
 
-/** Finds a learner whose address has joined again under a newer identity, which means that its disk was lost. */
-function staleLearner(membership: Membership): string | undefined {
-	return membership.learners.find((learner, index) => membership.learners.some((other, otherIndex) => otherIndex > index && other.address === learner.address))?.voterId;
-}
-
 async function withTimeout<Value>(work: Promise<Value>, timeoutMs: number): Promise<Value | undefined> {
 	let timer: NodeJS.Timeout | undefined;
 	const timeout = new Promise<undefined>(resolve => {
--- a/packages/fleet-control/src/fleet-control.test.ts
+++ b/packages/fleet-control/src/fleet-control.test.ts
@@ -11,7 +11,9 @@
 import {freePorts, waitUntil} from '@rattanspring/test-kit';
 import {SystemClock} from '@rattanspring/voter-group';
 import {expect} from 'earl';
-import {FleetControl, surplusVoter, voterToReplace} from './index.js';
+import {
+	FleetControl, groupSizes, nextLearner, staleLearner, surplusVoter, voterToReplace,
+} from './index.js';
 
 /** Timeout for a group of processes to reach an expected state. */
 const settleTimeoutMs = 15_000;
@@ -204,6 +206,57 @@
 	});
 });
 
+describe('groupSizes', () => {
+	it('leaves a quorum after the tolerated losses, and neither shrinks nor removes voters for fewer seeds', () => {
+		expect(groupSizes({faultTolerance: 2, seedCount: 3})).toEqual({desired: 5, kept: 5});
+		expect(groupSizes({faultTolerance: 2, seedCount: 1})).toEqual({desired: 5, kept: 5});
+		expect(groupSizes({faultTolerance: 1, seedCount: 3})).toEqual({desired: 3, kept: 3});
+		expect(groupSizes({faultTolerance: 0, seedCount: 1})).toEqual({desired: 1, kept: 3});
+	});
+});
+
+describe('nextLearner', () => {
+	const voter = (name: string) => ({voterId: `${name}.1`, address: name});
+	const membership = {voters: ['a1', 'b1', 'c1'].map(name => voter(name)), learners: []};
+	const input = {
+		membership, size: 5, silentMsOf: () => 0, failureDomainOf: (address: string) => address[0],
+	};
+
+	it('adds processes in pairs, so that the number of voters does not stay even', () => {
+		expect(nextLearner({...input, candidates: [voter('a2')]})).toEqual(undefined);
+		expect(nextLearner({...input, candidates: [voter('a2'), voter('b2')]})).toEqual(voter('a2'));
+		const withLearner = {...membership, learners: [voter('a2')]};
+		expect(nextLearner({...input, membership: withLearner, candidates: [voter('a2'), voter('b2')]})).toEqual(voter('b2'));
+		const four = {voters: [...membership.voters, voter('a2')], learners: []};
+		expect(nextLearner({...input, membership: four, candidates: [voter('b2')]})).toEqual(voter('b2'));
+	});
+
+	it('adds none to a complete group, and prefers failure domains with the fewest members', () => {
+		const candidates = [voter('a2'), voter('b2'), voter('d1')];
+		expect(nextLearner({...input, size: 3, candidates})).toEqual(undefined);
+		expect(nextLearner({...input, candidates})).toEqual(voter('d1'));
+	});
+
+	it('first replaces the previous identity of an address, then an unreachable voter', () => {
+		const returned = {voterId: 'b1.2', address: 'b1'};
+		expect(nextLearner({...input, size: 3, candidates: [voter('d1'), returned]})).toEqual({...returned, replaces: 'b1.1'});
+		const silentMsOf = (voterId: string) => voterId === 'c1.1' ? 9000 : 0;
+		expect(nextLearner({
+			...input, size: 3, silentMsOf, candidates: [voter('d1')],
+		})).toEqual({...voter('d1'), replaces: 'c1.1'});
+	});
+});
+
+describe('staleLearner', () => {
+	const learners = [{voterId: 'a.1', address: 'a'}, {voterId: 'b.1', address: 'b'}, {voterId: 'a.2', address: 'a'}];
+
+	it('removes a learner whose address has joined under a newer identity, or that is unreachable', () => {
+		expect(staleLearner({voters: [], learners}, () => 0)).toEqual('a.1');
+		expect(staleLearner({voters: [], learners: learners.slice(1)}, () => 0)).toEqual(undefined);
+		expect(staleLearner({voters: [], learners: learners.slice(1)}, voterId => voterId === 'b.1' ? 9000 : 0)).toEqual('b.1');
+	});
+});
+
 async function eventually(condition: () => Promise<boolean>): Promise<void> {
 	await waitUntil(condition, {timeoutMs: settleTimeoutMs, pollMs: 30});
 }
--- a/packages/fleet-control/src/fleet-control.ts
+++ b/packages/fleet-control/src/fleet-control.ts
@@ -6,7 +6,7 @@
 
 import type {ReplaceOutcome, StoredDocument} from '@rattanspring/desired-state';
 import {
-	ControlLinks, type CrashReport, type DocumentRequest, DocumentSender, type DownMessage, LinkServer, linkService, listen, type NodeCard, type NodeRole, type UpMessage,
+	ControlLinks, type CrashReport, type DocumentRequest, DocumentSender, type DownMessage, type JoinRequest, LinkServer, linkService, listen, type NodeCard, type NodeRole, type UpMessage,
 } from '@rattanspring/fleet-link';
 import type {FatalErrorHandler} from '@rattanspring/log-storage';
 import type {Logger} from '@rattanspring/logger';
@@ -16,6 +16,8 @@
 import {
 	type handleUnaryCall, type sendUnaryData, Server, type ServerDuplexStream, type UntypedServiceImplementation,
 } from '@grpc/grpc-js';
+import type {ControlGroup} from './control-group.js';
+import {DisklessGroup} from './diskless-group.js';
 import {DocumentGroup} from './document-group.js';
 
 /** Load reports received within this time are broadcast in one message. */
@@ -34,8 +36,8 @@
 	readonly failureDomain: string;
 	/** Address (`host:port`) at which other daemons reach this process. */
 	readonly linkAddress: string;
-	/** Folder of the replicated log and the identity of its disk. */
-	readonly dataFolder: string;
+	/** Folder of the replicated log and the identity of its disk. A process without one does not vote. */
+	readonly dataFolder?: string;
 	/** Number of VMs whose loss at the same time has to be tolerated; 0 by default. */
 	readonly faultTolerance?: number;
 	readonly seeds: () => readonly string[];
@@ -47,7 +49,7 @@
 
 export class FleetControl {
 	readonly #options: FleetControlOptions;
-	readonly #group: DocumentGroup;
+	readonly #group: ControlGroup;
 	readonly #linkServer: LinkServer;
 	readonly #controlLinks: ControlLinks;
 	readonly #targets = new TargetTable();
@@ -79,14 +81,7 @@
 				this.#onControlMessage(message);
 			},
 		});
-		this.#group = new DocumentGroup({
-			...options,
-			otherAddresses: () => this.#controlLinks.addresses,
-			onDocument: document => {
-				options.logger.log('info', 'documentInForce', {version: document.version, bytes: document.text.length});
-				this.#linkServer.broadcast({type: 'version', version: document.version}, ['entry', 'agent']);
-			},
-		});
+		this.#group = this.#createGroup();
 		this.#documentSender = new DocumentSender(() => this.#group.document);
 	}
 
@@ -168,6 +163,33 @@
 		this.#server.forceShutdown();
 	}
 
+	#createGroup(): ControlGroup {
+		const {dataFolder, faultTolerance = 0, seeds, ...options} = this.#options;
+		const {linkAddress, logger} = options;
+		if (dataFolder === undefined) {
+			const addresses = () => [...new Set([...seeds(), ...this.#controlLinks.addresses])].filter(address => address !== linkAddress);
+			return new DisklessGroup({linkAddress, addresses, logger});
+		}
+
+		return new DocumentGroup({
+			...options,
+			dataFolder,
+			faultTolerance,
+			seeds,
+			otherAddresses: () => this.#controlLinks.addresses,
+			failureDomainOf: address => this.#failureDomainOf(address),
+			onDocument: document => {
+				logger.log('info', 'documentInForce', {version: document.version, bytes: document.text.length});
+				this.#linkServer.broadcast({type: 'version', version: document.version}, ['entry', 'agent']);
+			},
+		});
+	}
+
+	#failureDomainOf(address: string): string | undefined {
+		const {linkAddress, failureDomain} = this.#options;
+		return address === linkAddress ? failureDomain : [...this.#controlLinks.nodes.values()].find(card => card.linkAddress === address)?.failureDomain;
+	}
+
 	#addInterval(intervalMs: number, work: () => void): void {
 		this.#timers.push(setInterval(work, intervalMs));
 	}
@@ -179,7 +201,7 @@
 			},
 			document: unary(async (request: DocumentRequest) => this.#documentSender.reply(request)),
 			submit: unary(async (document: StoredDocument) => ({outcome: await this.#group.submit(document)})),
-			join: unary(async (request: {voterId: string; address: string}) => this.#group.join(request)),
+			join: unary(async (request: JoinRequest) => this.#group.join(request)),
 		};
 	}
 
--- /dev/null
+++ b/packages/fleet-control/src/leader-access.ts
@@ -0,0 +1,129 @@
+/**
+Finds the leader of the group and passes calls on to it, for processes that are not in contact with it as members: those that
+have no disk, and those that the group does not need as voters.
+*/
+
+import type {ReplaceOutcome, StoredDocument} from '@rattanspring/desired-state';
+import {
+	DocumentReceiver, type JoinReply, type JoinRequest, LinkCalls, linkService,
+} from '@rattanspring/fleet-link';
+import {PeerCalls} from '@rattanspring/voter-group';
+
+/** Timeout of a command that is committed by the leader. */
+export const submitTimeoutMs = 1500;
+
+const joinTimeoutMs = 500;
+const partTimeoutMs = 800;
+
+/** Number of parts of a document after which a read is given up. */
+const maxParts = 2048;
+
+/** A linearizable read; `isConfirmed` is false if no quorum confirmed it. */
+export type ConfirmedRead = {readonly isConfirmed: boolean; readonly document?: StoredDocument};
+
+export type LeaderAccessOptions = {
+	/** Address of the local process. */
+	readonly linkAddress: string;
+	/** Addresses of the other control processes known so far. */
+	readonly addresses: () => readonly string[];
+};
+
+export class LeaderAccess {
+	readonly #options: LeaderAccessOptions;
+	readonly #linkCalls = new LinkCalls();
+	readonly #peerCalls = new PeerCalls(undefined);
+	#leaderAddress: string | undefined;
+	/** The newest document that was fetched from a leader. */
+	#fetched: StoredDocument | undefined;
+
+	constructor(options: LeaderAccessOptions) {
+		this.#options = options;
+	}
+
+	/** Address of the leader as far as known from the latest replies. */
+	get leaderAddress(): string | undefined {
+		return this.#leaderAddress;
+	}
+
+	/** Asks the leader, or all known control processes while there is none, to be added to the group; without a voter ID, asks for the leader only. */
+	async ask(voterId?: string): Promise<void> {
+		const request: JoinRequest = {address: this.#options.linkAddress, ...(voterId !== undefined && {voterId})};
+		const known = this.#leaderAddress;
+		if (known !== undefined && this.#adopt([await this.#join(known, request)])) {
+			return;
+		}
+
+		this.#leaderAddress = undefined;
+		const replies = await Promise.all(this.#options.addresses().map(async address => this.#join(address, request)));
+		this.#adopt(replies);
+	}
+
+	/** Whether the process at an address has no disk; undefined if it does not answer. */
+	async isDiskless(address: string): Promise<boolean | undefined> {
+		const reply = await this.#join(address, {address: this.#options.linkAddress});
+		return reply && (reply.isDiskless ?? false);
+	}
+
+	/** Commits a document through the leader at an address, by default the one found. Returns undefined if the outcome is unknown. */
+	async submit(document: StoredDocument, memberAddress?: string): Promise<ReplaceOutcome | undefined> {
+		const address = memberAddress ?? await this.#findLeader();
+		const reply = address === undefined ? undefined : await this.#linkCalls.call(address, linkService.submit, document, submitTimeoutMs);
+		return reply?.outcome as ReplaceOutcome | undefined;
+	}
+
+	/** Linearizable read of the leader's document. */
+	async read(): Promise<ConfirmedRead> {
+		const address = await this.#findLeader();
+		const index = address === undefined ? undefined : await this.#peerCalls.confirmIndex(address);
+		return index === undefined ? {isConfirmed: false} : this.#fetch(address!);
+	}
+
+	close(): void {
+		this.#linkCalls.close();
+		this.#peerCalls.close();
+	}
+
+	async #join(address: string, request: JoinRequest): Promise<JoinReply | undefined> {
+		return this.#linkCalls.call(address, linkService.join, request, joinTimeoutMs);
+	}
+
+	/** Remembers the leader that the replies name; returns false if they name none. */
+	#adopt(replies: ReadonlyArray<JoinReply | undefined>): boolean {
+		const addresses = replies.flatMap(reply => reply?.leaderAddress ?? []);
+		this.#leaderAddress = addresses.find(address => address !== this.#options.linkAddress);
+		return this.#leaderAddress !== undefined;
+	}
+
+	async #findLeader(): Promise<string | undefined> {
+		if (this.#leaderAddress === undefined) {
+			await this.ask();
+		}
+
+		return this.#leaderAddress;
+	}
+
+	/** Fetches the document that a leader holds after a quorum confirmed that the leader is up to date. */
+	async #fetch(address: string): Promise<ConfirmedRead> {
+		const receiver = new DocumentReceiver();
+		const heldVersion = this.#fetched?.version ?? -1;
+		for (let count = 0; count < maxParts; count++) {
+			const request = receiver.request(heldVersion);
+			const reply = await this.#linkCalls.call(address, linkService.document, request, partTimeoutMs);
+			if (!reply || reply.version < heldVersion) {
+				return {isConfirmed: false};
+			}
+
+			if (!reply.part) {
+				return {isConfirmed: true, ...(this.#fetched && {document: this.#fetched})};
+			}
+
+			const received = receiver.receive(reply.part);
+			if (received.kind === 'whole') {
+				this.#fetched = {version: reply.part.transferVersion, text: received.text};
+				return {isConfirmed: true, document: this.#fetched};
+			}
+		}
+
+		return {isConfirmed: false};
+	}
+}
--- a/packages/fleet-control/src/test-group.ts
+++ b/packages/fleet-control/src/test-group.ts
@@ -30,6 +30,8 @@
 	/** Number of VMs whose loss at the same time has to be tolerated. */
 	readonly faultTolerance: number;
 	readonly failureDomainCount: number;
+	/** Positions of processes without a disk. */
+	readonly diskless?: readonly number[];
 };
 
 export class TestGroup {
@@ -68,12 +70,12 @@
 	}
 
 	async start(index: number, isFirstStart = false): Promise<void> {
-		const {faultTolerance, failureDomainCount} = this.#options;
+		const {faultTolerance, failureDomainCount, diskless = []} = this.#options;
 		const control = new FleetControl({
 			nodeId: `n${index}`,
 			failureDomain: `z${index % failureDomainCount}`,
 			linkAddress: this.#addresses[index],
-			dataFolder: this.#diskOf(index),
+			...(!diskless.includes(index) && {dataFolder: this.#diskOf(index)}),
 			seeds: () => this.#addresses.slice(0, seedCount),
 			faultTolerance,
 			isFirstStart,
--- a/packages/fleet-link/src/link-service.ts
+++ b/packages/fleet-link/src/link-service.ts
@@ -31,11 +31,16 @@
 /** The outcome of a command; without `outcome` it is unknown whether the command was accepted. */
 export type SubmitReply = {readonly outcome?: string};
 
-/** A request by a process to join the control group. */
-export type JoinRequest = {readonly voterId: string; readonly address: string};
+/** A request by a process to join the control group; without a voter ID it only asks for the leader. */
+export type JoinRequest = {readonly voterId?: string; readonly address: string};
 
-/** Whether the requester is a member, and the leader's address as far as the answering member knows it. */
-export type JoinReply = {readonly isMember: boolean; readonly leaderAddress?: string};
+/** Whether the requester is a voter, and the leader's address as far as the answering process knows it. */
+export type JoinReply = {
+	readonly isMember: boolean;
+	readonly leaderAddress?: string;
+	/** Whether the answering process has no disk and therefore never joins the group. */
+	readonly isDiskless?: boolean;
+};
 
 /** An order for the engine on the agent's VM, or a query of its state. */
 export type RankRequest<Order = unknown> = {readonly targetAddress: string} & (
