--- a/packages/fleet-control/src/test-group.ts
+++ b/packages/fleet-control/src/test-group.ts
@@ -56,6 +56,10 @@
 		return this.#addresses.map((_address, index) => index);
 	}
 
+	addressOf(index: number): string {
+		return this.#addresses[index];
+	}
+
 	get(index: number): FleetControl {
 		return this.#running.get(index)!;
 	}
