--- a/packages/fleet-control/src/document-group.ts
+++ b/packages/fleet-control/src/document-group.ts
@@ -49,6 +49,10 @@
 const addRetryPauseMs = 50;
 
 const formationPauseMs = 100;
+
+/** Pause between attempts to confirm the recovered state. */
+const confirmPauseMs = 50;
+
 const maintenanceIntervalMs = 1000;
 const tickIntervalMs = 50;
 const transferTimeoutMs = 1000;
@@ -95,6 +99,7 @@
 	#voterId = '';
 	#timer: NodeJS.Timeout | undefined;
 	#publishedVersion = -1;
+	#isConfirmed = false;
 	#isStopped = false;
 
 	constructor(options: DocumentGroupOptions) {
@@ -115,8 +120,9 @@
 		});
 	}
 
+	/** Undefined until a quorum has confirmed the local state once, because the state on disk may be outdated. */
 	get document(): StoredDocument | undefined {
-		return this.#stateMachine.document;
+		return this.#isConfirmed ? this.#stateMachine.document : undefined;
 	}
 
 	/** Whether this member believes that it is the leader; another leader may have been elected meanwhile. */
@@ -142,7 +148,7 @@
 		logger.log('info', 'groupStarted', {voterId: this.#voterId, lastIndex: start.entries.at(-1)?.index ?? start.snapshot?.lastIndex ?? 0, isFirstStart: this.#options.isFirstStart});
 		this.#driver = this.#createDriver(start);
 		this.#driver.start();
-		this.#publishDocument();
+		void this.#confirmFirstState(this.#driver);
 		this.#timer = setInterval(() => {
 			void this.#maintainMembership();
 		}, maintenanceIntervalMs);
@@ -177,9 +183,7 @@
 			return this.#leaderAccess.read();
 		}
 
-		const isConfirmed = driver.state.role === 'leader'
-			? await confirmRead(driver)
-			: await this.#catchUpWithLeader(driver);
+		const isConfirmed = await this.#confirmState(driver);
 		return {isConfirmed, document: isConfirmed ? this.#stateMachine.document : undefined};
 	}
 
@@ -303,14 +307,31 @@
 		}, recovered);
 	}
 
+	/** Confirms the recovered state with a quorum; the document is announced and served only then. */
+	async #confirmFirstState(driver: ReplicaDriver<ReplaceOutcome>): Promise<void> {
+		while (!this.#isStopped && !this.#isConfirmed) {
+			this.#isConfirmed = await this.#confirmState(driver);
+			if (!this.#isConfirmed) {
+				await sleep(confirmPauseMs);
+			}
+		}
+
+		this.#publishDocument();
+	}
+
 	#publishDocument(): void {
-		const {document} = this.#stateMachine;
+		const {document} = this;
 		if (document && document.version > this.#publishedVersion) {
 			this.#publishedVersion = document.version;
 			this.#options.onDocument(document);
 		}
 	}
 
+	/** Whether the local state now includes everything that was committed before the call. */
+	async #confirmState(driver: ReplicaDriver<ReplaceOutcome>): Promise<boolean> {
+		return driver.state.role === 'leader' ? confirmRead(driver) : this.#catchUpWithLeader(driver);
+	}
+
 	async #catchUpWithLeader(driver: ReplicaDriver<ReplaceOutcome>): Promise<boolean> {
 		const leader = this.#leaderInContact(driver);
 		const index = leader && await this.#peerCalls.confirmIndex(leader.address);
