--- a/packages/rank-agent/src/map-rebalancer.ts
+++ b/packages/rank-agent/src/map-rebalancer.ts
@@ -26,7 +26,7 @@
 	readonly engine: Pick<EngineProfile, 'placesPerRank' | 'newPlacesPerRank' | 'stepMs' | 'perSequenceMs' | 'expertShare'>;
 	/** Smallest share of the step time that a switch has to save. */
 	readonly minStepGain?: number;
-	/** Smallest decrease of a set's peak load, as a share of its mean load, that justifies copying the weights of one expert. */
+	/** Smallest decrease of a set's peak load, as a share of its mean load and summed over the ranks, that justifies copying the weights of one expert. */
 	readonly minGainPerCopy?: number;
 };
 
