--- a/packages/fleet-control/src/diskless-group.ts
+++ b/packages/fleet-control/src/diskless-group.ts
@@ -71,7 +71,7 @@
 	}
 
 	async join(): Promise<JoinReply> {
-		return {isMember: false, isDiskless: true, leaderAddress: this.#leaderAccess.leaderAddress};
+		return {isMember: false, isDiskless: true, leaderAddress: this.#leaderAccess.confirmedLeaderAddress};
 	}
 
 	transferLeadership(): void {
--- a/packages/fleet-control/src/document-group.ts
+++ b/packages/fleet-control/src/document-group.ts
@@ -196,7 +196,7 @@
 
 		const isMember = voterId !== undefined && isVoter(currentMembership(driver.state), voterId);
 		if (driver.state.role !== 'leader') {
-			return {isMember, leaderAddress: this.#leaderInContact(driver)?.address ?? this.#leaderAccess.leaderAddress};
+			return {isMember, leaderAddress: this.#leaderInContact(driver)?.address ?? this.#leaderAccess.confirmedLeaderAddress};
 		}
 
 		if (voterId !== undefined && !isMember) {
--- a/packages/fleet-control/src/fleet-control.test.ts
+++ b/packages/fleet-control/src/fleet-control.test.ts
@@ -12,7 +12,7 @@
 import {SystemClock} from '@rattanspring/voter-group';
 import {expect} from 'earl';
 import {
-	FleetControl, groupSizes, nextLearner, staleLearner, surplusVoter, voterToReplace,
+	FleetControl, groupSizes, namedLeader, nextLearner, staleLearner, surplusVoter, voterToReplace,
 } from './index.js';
 
 /** Timeout for a group of processes to reach an expected state. */
@@ -247,6 +247,19 @@
 	});
 });
 
+describe('namedLeader', () => {
+	const answer = (address: string, leaderAddress?: string) => ({address, reply: {isMember: false, leaderAddress}});
+
+	it('prefers a process that calls itself the leader to one that others name', () => {
+		expect(namedLeader([answer('a', 'x'), answer('b', 'x'), answer('c', 'c')], new Set())).toEqual('c');
+		expect(namedLeader([answer('a', 'x'), {address: 'b', reply: undefined}], new Set())).toEqual('x');
+	});
+
+	it('does not return to a process that was just asked in vain, or to the asking one', () => {
+		expect(namedLeader([answer('a', 'x'), answer('b', 'own')], new Set(['own', 'x']))).toEqual(undefined);
+	});
+});
+
 describe('staleLearner', () => {
 	const learners = [{voterId: 'a.1', address: 'a'}, {voterId: 'b.1', address: 'b'}, {voterId: 'a.2', address: 'a'}];
 
--- a/packages/fleet-control/src/index.ts
+++ b/packages/fleet-control/src/index.ts
@@ -2,4 +2,5 @@
 export * from './document-group.js';
 export * from './document-state-machine.js';
 export * from './fleet-control.js';
+export {namedLeader} from './leader-access.js';
 export * from './replacement.js';
--- a/packages/fleet-control/src/leader-access.ts
+++ b/packages/fleet-control/src/leader-access.ts
@@ -33,6 +33,7 @@
 	readonly #linkCalls = new LinkCalls();
 	readonly #peerCalls = new PeerCalls(undefined);
 	#leaderAddress: string | undefined;
+	#isLeaderConfirmed = false;
 	/** The newest document that was fetched from a leader. */
 	#fetched: StoredDocument | undefined;
 
@@ -45,17 +46,26 @@
 		return this.#leaderAddress;
 	}
 
+	/** Address of the leader if it answered itself; only this may be told to others, so that an outdated address does not circulate. */
+	get confirmedLeaderAddress(): string | undefined {
+		return this.#isLeaderConfirmed ? this.#leaderAddress : undefined;
+	}
+
 	/** Asks the leader, or all known control processes while there is none, to be added to the group; without a voter ID, asks for the leader only. */
 	async ask(voterId?: string): Promise<void> {
 		const request: JoinRequest = {address: this.#options.linkAddress, ...(voterId !== undefined && {voterId})};
 		const known = this.#leaderAddress;
-		if (known !== undefined && this.#adopt([await this.#join(known, request)])) {
+		const reply = known === undefined ? undefined : await this.#join(known, request);
+		if (known !== undefined && reply?.leaderAddress === known) {
+			this.#isLeaderConfirmed = true;
 			return;
 		}
 
-		this.#leaderAddress = undefined;
-		const replies = await Promise.all(this.#options.addresses().map(async address => this.#join(address, request)));
-		this.#adopt(replies);
+		const addresses = this.#options.addresses().filter(address => address !== known);
+		const others = await Promise.all(addresses.map(async address => ({address, reply: await this.#join(address, request)})));
+		const answers = known === undefined ? others : [{address: known, reply}, ...others];
+		this.#leaderAddress = namedLeader(answers, new Set([this.#options.linkAddress, known]));
+		this.#isLeaderConfirmed = answers.some(answer => answer.address === this.#leaderAddress && answer.reply?.leaderAddress === answer.address);
 	}
 
 	/** Whether the process at an address has no disk; undefined if it does not answer. */
@@ -87,13 +97,6 @@
 		return this.#linkCalls.call(address, linkService.join, request, joinTimeoutMs);
 	}
 
-	/** Remembers the leader that the replies name; returns false if they name none. */
-	#adopt(replies: ReadonlyArray<JoinReply | undefined>): boolean {
-		const addresses = replies.flatMap(reply => reply?.leaderAddress ?? []);
-		this.#leaderAddress = addresses.find(address => address !== this.#options.linkAddress);
-		return this.#leaderAddress !== undefined;
-	}
-
 	async #findLeader(): Promise<string | undefined> {
 		if (this.#leaderAddress === undefined) {
 			await this.ask();
@@ -127,3 +130,11 @@
 		return {isConfirmed: false};
 	}
 }
+
+export type JoinAnswer = {readonly address: string; readonly reply: JoinReply | undefined};
+
+/** The leader that the answers name: a process that calls itself the leader, else one that another process names and that is not among the excluded ones. */
+export function namedLeader(answers: readonly JoinAnswer[], excluded: ReadonlySet<string | undefined>): string | undefined {
+	const self = answers.find(({address, reply}) => reply?.leaderAddress === address);
+	return self?.address ?? answers.map(({reply}) => reply?.leaderAddress).find(address => address !== undefined && !excluded.has(address));
+}
