--- /dev/null
+++ b/packages/gateway/src/document-follower.test.ts
@@ -0,0 +1,93 @@
+import {afterEach, describe, it} from 'node:test';
+import {type sendUnaryData, Server, type ServerUnaryCall} from '@grpc/grpc-js';
+import {type DesiredState, DocumentCodec, type DocumentFailure} from '@rattanspring/desired-state';
+import {
+	type DocumentReply, type DocumentRequest, DocumentSender, linkService, listen,
+} from '@rattanspring/fleet-link';
+import {SilentLogger} from '@rattanspring/logger';
+import {freePorts, waitUntil} from '@rattanspring/test-kit';
+import {ok, type Result} from '@rattanspring/types';
+import {expect} from 'earl';
+import {DocumentFollower} from './document-follower.js';
+
+/** Time within which an announced document has to be in force. */
+const inForceWithinMs = 2500;
+
+class VersionCodec extends DocumentCodec {
+	decode(text: string): Result<DesiredState, DocumentFailure> {
+		return ok({
+			version: Number.parseInt(text, 10), routes: [], services: [], limits: {
+				maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1,
+			},
+		});
+	}
+}
+
+/** A control process that serves documents, unless it is silent. */
+class TestSource {
+	readonly sender = new DocumentSender();
+	isSilent = false;
+	requestCount = 0;
+	beforeReply: () => void = () => undefined;
+	readonly #server = new Server();
+
+	constructor(readonly address: string) {}
+
+	async start(): Promise<void> {
+		const {document} = linkService;
+		this.#server.addService({document}, {
+			document: (call: ServerUnaryCall<DocumentRequest, DocumentReply>, done: sendUnaryData<DocumentReply>) => {
+				this.requestCount++;
+				if (!this.isSilent) {
+					const reply = this.sender.reply(call.request);
+					this.beforeReply();
+					done(null, reply);
+				}
+			},
+		});
+		await listen(this.#server, this.address);
+	}
+
+	stop(): void {
+		this.#server.forceShutdown();
+	}
+}
+
+describe('DocumentFollower', () => {
+	let sources: TestSource[] = [];
+	let follower: DocumentFollower;
+
+	afterEach(() => {
+		follower.close();
+		for (const source of sources) {
+			source.stop();
+		}
+	});
+
+	async function start(count: number): Promise<void> {
+		const ports = await freePorts(count);
+		sources = ports.map(port => new TestSource(`127.0.0.1:${port}`));
+		await Promise.all(sources.map(async source => source.start()));
+		follower = new DocumentFollower({
+			codec: new VersionCodec(), logger: new SilentLogger(), sources: () => sources.map(({address}) => address), onState: () => undefined,
+		});
+	}
+
+	async function waitForVersion(version: number): Promise<void> {
+		await waitUntil(() => follower.version === version, {timeoutMs: inForceWithinMs});
+	}
+
+	it('keeps an announcement that arrives before the reply to an earlier request', async () => {
+		await start(1);
+		const [source] = sources;
+		source.sender.publish({version: 1, text: '1'});
+		source.beforeReply = () => {
+			source.beforeReply = () => undefined;
+			source.sender.publish({version: 2, text: '2'});
+			follower.recordVersion(source.address, 2);
+		};
+
+		follower.recordVersion(source.address, 1);
+		await waitForVersion(2);
+	});
+});
--- a/packages/gateway/src/document-follower.ts
+++ b/packages/gateway/src/document-follower.ts
@@ -94,7 +94,12 @@
 
 			const source = sources[failures % sources.length];
 			const request = this.#receiver.request(this.version);
+			const announced = this.#announcedVersions.get(source);
 			const reply = await this.#calls.call(source, linkService.document, request, Math.min(maxPartTimeoutMs, partTimeoutMs * (2 ** failures)));
+			if (reply && this.#announcedVersions.get(source) === announced) {
+				this.#announcedVersions.set(source, reply.version);
+			}
+
 			const result = reply && this.#onReply(source, reply, startedAtMs);
 			if (result === 'progress') {
 				failures = 0;
@@ -119,7 +124,6 @@
 	}
 
 	#onReply(source: string, reply: DocumentReply, startedAtMs: number): 'progress' | 'inForce' | 'notServed' | 'damaged' | 'unreadable' {
-		this.#announcedVersions.set(source, reply.version);
 		if (!reply.part) {
 			return 'notServed';
 		}
