--- a/packages/fleet-link/src/link-calls.ts
+++ b/packages/fleet-link/src/link-calls.ts
@@ -22,6 +22,11 @@
 		});
 	}
 
+	/** Drops the connection to an address; the next call opens a new one. */
+	discard(address: string): void {
+		this.#clients.discard(address);
+	}
+
 	close(): void {
 		this.#clients.close();
 	}
--- a/packages/gateway/src/document-follower.test.ts
+++ b/packages/gateway/src/document-follower.test.ts
@@ -5,7 +5,7 @@
 	type DocumentReply, type DocumentRequest, DocumentSender, linkService, listen,
 } from '@rattanspring/fleet-link';
 import {SilentLogger} from '@rattanspring/logger';
-import {freePorts, waitUntil} from '@rattanspring/test-kit';
+import {freePorts, incompressibleText, waitUntil} from '@rattanspring/test-kit';
 import {ok, type Result} from '@rattanspring/types';
 import {expect} from 'earl';
 import {DocumentFollower} from './document-follower.js';
@@ -25,13 +25,17 @@
 
 /** A control process that serves documents, unless it is silent. */
 class TestSource {
+	readonly address: string;
 	readonly sender = new DocumentSender();
 	isSilent = false;
 	requestCount = 0;
-	beforeReply: () => void = () => undefined;
 	readonly #server = new Server();
 
-	constructor(readonly address: string) {}
+	constructor(address: string) {
+		this.address = address;
+	}
+
+	beforeReply: () => void = () => undefined;
 
 	async start(): Promise<void> {
 		const {document} = linkService;
@@ -90,4 +94,28 @@
 		follower.recordVersion(source.address, 1);
 		await waitForVersion(2);
 	});
+
+	it('stays with the source that answers while the nearest one is silent', async () => {
+		await start(2);
+		const [silent, other] = sources;
+		silent.isSilent = true;
+		other.sender.publish({version: 1, text: `1 ${incompressibleText(1, 200_000)}`});
+		follower.recordVersion(silent.address, 1);
+		follower.recordVersion(other.address, 1);
+		await waitForVersion(1);
+		expect(silent.requestCount).toEqual(1);
+		expect(other.requestCount).toBeGreaterThan(5);
+	});
+
+	it('has the document in time from the last of three sources if the others are silent', async () => {
+		await start(3);
+		sources[0].isSilent = true;
+		sources[1].isSilent = true;
+		sources[2].sender.publish({version: 1, text: '1'});
+		for (const {address} of sources) {
+			follower.recordVersion(address, 1);
+		}
+
+		await waitForVersion(1);
+	});
 });
--- a/packages/gateway/src/document-follower.ts
+++ b/packages/gateway/src/document-follower.ts
@@ -11,13 +11,16 @@
 } from '@rattanspring/fleet-link';
 import type {Logger} from '@rattanspring/logger';
 
-/** Time limit of a part of the document, doubled after each failure in a row: many daemons may share the source's link. */
+/** Time limit of a part of the document, doubled after each failure in a row at a source: many daemons may share its link. */
 const partTimeoutMs = 800;
-const maxPartTimeoutMs = 3200;
+const maxPartTimeoutMs = 1600;
 
-/** Pause after a failure, doubled after each further one. A random part of the same length is added, since all daemons fail at the same time. */
+/** Pause after a failure, doubled with each further one at that source. A random part of the same length is added, since all daemons fail at the same time. */
 const retryPauseMs = 50;
-const maxRetryPauseMs = 800;
+const maxRetryPauseMs = 400;
+
+/** What came of a request for a part. */
+type PartResult = 'progress' | 'inForce' | 'noReply' | 'notServed' | 'damaged' | 'unreadable' | 'notNewer';
 
 /** Options of the follower. */
 export type DocumentFollowerOptions = {
@@ -39,6 +42,8 @@
 	readonly #receiver = new DocumentReceiver();
 	/** Newest version known of each control process. */
 	readonly #announcedVersions = new Map<string, number>();
+	/** Failures in a row of each source that has failed since it last served a part or was heard of. */
+	readonly #failures = new Map<string, number>();
 	#table: RouteTable | undefined;
 	#newestVersion = -1;
 	#isFetching = false;
@@ -66,6 +71,7 @@
 	/** Records the version that a control process has, and fetches it if it is newer. */
 	recordVersion(address: string, version: number): void {
 		this.#announcedVersions.set(address, version);
+		this.#failures.delete(address);
 		if (version > this.#newestVersion) {
 			this.#newestVersion = version;
 			this.#options.onNewestVersion?.(version);
@@ -77,6 +83,11 @@
 		}
 	}
 
+	/** Drops the connection to a control process whose stream was lost, since it may be dead without a sign. */
+	dropConnection(address: string): void {
+		this.#calls.discard(address);
+	}
+
 	close(): void {
 		this.#isClosed = true;
 		this.#calls.close();
@@ -84,38 +95,51 @@
 
 	/** Fetches part after part until no control process is known to hold a newer document. */
 	async #fetch(): Promise<void> {
-		let failures = 0;
 		let startedAtMs = performance.now();
 		while (!this.#isClosed) {
-			const sources = this.#newerSources();
-			if (sources.length === 0) {
+			const source = this.#chooseSource();
+			if (source === undefined) {
 				break;
 			}
 
-			const source = sources[failures % sources.length];
-			const request = this.#receiver.request(this.version);
-			const announced = this.#announcedVersions.get(source);
-			const reply = await this.#calls.call(source, linkService.document, request, Math.min(maxPartTimeoutMs, partTimeoutMs * (2 ** failures)));
-			if (reply && this.#announcedVersions.get(source) === announced) {
-				this.#announcedVersions.set(source, reply.version);
-			}
-
-			const result = reply && this.#onReply(source, reply, startedAtMs);
-			if (result === 'progress') {
-				failures = 0;
-			} else if (result === 'inForce') {
-				failures = 0;
-				startedAtMs = performance.now();
+			const result = await this.#fetchPart(source, startedAtMs);
+			if (result === 'progress' || result === 'inForce') {
+				this.#failures.delete(source);
+				startedAtMs = result === 'inForce' ? performance.now() : startedAtMs;
 			} else {
-				this.#logFailure(source, result ?? 'noReply', startedAtMs);
-				await this.#pause(failures);
-				failures++;
+				this.#logFailure(source, result, startedAtMs);
+				await this.#pauseAfterFailure(source);
 			}
 		}
 
 		this.#isFetching = false;
 	}
 
+	async #fetchPart(source: string, startedAtMs: number): Promise<PartResult> {
+		const announced = this.#announcedVersions.get(source);
+		const timeoutMs = Math.min(maxPartTimeoutMs, partTimeoutMs * (2 ** this.#failuresOf(source)));
+		const reply = await this.#calls.call(source, linkService.document, this.#receiver.request(this.version), timeoutMs);
+		if (!reply) {
+			return 'noReply';
+		}
+
+		if (this.#announcedVersions.get(source) === announced) {
+			this.#announcedVersions.set(source, reply.version);
+		}
+
+		return this.#onReply(source, reply, startedAtMs);
+	}
+
+	#failuresOf(source: string): number {
+		return this.#failures.get(source) ?? 0;
+	}
+
+	/** The source that has failed least; among equal ones a connected one, and the nearest of these. */
+	#chooseSource(): string | undefined {
+		const [source] = this.#newerSources().toSorted((left, right) => this.#failuresOf(left) - this.#failuresOf(right));
+		return source;
+	}
+
 	/** Addresses of the control processes that hold a newer document: connected ones first, the nearest of them first. */
 	#newerSources(): string[] {
 		const newer = [...this.#announcedVersions].filter(([, version]) => version > this.version).map(([address]) => address);
@@ -123,7 +147,7 @@
 		return [...new Set([...connected, ...newer])];
 	}
 
-	#onReply(source: string, reply: DocumentReply, startedAtMs: number): 'progress' | 'inForce' | 'notServed' | 'damaged' | 'unreadable' {
+	#onReply(source: string, reply: DocumentReply, startedAtMs: number): PartResult {
 		if (!reply.part) {
 			return 'notServed';
 		}
@@ -133,26 +157,27 @@
 			return received.kind === 'partial' ? 'progress' : 'damaged';
 		}
 
-		return this.#apply(received.text, source, startedAtMs) ? 'inForce' : 'unreadable';
+		return this.#apply(received.text, source, startedAtMs);
 	}
 
-	#apply(text: string, source: string, startedAtMs: number): boolean {
+	#apply(text: string, source: string, startedAtMs: number): PartResult {
 		const {codec, logger, onState} = this.#options;
 		const decoded = codec.decode(text);
 		if (!decoded.ok) {
 			logger.log('error', 'documentUnreadable', {source, message: decoded.failure.message});
-			return false;
+			return 'unreadable';
 		}
 
-		if (decoded.value.version > this.version) {
-			this.#table = new RouteTable(decoded.value);
-			logger.log('info', 'documentInForce', {
-				version: this.version, source, routes: decoded.value.routes.length, characters: text.length, tookMs: elapsedMs(startedAtMs),
-			});
-			onState(decoded.value);
+		if (decoded.value.version <= this.version) {
+			return 'notNewer';
 		}
 
-		return true;
+		this.#table = new RouteTable(decoded.value);
+		logger.log('info', 'documentInForce', {
+			version: this.version, source, routes: decoded.value.routes.length, characters: text.length, tookMs: elapsedMs(startedAtMs),
+		});
+		onState(decoded.value);
+		return 'inForce';
 	}
 
 	#logFailure(source: string, reason: string, startedAtMs: number): void {
@@ -161,7 +186,9 @@
 		});
 	}
 
-	async #pause(failures: number): Promise<void> {
+	async #pauseAfterFailure(source: string): Promise<void> {
+		const failures = this.#failuresOf(source);
+		this.#failures.set(source, failures + 1);
 		const random = this.#options.random ?? Math.random;
 		const pauseMs = Math.min(maxRetryPauseMs, retryPauseMs * (2 ** failures));
 		await new Promise(resolve => {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -142,8 +142,11 @@
 				this.#updateEntries(cards.filter(card => card.role === 'entry'));
 				this.#updateInformed();
 			},
-			onConnectionChange(linkAddress, isUp) {
+			onConnectionChange: (linkAddress, isUp) => {
 				logger.log(isUp ? 'info' : 'warn', isUp ? 'controlReached' : 'controlLost', {linkAddress});
+				if (!isUp) {
+					this.#documents.dropConnection(linkAddress);
+				}
 			},
 		});
 	}
