--- a/packages/gateway/src/gateway.test.ts
+++ b/packages/gateway/src/gateway.test.ts
@@ -275,9 +275,10 @@
 			expect(sent()).toEqual(0);
 		});
 
-		it('does not reject for a missing route or key while a newer desired state is announced, but tells the caller when to retry', async () => {
+		it('does not reject by a desired state while a newer one is announced, but tells the caller when to retry', async () => {
 			newestVersion = state.version + 1;
-			for (const result of [await call('/other/x'), await call('/plain/x', {'x-key': 'other'})]) {
+			const results = [await call('/other/x'), await call('/plain/x', {'x-key': 'other'}), await call('/plain/x', {'x-pad': 'p'.repeat(5000)}), await call('/plain/x', {}, 'x'.repeat(2000))];
+			for (const result of results) {
 				expect(result.status).toEqual(503);
 				expect(Number(result.headers['retry-after'])).toBeGreaterThan(0);
 				expect(JSON.parse(result.body)).toEqual({type: 'urn:rattanspring:documentOutdated', status: 503, execution: 'didNotRun'});
--- a/packages/gateway/src/request-flow.ts
+++ b/packages/gateway/src/request-flow.ts
@@ -53,7 +53,7 @@
 
 	if (body.kind === 'tooLarge') {
 		response.shouldKeepAlive = false;
-		answer.reject(413, rejections[413]);
+		rejectRequest(context, table, metadata, {answer, status: 413});
 	} else {
 		answer.closeConnection();
 	}
