--- a/packages/fleet-control/src/leader-access.ts
+++ b/packages/fleet-control/src/leader-access.ts
@@ -112,7 +112,7 @@
 		for (let count = 0; count < maxParts; count++) {
 			const request = receiver.request(heldVersion);
 			const reply = await this.#linkCalls.call(address, linkService.document, request, partTimeoutMs);
-			if (!reply || reply.version < heldVersion) {
+			if (!reply || reply.version < Math.max(0, heldVersion)) {
 				return {isConfirmed: false};
 			}
 
@@ -121,6 +121,10 @@
 			}
 
 			const received = receiver.receive(reply);
+			if (received.kind === 'damaged') {
+				return {isConfirmed: false};
+			}
+
 			if (received.kind === 'whole') {
 				this.#fetched = {version: reply.part.transferVersion, text: received.text};
 				return {isConfirmed: true, document: this.#fetched};
