Log what the requests on a crashed target had in common

The entry now reads the shared parts of a request's prompt (all but the last), and targetDied names request id, components (whole request, shared parts) and how long ago the answer had begun. crashReportsReceived says when reports of other entries arrive; a counter gives the requests that were running on crashed targets. No decision changes.

--- a/packages/gateway/src/crash-detector.test.ts
+++ b/packages/gateway/src/crash-detector.test.ts
@@ -1,12 +1,13 @@
 import {describe, it} from 'node:test';
-import type {Crash} from '@rattanspring/placement';
 import {expect} from 'earl';
-import {CrashDetector} from './crash-detector.js';
+import {type BrokenRequest, CrashDetector} from './crash-detector.js';
 
-const crash: Crash = {fingerprint: 'f', targetId: 't', bornMs: 1};
+const crash: BrokenRequest = {
+	fingerprint: 'f', targetId: 't', bornMs: 1, components: [],
+};
 
-async function crashesAt(reached: boolean): Promise<{readonly crashes: Crash[]; readonly probeCount: number}> {
-	const crashes: Crash[] = [];
+async function crashesAt(reached: boolean): Promise<{readonly crashes: BrokenRequest[]; readonly probeCount: number}> {
+	const crashes: BrokenRequest[] = [];
 	let probeCount = 0;
 	const watch = new CrashDetector({
 		probeDelayMs: 5,
--- a/packages/gateway/src/gateway-context.ts
+++ b/packages/gateway/src/gateway-context.ts
@@ -4,10 +4,11 @@
 import type {Logger} from '@rattanspring/logger';
 import type {DaemonMetrics} from '@rattanspring/metrics';
 import type {
-	AdmissionQueue, Crash, CrashGuard, RetryBudget, TargetSelector,
+	AdmissionQueue, CrashGuard, RetryBudget, TargetSelector,
 } from '@rattanspring/placement';
 import type {TargetTransport} from '@rattanspring/target-connection';
 import type {TargetLifetime} from '@rattanspring/target-table';
+import type {BrokenRequest} from './crash-detector.js';
 import type {FirstAttemptEstimator} from './first-attempt-estimator.js';
 import type {HeaderCodec} from './header-codec.js';
 
@@ -34,5 +35,5 @@
 	/** Called when a target said in an answer that it is leaving; returns false if that was known. */
 	readonly onTargetLeaving: (target: TargetLifetime) => boolean;
 	/** Called when the connection of a running request broke: its target may have crashed. */
-	readonly onConnectionBroken: (crash: Crash, address: string) => void;
+	readonly onConnectionBroken: (crash: BrokenRequest, address: string) => void;
 };
--- a/packages/gateway/src/gateway.test.ts
+++ b/packages/gateway/src/gateway.test.ts
@@ -9,12 +9,13 @@
 import {SilentLogger} from '@rattanspring/logger';
 import {DaemonMetrics} from '@rattanspring/metrics';
 import {
-	AdmissionQueue, type Crash, CrashGuard, RetryBudget, TargetSelector,
+	AdmissionQueue, CrashGuard, RetryBudget, TargetSelector,
 } from '@rattanspring/placement';
 import {ConnectionPool, type ResponseHead} from '@rattanspring/target-connection';
 import type {TargetReport} from '@rattanspring/target-table';
 import {freePorts} from '@rattanspring/test-kit';
 import {expect} from 'earl';
+import type {BrokenRequest} from './crash-detector.js';
 import {FirstAttemptEstimator} from './first-attempt-estimator.js';
 import type {GatewayContext} from './gateway-context.js';
 import {serveRequest} from './request-flow.js';
@@ -118,7 +119,7 @@
 
 describe('an entry', () => {
 	const targets = [new Target(), new Target()];
-	const crashes: Crash[] = [];
+	const crashes: BrokenRequest[] = [];
 	const leaving: string[] = [];
 	let server: CallerServer;
 	let port: number;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -80,9 +80,11 @@
 		const crashDetector = new CrashDetector({
 			isReachable,
 			onCrash: crash => {
-				logger.log('warn', 'targetDied', {targetId: crash.targetId, bornMs: crash.bornMs, fingerprint: crash.fingerprint});
+				const {targetId, bornMs, requestId, components, answerBegunMs} = crash;
+				logger.log('warn', 'targetDied', {targetId, bornMs, requestId, components: components.join(','), answerBegunMs});
+				metrics.targetCrashes.inc();
 				this.#context.crashGuard.recordCrash(crash);
-				this.#links.send({type: 'crash', crash});
+				this.#links.send({type: 'crash', crash: {fingerprint: crash.fingerprint, targetId, bornMs}});
 			},
 		});
 		const inProgress = new Map<string, number>();
@@ -303,6 +305,7 @@
 			}
 
 			case 'crashes': {
+				this.#options.logger.log('info', 'crashReportsReceived', {count: message.crashes.length, linkAddress: address});
 				for (const crash of message.crashes) {
 					this.#context.crashGuard.recordCrash(crash);
 				}
--- a/packages/gateway/src/header-codec.ts
+++ b/packages/gateway/src/header-codec.ts
@@ -15,6 +15,8 @@
 	readonly lastEventId?: string;
 	readonly promptTokens?: number;
 	readonly maxAnswerTokens?: number;
+	/** Ids of the parts of the prompt that other requests may have too: all but the last. */
+	readonly sharedParts?: readonly string[];
 };
 
 /** Data that the entry adds to the caller's headers when it forwards a request. */
--- a/packages/gateway/src/request-flow.ts
+++ b/packages/gateway/src/request-flow.ts
@@ -43,9 +43,10 @@
 	const body = await readBodyBeforeDeadline(request, table.state.limits.maxBodyBytes, deadlineAtMs - arrivedAtMs);
 	if (body.kind === 'whole') {
 		const path = request.url!;
+		const fingerprint = fingerprintOf(path, account?.name, body.body);
 		const routedRequest: RoutedRequest = {
 			metadata, route, service: selectWeightedService(route.split, context.random()), account, method: request.method!, path, rawHeaders: request.rawHeaders, body: body.body,
-			fingerprint: fingerprintOf(path, account?.name, body.body), arrivedAtMs, deadlineAtMs,
+			fingerprint, components: componentsOf(fingerprint, metadata), arrivedAtMs, deadlineAtMs,
 		};
 		new RequestForwarder(context, answer, routedRequest).start(response);
 		return;
@@ -115,6 +116,10 @@
 	return result;
 }
 
+function componentsOf(fingerprint: string, {sharedParts = []}: RequestMetadata): string[] {
+	return [`request:${fingerprint}`, ...sharedParts.map(id => `part:${id}`)];
+}
+
 function fingerprintOf(path: string, accountName: string | undefined, body: Buffer): string {
 	return createHash('sha256').update(path).update('\0').update(accountName ?? '').update('\0').update(body).digest('base64url').slice(0, 22);
 }
--- a/packages/gateway/src/request-forwarder.ts
+++ b/packages/gateway/src/request-forwarder.ts
@@ -62,6 +62,8 @@
 	#lastView: TargetView | undefined;
 	/** Whether the current target has not yet started its response. */
 	#isAwaitingResponse = false;
+	/** When the current target started its response. */
+	#attemptBegunAtMs: number | undefined;
 	#isFinished = false;
 
 	constructor(context: GatewayContext, answer: CallerResponse, request: RoutedRequest) {
@@ -139,6 +141,7 @@
 		this.#admittedAtMs ??= this.#nowMs;
 		this.#context.selector.sent(report.targetId, this.#nowMs, this.#request.metadata.promptTokens);
 		this.#isAwaitingResponse = true;
+		this.#attemptBegunAtMs = undefined;
 		this.#lastView = admission.view;
 		const isResumed = this.#streamHead !== undefined;
 		const urgency = isResumed ? urgencies.resumed : (admission.isLate ? urgencies.late : urgencies.onTime);
@@ -250,6 +253,7 @@
 	#recordResponseStart(): void {
 		if (this.#isAwaitingResponse && this.#running) {
 			this.#isAwaitingResponse = false;
+			this.#attemptBegunAtMs = this.#nowMs;
 			this.#context.selector.begun(this.#running.targetId, this.#request.metadata.promptTokens);
 		}
 	}
@@ -276,7 +280,8 @@
 	#onOutcome(outcome: AttemptOutcome, detail: string): void {
 		const running = this.#running!;
 		const {logger, crashGuard, onConnectionBroken} = this.#context;
-		const {route, service, fingerprint, metadata} = this.#request;
+		const {route, service, fingerprint, components, metadata} = this.#request;
+		const answerBegunMs = sinceMs(this.#attemptBegunAtMs ?? 0, this.#attemptBegunAtMs === undefined ? undefined : this.#nowMs);
 		this.#endAttempt(exchangeOutcomes[outcome]);
 		if (outcome === 'notSent') {
 			this.#unreachedCount++;
@@ -286,7 +291,9 @@
 		}
 
 		if (outcome === 'broken' && detail !== 'silent' && detail !== unframed) {
-			onConnectionBroken({fingerprint, targetId: running.targetId, bornMs: running.bornMs}, running.address);
+			onConnectionBroken({
+				fingerprint, targetId: running.targetId, bornMs: running.bornMs, requestId: metadata.requestId, components, answerBegunMs,
+			}, running.address);
 		}
 
 		const step = nextStep({
--- a/packages/gateway/src/routed-request.ts
+++ b/packages/gateway/src/routed-request.ts
@@ -16,6 +16,8 @@
 	readonly body: Buffer;
 	/** Digest of path, client account and body. */
 	readonly fingerprint: string;
+	/** What the request consists of, as far as other requests may contain it too: the whole of it, and the shared parts of its prompt. */
+	readonly components: readonly string[];
 	readonly arrivedAtMs: number;
 	/** The earlier of the caller's and the route's deadline. */
 	readonly deadlineAtMs: number;
--- a/packages/metrics/src/index.ts
+++ b/packages/metrics/src/index.ts
@@ -54,6 +54,12 @@
 		registers: [this.registry],
 	});
 
+	readonly targetCrashes = new Counter({
+		name: 'rattanspring_requests_on_crashed_targets_total',
+		help: 'Requests of this entry that were running on a target when it crashed.',
+		registers: [this.registry],
+	});
+
 	constructor(options: DaemonMetricsOptions = {}) {
 		collectDefaultMetrics({register: this.registry, eventLoopMonitoringPrecision: options.eventLoopPrecisionMs ?? defaultEventLoopPrecisionMs});
 	}
