--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -81,7 +81,9 @@
 			isReachable,
 			onCrash: crash => {
 				const {targetId, bornMs, requestId, components, answerBegunMs} = crash;
-				logger.log('warn', 'targetDied', {targetId, bornMs, requestId, components: components.join(','), answerBegunMs});
+				logger.log('warn', 'targetDied', {
+					targetId, bornMs, requestId, components: components.join(','), answerBegunMs,
+				});
 				metrics.targetCrashes.inc();
 				this.#context.crashGuard.recordCrash(crash);
 				this.#links.send({type: 'crash', crash: {fingerprint: crash.fingerprint, targetId, bornMs}});
