Find the component of requests that crashes targets, and try it once before refusing it

Cause: evidence was kept by the digest of path, account and body. A request whose connection broke was sent to a second target a few milliseconds later, which doubled the crashes.

Change: crash-evidence (new, pure) keeps evidence by component: the whole request, and each shared part of its prompt. - Every component of the requests on a crashed target is accused, unless its entry has seen complete answers with it or the answer had begun over a second before. Other entries refute in the same way; one complete answer refutes all crashes before it. Evidence is a union, so order, repeats and restarts do not matter. - After two crashes the component is suspected: its requests go one at a time, as trials that the control process first in an order for that component grants, and what waits at an entry or in a target's queue is withdrawn. A crash in a trial convicts, a complete answer clears. - No request that is accused is sent again by us; whether its target has crashed is awaited (250 ms) before another one is tried. - Control passes evidence on once and gives it to entries before the document, so before they serve; entries give theirs to a control process that restarts. - Bounded: 2,000 components, 16 crashes each, convictions last to go; one record a component and crash.

Why it works: the only thing that all crashes have in common and no complete answer contains is the part itself.

It takes the place of CrashGuard's test ('refused after three crashes'): two crashes and a trial are stricter.

--- /dev/null
+++ b/packages/crash-evidence/src/component-evidence.ts
@@ -0,0 +1,80 @@
+/**
+The evidence about one component of requests, and what follows from it. Evidence only grows, so that merging that of several daemons gives
+the same result in any order.
+*/
+
+/** Crashes of targets on which a request with a component was running. A crash is identified by the lifetime of its target. */
+export type ComponentEvidence = {
+	/** The whole of a request, or a part of its prompt. */
+	readonly component: string;
+	readonly crashes: readonly string[];
+	/** Those of the crashes that happened while the component was on trial. */
+	readonly trialCrashes: readonly string[];
+	/** Those of the crashes that a later complete answer to a request with the component has refuted. */
+	readonly refuted: readonly string[];
+};
+
+/** What follows from the evidence about a component. Suspected: its requests go one at a time, as trials. Convicted: they are refused. */
+export type Verdict = 'unsuspected' | 'suspected' | 'convicted';
+
+/** A component is suspected after this many crashes. One alone says little, as many requests run on a target that crashes. */
+const minSuspectCrashes = 2;
+
+/** Crashes recorded by component; more would change nothing. */
+const maxCrashes = 16;
+
+/** The lifetime of a target, as an identifier of its crash. */
+export function crashIdOf({targetId, bornMs}: {readonly targetId: string; readonly bornMs: number}): string {
+	return `${targetId} ${bornMs}`;
+}
+
+/** Crashes that no complete answer has refuted. */
+export function openCrashes({crashes, refuted}: ComponentEvidence): string[] {
+	return crashes.filter(crash => !refuted.includes(crash));
+}
+
+/** Draws the conclusion from the evidence. */
+export function verdictOf(evidence: ComponentEvidence): Verdict {
+	const open = openCrashes(evidence);
+	if (open.length < minSuspectCrashes) {
+		return 'unsuspected';
+	}
+
+	return evidence.trialCrashes.some(crash => open.includes(crash)) ? 'convicted' : 'suspected';
+}
+
+/** Combines evidence about the same component; returns `known` itself if nothing is new. */
+export function mergeEvidence(known: ComponentEvidence, added: ComponentEvidence): ComponentEvidence {
+	const crashes = union(known.crashes, added.crashes).slice(0, maxCrashes);
+	const trialCrashes = union(known.trialCrashes, added.trialCrashes).filter(crash => crashes.includes(crash));
+	const refuted = union(known.refuted, added.refuted).filter(crash => crashes.includes(crash));
+	const isSame = crashes.length === known.crashes.length && trialCrashes.length === known.trialCrashes.length && refuted.length === known.refuted.length;
+	return isSame
+		? known
+		: {
+			component: known.component, crashes, trialCrashes, refuted,
+		};
+}
+
+/** Throws if the value, which another daemon has sent, is not a list of evidence. */
+export function readEvidenceRecords(value: unknown): ComponentEvidence[] {
+	const records: unknown[] = Array.isArray(value) ? value : [undefined];
+	if (!records.every(record => isEvidence(record))) {
+		throw new TypeError('The message has no list of evidence.');
+	}
+
+	return records;
+}
+
+function isEvidence(value: unknown): value is ComponentEvidence {
+	const record = value as Partial<ComponentEvidence> | undefined;
+	return typeof record?.component === 'string' && [record.crashes, record.trialCrashes, record.refuted].every(list => isListOfTexts(list));
+}
+
+function isListOfTexts(value: unknown): boolean {
+	return Array.isArray(value) && value.every(item => typeof item === 'string');
+}
+
+function union(left: readonly string[], right: readonly string[]): string[] {
+	return [...new Set([...left, ...right])];
+}
--- /dev/null
+++ b/packages/crash-evidence/src/crash-evidence.test.ts
@@ -0,0 +1,191 @@
+import {describe, it} from 'node:test';
+import {expect} from 'earl';
+import {
+	type ComponentEvidence, CrashEvidence, CrashGuard, type CrashedRequest, mergeEvidence, readEvidenceRecords, SoundComponents, TrialGrants, type Verdict,
+} from './index.js';
+
+const target = (number: number) => ({targetId: `t${number}`, bornMs: 1});
+
+function evidence(component: string, values: Partial<ComponentEvidence> = {}): ComponentEvidence {
+	return {
+		component, crashes: [], trialCrashes: [], refuted: [], ...values,
+	};
+}
+
+/** Guards of several entries that tell each other all evidence at once. */
+class Fleet {
+	readonly verdicts: Array<readonly [string, Verdict]> = [];
+	sharedCount = 0;
+	readonly guards: CrashGuard[];
+
+	constructor(size: number) {
+		this.guards = Array.from({length: size}, (_, index) => new CrashGuard({
+			onNewEvidence: records => {
+				this.sharedCount += records.length;
+				for (const guard of this.guards.toSpliced(index, 1)) {
+					guard.receive(records);
+				}
+			},
+			onVerdict: ({component}, verdict) => {
+				this.verdicts.push([component, verdict]);
+			},
+		}));
+	}
+
+	verdictsOf(component: string): Verdict[] {
+		return this.guards.map(guard => guard.judge([component]).verdict);
+	}
+}
+
+describe('CrashGuard', () => {
+	const innocent: CrashedRequest = {components: ['request:i', 'part:shared']};
+	const crashing: CrashedRequest = {components: ['request:c', 'part:shared', 'part:bad']};
+
+	it('suspects a component after crashes of two targets, and counts several reports of one crash once', () => {
+		const {guards: [guard]} = new Fleet(1);
+		guard.recordCrash(target(1), [crashing]);
+		guard.recordCrash(target(1), [crashing]);
+		expect(guard.judge(crashing.components).verdict).toEqual('unsuspected');
+		guard.recordCrash({targetId: 't1', bornMs: 2}, [crashing]);
+		expect(guard.judge(['part:bad'])).toEqual({verdict: 'suspected', components: ['part:bad']});
+		expect(guard.judge(['part:unrelated']).verdict).toEqual('unsuspected');
+	});
+
+	it('finds the part that requests of several entries have in common, when no two requests are alike', () => {
+		const fleet = new Fleet(3);
+		fleet.guards[0].recordCrash(target(1), [{components: ['request:1', 'part:bad']}, {components: ['request:2', 'part:x']}]);
+		fleet.guards[1].recordCrash(target(2), [{components: ['request:3', 'part:bad']}, {components: ['request:4', 'part:y']}]);
+		expect(fleet.verdictsOf('part:bad')).toEqual(['suspected', 'suspected', 'suspected']);
+		expect(['part:x', 'part:y', 'request:1', 'request:3'].flatMap(component => fleet.verdictsOf(component))).toEqual(Array.from({length: 12}, () => 'unsuspected'));
+	});
+
+	it('convicts only what was on trial when its target crashed', () => {
+		const {guards: [guard]} = new Fleet(1);
+		for (const number of [1, 2, 3, 4]) {
+			guard.recordCrash(target(number), [crashing]);
+		}
+
+		expect(guard.judge(['part:bad']).verdict).toEqual('suspected');
+		guard.recordCrash(target(5), [{...crashing, trialOf: 'part:bad'}, innocent]);
+		expect(guard.judge(crashing.components)).toEqual({verdict: 'convicted', components: ['part:bad']});
+		expect(guard.judge(innocent.components).verdict).toEqual('suspected');
+	});
+
+	it('never accuses a part that sound requests share, at any entry', () => {
+		const fleet = new Fleet(2);
+		for (let number = 1; number <= 8; number++) {
+			fleet.guards[0].recordAnswer(innocent.components);
+			fleet.guards[1].recordCrash(target(number), [crashing]);
+		}
+
+		expect(fleet.verdictsOf('part:shared')).toEqual(['unsuspected', 'unsuspected']);
+		expect(fleet.verdictsOf('part:bad')).toEqual(['suspected', 'suspected']);
+	});
+
+	it('clears a suspected component at all entries with one complete answer', () => {
+		const fleet = new Fleet(2);
+		fleet.guards[0].recordCrash(target(1), [innocent]);
+		fleet.guards[0].recordCrash(target(2), [innocent]);
+		expect(fleet.verdictsOf('part:shared')).toEqual(['suspected', 'suspected']);
+		fleet.guards[1].recordAnswer(innocent.components);
+		expect(fleet.verdictsOf('part:shared')).toEqual(['unsuspected', 'unsuspected']);
+		expect(fleet.verdicts.filter(([component]) => component === 'part:shared').map(([, verdict]) => verdict)).toEqual(['suspected', 'suspected', 'unsuspected', 'unsuspected']);
+	});
+
+	it('suspects a part that was sound once, when it goes on crashing targets', () => {
+		const {guards: [guard]} = new Fleet(1);
+		guard.recordAnswer(['part:once']);
+		for (let number = 1; number <= 7; number++) {
+			guard.recordCrash(target(number), [{components: ['part:once']}]);
+		}
+
+		expect(guard.judge(['part:once']).verdict).toEqual('suspected');
+	});
+
+	it('does not accuse a request whose answer had begun long before the crash', () => {
+		const {guards: [guard]} = new Fleet(1);
+		for (const number of [1, 2, 3]) {
+			guard.recordCrash(target(number), [{...innocent, answerBegunMs: 1500}, {...crashing, answerBegunMs: 80}]);
+		}
+
+		expect(guard.judge(['request:i']).verdict).toEqual('unsuspected');
+		expect(guard.judge(['part:bad']).verdict).toEqual('suspected');
+	});
+
+	it('sends one record for each accused component, whatever the number of requests on the target', () => {
+		const fleet = new Fleet(1);
+		fleet.guards[0].recordCrash(target(1), Array.from({length: 50}, () => crashing));
+		expect(fleet.sharedCount).toEqual(3);
+	});
+});
+
+describe('CrashEvidence', () => {
+	it('gives the same result in whatever order evidence arrives, and however often', () => {
+		const records = [
+			evidence('c', {crashes: ['a', 'b']}), evidence('c', {crashes: ['b', 'd'], trialCrashes: ['d']}), evidence('c', {crashes: ['a'], refuted: ['a']}), evidence('c', {crashes: ['e']}),
+		];
+		const forwards = new CrashEvidence();
+		const backwards = new CrashEvidence();
+		forwards.merge([...records, ...records]);
+		backwards.merge(records.toReversed());
+		const sorted = (source: CrashEvidence) => source.withVerdict('convicted').map(record => ({...record, crashes: record.crashes.toSorted()}));
+		expect(sorted(forwards)).toEqual(sorted(backwards));
+		expect(sorted(forwards).length).toEqual(1);
+	});
+
+	it('returns only what is new, so that evidence that daemons pass on does not circulate', () => {
+		const known = new CrashEvidence();
+		expect(known.merge([evidence('c', {crashes: ['a']})]).length).toEqual(1);
+		expect(known.merge([evidence('c', {crashes: ['a']})])).toEqual([]);
+		expect(known.refute('c').length).toEqual(1);
+		expect(known.refute('c')).toEqual([]);
+	});
+
+	it('stays bounded under a flood of unique components, and keeps the convictions', () => {
+		const known = new CrashEvidence({maxComponents: 50});
+		known.merge([evidence('bad', {crashes: ['a', 'b', 'd'], trialCrashes: ['d']})]);
+		for (let index = 0; index < 1000; index++) {
+			known.merge([evidence(`flood ${index}`, {crashes: [`c${index}`, `d${index}`]})]);
+		}
+
+		expect(known.size).toEqual(50);
+		expect(known.verdictOf('bad')).toEqual('convicted');
+	});
+
+	it('records a bounded number of crashes of a component', () => {
+		let merged = evidence('c');
+		for (let index = 0; index < 100; index++) {
+			merged = mergeEvidence(merged, evidence('c', {crashes: [`c${index}`]}));
+		}
+
+		expect(merged.crashes.length).toEqual(16);
+	});
+
+	for (const value of [undefined, {}, [null], [{component: 1}], [{...evidence('c'), crashes: 'a'}], [{...evidence('c'), refuted: [1]}]]) {
+		it(`rejects ${JSON.stringify(value)} as evidence`, () => {
+			expect(() => readEvidenceRecords(value)).toThrow(TypeError);
+		});
+	}
+});
+
+describe('SoundComponents', () => {
+	it('keeps components seen more often under a flood of unique ones', () => {
+		const sound = new SoundComponents({maxComponents: 20});
+		sound.add('shared');
+		sound.add('shared');
+		for (let index = 0; index < 1000; index++) {
+			sound.add(`flood ${index}`);
+		}
+
+		expect(sound.refutesCrash('shared')).toEqual(true);
+		expect(sound.refutesCrash('flood 1')).toEqual(false);
+	});
+});
+
+describe('TrialGrants', () => {
+	it('grants one trial of a component at a time, and another one if that brings nothing', () => {
+		const grants = new TrialGrants();
+		expect([grants.grant('a', 0), grants.grant('a', 100), grants.grant('b', 100)]).toEqual([true, false, true]);
+		expect([grants.grant('a', 2999), grants.grant('a', 3000), grants.grant('a', 3001)]).toEqual([false, true, false]);
+	});
+});
--- a/packages/fleet-control/src/fleet-control.ts
+++ b/packages/fleet-control/src/fleet-control.ts
@@ -5,9 +5,11 @@
 acknowledged, so reports need not be replicated.
 */
 
+import {type ComponentEvidence, CrashEvidence, TrialGrants} from '@rattanspring/crash-evidence';
 import type {ReplaceOutcome, StoredDocument} from '@rattanspring/desired-state';
 import {
-	ControlLinks, type CrashReport, type DocumentRequest, DocumentSender, type DownMessage, type JoinRequest, LinkServer, linkService, listen, type NodeCard, type NodeRole, type UpMessage,
+	ControlLinks, type DocumentRequest, DocumentSender, type DownMessage, type JoinRequest, LinkServer, linkService, listen, type NodeCard, type NodeRole, type TrialReply, type TrialRequest,
+	type UpMessage,
 } from '@rattanspring/fleet-link';
 import type {FatalErrorHandler} from '@rattanspring/log-storage';
 import {describeError, type Logger} from '@rattanspring/logger';
@@ -26,9 +28,6 @@
 
 const expireIntervalMs = 10_000;
 
-/** Number of most recent crash reports that are retained for entry daemons that connect later. */
-const maxRetainedCrashes = 200;
-
 export type FleetControlOptions = {
 	readonly nodeId: string;
 	readonly failureDomain: string;
@@ -55,7 +54,8 @@
 	readonly #server = new Server(serverOptions);
 	readonly #timers: NodeJS.Timeout[] = [];
 	readonly #figures: FigureBatches;
-	readonly #crashes: CrashReport[] = [];
+	readonly #crashEvidence = new CrashEvidence();
+	readonly #trials = new TrialGrants();
 	#isLeaving = false;
 
 	constructor(options: FleetControlOptions) {
@@ -204,6 +204,7 @@
 			},
 			document: this.#unary('document', async (request: DocumentRequest) => this.#documentSender.reply(request)),
 			submit: this.#unary('submit', async (document: StoredDocument) => ({outcome: await this.#group.submit(document)})),
+			trial: this.#unary('trial', async (request: TrialRequest) => this.#grantTrial(request)),
 			join: this.#unary('join', async (request: JoinRequest) => this.#group.join(request)),
 		};
 	}
@@ -236,9 +237,8 @@
 				break;
 			}
 
-			case 'crash': {
-				this.#recordCrashes([message.crash]);
-				this.#linkServer.broadcast({type: 'crashes', crashes: [message.crash]}, {roles: ['entry', 'control']});
+			case 'evidence': {
+				this.#recordEvidence(message.records, ['entry', 'control']);
 				break;
 			}
 
@@ -283,9 +283,8 @@
 				break;
 			}
 
-			case 'crashes': {
-				this.#recordCrashes(message.crashes);
-				this.#linkServer.broadcast(message, {roles: ['entry']});
+			case 'evidence': {
+				this.#recordEvidence(message.records, ['entry']);
 				break;
 			}
 
@@ -307,9 +306,21 @@
 		}
 	}
 
-	#recordCrashes(crashes: readonly CrashReport[]): void {
-		this.#crashes.push(...crashes);
-		this.#crashes.splice(0, Math.max(0, this.#crashes.length - maxRetainedCrashes));
+	/** Passes on evidence about what crashes targets, as far as it is new. */
+	#recordEvidence(records: readonly ComponentEvidence[], receivers: readonly NodeRole[]): void {
+		const changed = this.#crashEvidence.merge(records);
+		if (changed.length > 0) {
+			this.#linkServer.broadcast({type: 'evidence', records: changed}, {roles: receivers});
+		}
+	}
+
+	#grantTrial({component}: TrialRequest): TrialReply {
+		const isGranted = this.#trials.grant(component, this.#options.clock.monotonicMs());
+		if (isGranted) {
+			this.#options.logger.log('info', 'trialGranted', {component});
+		}
+
+		return {isGranted};
 	}
 
 	#initialMessages(role: NodeRole): DownMessage[] {
@@ -320,12 +331,14 @@
 			messages.push({type: 'leaving', targets: leaving});
 		}
 
-		if (document) {
-			messages.push({type: 'version', version: document.version});
+		// Before the version: an entry begins to serve once it has the document.
+		const records = this.#crashEvidence.withVerdict('unsuspected', 'suspected', 'convicted');
+		if (role !== 'agent' && records.length > 0) {
+			messages.push({type: 'evidence', records});
 		}
 
-		if (role !== 'agent' && this.#crashes.length > 0) {
-			messages.push({type: 'crashes', crashes: this.#crashes});
+		if (document) {
+			messages.push({type: 'version', version: document.version});
 		}
 
 		return messages;
--- a/packages/fleet-link/src/link-service.ts
+++ b/packages/fleet-link/src/link-service.ts
@@ -5,6 +5,7 @@
 
 import {Buffer} from 'node:buffer';
 import type {MethodDefinition} from '@grpc/grpc-js';
+import {readEvidenceRecords} from '@rattanspring/crash-evidence';
 import {fromLoadRow, toLoadRow} from './load-rows.js';
 import type {DownMessage, UpMessage} from './messages.js';
 
@@ -70,6 +71,10 @@
 /** The engine's answer; `answer` is absent if the engine did not answer. */
 export type RankReply<Answer = unknown> = Attachment & {readonly answer?: Answer};
 
+/** Asks the authority of a suspected component whether a request with it may be sent as a trial. */
+export type TrialRequest = {readonly component: string};
+export type TrialReply = {readonly isGranted: boolean};
+
 /** The methods of the service. */
 export const linkService = {
 	follow: {
@@ -82,6 +87,7 @@
 	document: {...method<DocumentRequest, DocumentReply>('Document', false), responseSerialize: serializeWithAttachment, responseDeserialize: parseDocumentReply},
 	submit: method<SubmitRequest, SubmitReply>('Submit', false),
 	join: method<JoinRequest, JoinReply>('Join', false),
+	trial: {...method<TrialRequest, TrialReply>('Trial', false), requestDeserialize: parseTrialRequest},
 	rank: rankMethod(),
 };
 
@@ -128,7 +134,7 @@
 
 /** Throws if the bytes are not a message; the library then ends the stream. */
 function parseDown(bytes: Buffer): DownMessage {
-	const message = parseObject(bytes) as DownMessage & {readonly rows?: unknown};
+	const message = withCheckedEvidence(parseObject(bytes) as DownMessage & {readonly rows?: unknown});
 	return message.type === 'loads' ? {type: 'loads', loads: rowsOf(message.rows).map(row => fromLoadRow(row))} : message;
 }
 
@@ -138,10 +144,23 @@
 
 /** Throws if the bytes are not a message; the library then ends the stream. */
 function parseUp(bytes: Buffer): UpMessage {
-	const message = parseObject(bytes) as UpMessage & {readonly row?: unknown};
+	const message = withCheckedEvidence(parseObject(bytes) as UpMessage & {readonly row?: unknown});
 	return message.type === 'load' ? {type: 'load', load: fromLoadRow(message.row)} : message;
 }
 
+function withCheckedEvidence<Message extends UpMessage | DownMessage>(message: Message): Message {
+	return message.type === 'evidence' ? {...message, records: readEvidenceRecords(message.records)} : message;
+}
+
+function parseTrialRequest(bytes: Buffer): TrialRequest {
+	const {component} = parseObject(bytes) as Partial<TrialRequest>;
+	if (typeof component !== 'string') {
+		throw new TypeError('The request names no component.');
+	}
+
+	return {component};
+}
+
 function rowsOf(value: unknown): unknown[] {
 	if (!Array.isArray(value)) {
 		throw new TypeError('The message has no load figures.');
--- a/packages/fleet-link/src/messages.ts
+++ b/packages/fleet-link/src/messages.ts
@@ -1,5 +1,6 @@
 /** Messages on the streams between control processes and the other daemons. They carry soft state only; any of them may be lost. */
 
+import type {ComponentEvidence} from '@rattanspring/crash-evidence';
 import type {
 	RankPlace, TargetLifetime, TargetLoad, TargetReport, TargetHeartbeat,
 } from '@rattanspring/target-table';
@@ -40,15 +41,6 @@
 	readonly revision?: CardRevision;
 };
 
-/** Reports a request that was running when its target crashed. */
-export type CrashReport = {
-	/** Digest of the request's path, client account and body. */
-	readonly fingerprint: string;
-	/** The crashed target; `bornMs` identifies its lifetime. */
-	readonly targetId: string;
-	readonly bornMs: number;
-};
-
 /** Kinds of daemons by what they are told about. */
 export type Audience = 'control' | 'entry' | 'agent' | 'coordinatingAgent';
 
@@ -64,6 +56,9 @@
 	coordinatingAgent: ['control', 'agent'],
 };
 
+/** Evidence about components of requests that crash targets. */
+export type EvidenceMessage = {readonly type: 'evidence'; readonly records: readonly ComponentEvidence[]};
+
 /** Messages from a daemon to a control process. */
 export type UpMessage
 	/** `isPrimary` is whether the daemon takes load figures and heartbeats of the targets from this stream; it takes them from one of its streams. */
@@ -72,7 +67,7 @@
 		| {readonly type: 'load'; readonly load: TargetLoad}
 		/** A target said in an answer to the sender that it is leaving. */
 		| {readonly type: 'leaving'; readonly target: TargetLifetime}
-		| {readonly type: 'crash'; readonly crash: CrashReport};
+		| EvidenceMessage;
 
 /** Messages from a control process to a daemon. */
 export type DownMessage
@@ -87,6 +82,6 @@
 		| {readonly type: 'loads'; readonly loads: readonly TargetLoad[]}
 		/** Targets that said in an answer to some entry that they are leaving. */
 		| {readonly type: 'leaving'; readonly targets: readonly TargetLifetime[]}
-		| {readonly type: 'crashes'; readonly crashes: readonly CrashReport[]}
+		| EvidenceMessage
 		/** The latest document version that the control group accepted. */
 		| {readonly type: 'version'; readonly version: number};
--- a/packages/gateway/src/crash-detector.test.ts
+++ b/packages/gateway/src/crash-detector.test.ts
@@ -3,7 +3,7 @@
 import {type BrokenRequest, CrashDetector} from './crash-detector.js';
 
 const crash: BrokenRequest = {
-	fingerprint: 'f', targetId: 't', bornMs: 1, components: [],
+	requestId: 'f', targetId: 't', bornMs: 1, components: [],
 };
 
 async function crashesAt(reached: boolean): Promise<{readonly crashes: BrokenRequest[]; readonly probeCount: number}> {
@@ -15,15 +15,12 @@
 			probeCount++;
 			return reached;
 		},
-		onCrash(found) {
-			crashes.push(found);
+		onCrash(_target, found) {
+			crashes.push(...found);
 		},
 	});
-	watch.suspect(crash, '10.0.0.1:80');
-	watch.suspect({...crash, fingerprint: 'g'}, '10.0.0.1:80');
-	await new Promise(resolve => {
-		setTimeout(resolve, 40);
-	});
+	const checks = [watch.check(crash, '10.0.0.1:80'), watch.check({...crash, requestId: 'g'}, '10.0.0.1:80')];
+	expect(await Promise.all(checks)).toEqual([!reached, !reached]);
 	return {crashes, probeCount};
 }
 
@@ -34,6 +31,6 @@
 
 	it('reports a crash for every request that was running on an unreachable target', async () => {
 		const {crashes} = await crashesAt(false);
-		expect(crashes.map(({fingerprint}) => fingerprint)).toEqual(['f', 'g']);
+		expect(crashes.map(({requestId}) => requestId)).toEqual(['f', 'g']);
 	});
 });
--- a/packages/gateway/src/gateway-context.ts
+++ b/packages/gateway/src/gateway-context.ts
@@ -1,16 +1,21 @@
 /** Dependencies that all requests of an entry share. */
 
+import type {CrashGuard} from '@rattanspring/crash-evidence';
 import type {RouteTable} from '@rattanspring/desired-state';
 import type {Logger} from '@rattanspring/logger';
 import type {DaemonMetrics} from '@rattanspring/metrics';
 import type {
-	AdmissionQueue, CrashGuard, RetryBudget, TargetSelector,
+	AdmissionQueue, RetryBudget, TargetSelector,
 } from '@rattanspring/placement';
 import type {TargetTransport} from '@rattanspring/target-connection';
 import type {TargetLifetime} from '@rattanspring/target-table';
 import type {BrokenRequest} from './crash-detector.js';
 import type {FirstAttemptEstimator} from './first-attempt-estimator.js';
 import type {HeaderCodec} from './header-codec.js';
+import type {TrialGate} from './trial-gate.js';
+
+/** A request in progress that can be ended for what it contains. */
+export type Withdrawable = {readonly withdrawIfSuspected: () => void};
 
 export type GatewayContext = {
 	readonly headerCodec: HeaderCodec;
@@ -19,6 +24,9 @@
 	readonly admission: AdmissionQueue;
 	readonly retryBudget: RetryBudget;
 	readonly crashGuard: CrashGuard;
+	readonly trialGate: TrialGate;
+	/** Requests in progress. */
+	readonly forwarding: Set<Withdrawable>;
 	readonly logger: Logger;
 	readonly metrics: DaemonMetrics;
 	readonly firstAttempts: FirstAttemptEstimator;
@@ -34,6 +42,6 @@
 	readonly entryCount: () => number;
 	/** Called when a target said in an answer that it is leaving; returns false if that was known. */
 	readonly onTargetLeaving: (target: TargetLifetime) => boolean;
-	/** Called when the connection of a running request broke: its target may have crashed. */
-	readonly onConnectionBroken: (crash: BrokenRequest, address: string) => void;
+	/** Called when the connection of a running request broke. Resolves, once that is known, to whether the target has crashed. */
+	readonly onConnectionBroken: (request: BrokenRequest, address: string) => Promise<boolean>;
 };
--- a/packages/gateway/src/gateway.test.ts
+++ b/packages/gateway/src/gateway.test.ts
@@ -2,14 +2,15 @@
 import http, {type IncomingMessage, type ServerResponse} from 'node:http';
 import net, {type AddressInfo} from 'node:net';
 import {
-	after, afterEach, before, describe, it,
+	after, afterEach, before, beforeEach, describe, it,
 } from 'node:test';
 import {setTimeout as sleep} from 'node:timers/promises';
+import {CrashGuard} from '@rattanspring/crash-evidence';
 import {type DesiredState, type Route, RouteTable} from '@rattanspring/desired-state';
 import {SilentLogger} from '@rattanspring/logger';
 import {DaemonMetrics} from '@rattanspring/metrics';
 import {
-	AdmissionQueue, CrashGuard, RetryBudget, TargetSelector,
+	AdmissionQueue, RetryBudget, TargetSelector,
 } from '@rattanspring/placement';
 import {ConnectionPool, type ResponseHead} from '@rattanspring/target-connection';
 import type {TargetReport} from '@rattanspring/target-table';
@@ -19,6 +20,7 @@
 import {FirstAttemptEstimator} from './first-attempt-estimator.js';
 import type {GatewayContext} from './gateway-context.js';
 import {serveRequest} from './request-flow.js';
+import {TrialGate} from './trial-gate.js';
 import {
 	CallerServer, type ForwardingMetadata, HeaderCodec, type RequestMetadata, type ResponseMetadata,
 } from './index.js';
@@ -27,7 +29,7 @@
 class TestHeaderCodec extends HeaderCodec {
 	readRequest(headers: http.IncomingHttpHeaders): RequestMetadata {
 		return {
-			requestId: headers['x-id'] as string, key: headers['x-key'] as string, lastEventId: headers['last-event-id'] as string, ...(headers['x-time-left'] && {timeLeftMs: Number(headers['x-time-left'])}),
+			requestId: headers['x-id'] as string, key: headers['x-key'] as string, lastEventId: headers['last-event-id'] as string, ...(headers['x-time-left'] && {timeLeftMs: Number(headers['x-time-left'])}), ...(headers['x-parts'] && {sharedParts: String(headers['x-parts']).split(',')}),
 		};
 	}
 
@@ -126,6 +128,8 @@
 	let table: RouteTable | undefined;
 	let newestVersion: number;
 	let context: GatewayContext;
+	let isTrialGranted: boolean;
+	let areTargetsCrashing: boolean;
 
 	before(async () => {
 		await Promise.all(targets.map(async target => target.start()));
@@ -170,6 +174,17 @@
 			targetId: `t${index}`, bornMs: 1, sequence: 1, service: 's', address: `127.0.0.1:${target.port}`, failureDomain: 'a', slots: 4, state: 'ready', coldLeftMs: 0,
 		})), 0);
 		const inProgress = new Map<string, number>();
+		const forwarding: GatewayContext['forwarding'] = new Set();
+		const crashGuard = new CrashGuard({
+			onNewEvidence: () => undefined,
+			onVerdict() {
+				for (const request of forwarding) {
+					request.withdrawIfSuspected();
+				}
+			},
+		});
+		isTrialGranted = false;
+		areTargetsCrashing = false;
 		context = {
 			headerCodec: new TestHeaderCodec(),
 			exchange: new ConnectionPool(),
@@ -178,7 +193,9 @@
 				selector, random: Math.random, inProgressOf: () => 0, onWaiting: () => undefined,
 			}),
 			retryBudget: new RetryBudget({ratio: 0.2, slack: 100, windowMs: 10_000}),
-			crashGuard: new CrashGuard(),
+			crashGuard,
+			trialGate: new TrialGate({crashGuard, random: Math.random, requestTrial: async () => isTrialGranted}),
+			forwarding,
 			firstAttempts: new FirstAttemptEstimator(),
 			logger: new SilentLogger(),
 			metrics: new DaemonMetrics(),
@@ -192,9 +209,13 @@
 				leaving.push(targetId);
 				return true;
 			},
-			onConnectionBroken(crash) {
+			async onConnectionBroken(crash) {
 				crashes.push(crash);
-				context.crashGuard.recordCrash(crash);
+				if (areTargetsCrashing) {
+					context.crashGuard.recordCrash(crash, [crash]);
+				}
+
+				return areTargetsCrashing;
 			},
 		};
 	}
@@ -530,21 +551,87 @@
 	});
 
 	describe('with a request that crashes its targets', () => {
-		it('refuses it after the third crash', async () => {
+		const crashed = (index: number) => ({targetId: `other${index}`, bornMs: 1});
+
+		beforeEach(() => {
+			areTargetsCrashing = true;
 			setHandlers((_request, response) => {
 				response.destroy();
 			});
+		});
+
+		/** Has the request crash one target itself, and as many others as given. */
+		async function crash(otherCount: number): Promise<void> {
+			await call('/plain/x');
+			for (let index = 0; index < otherCount; index++) {
+				context.crashGuard.recordCrash(crashed(index), crashes);
+			}
+		}
+
+		it('refuses it after the second crash, except as a trial, and after the crash in that trial altogether', async () => {
 			for (let index = 0; index < 3; index++) {
-				context.crashGuard.recordCrash({fingerprint: 'unrelated', targetId: `t${index}`, bornMs: 1});
+				context.crashGuard.recordCrash({targetId: `t${index}`, bornMs: 1}, [{components: ['request:unrelated']}]);
 			}
 
-			await call('/plain/x');
-			const [{fingerprint}] = crashes;
-			context.crashGuard.recordCrash({fingerprint, targetId: 'other', bornMs: 1});
-			context.crashGuard.recordCrash({fingerprint, targetId: 'another', bornMs: 1});
+			await crash(1);
 			const before = sent();
 			expect(await statusOf('/plain/x')).toEqual(503);
 			expect(sent()).toEqual(before);
+			isTrialGranted = true;
+			expect(await statusOf('/plain/x')).toEqual(502);
+			expect(sent()).toEqual(before + 1);
+			expect(await statusOf('/plain/x')).toEqual(503);
+			expect(sent()).toEqual(before + 1);
+		});
+
+		it('serves other requests meanwhile', async () => {
+			await crash(2);
+			setHandlers((request, response) => {
+				answer(request, response, 200, 'done');
+			});
+			expect(await statusOf('/plain/other')).toEqual(200);
+		});
+
+		it('repeats a request at another target only if it knows that no part of it has crashed the first one', async () => {
+			expect(await statusOf('/lookup/x')).toEqual(502);
+			expect(sent()).toEqual(1);
+			areTargetsCrashing = false;
+			expect(await statusOf('/lookup/y')).toEqual(502);
+			expect(sent()).toEqual(3);
+		});
+
+		it('does not repeat a trial at another target', async () => {
+			await call('/lookup/x');
+			context.crashGuard.recordCrash(crashed(1), crashes);
+			isTrialGranted = true;
+			const before = sent();
+			expect(await statusOf('/lookup/x')).toEqual(502);
+			expect(sent()).toEqual(before + 1);
+		});
+
+		it('serves it again after a trial with a complete answer', async () => {
+			await crash(1);
+			setHandlers((request, response) => {
+				answer(request, response, 200, 'done');
+			});
+			isTrialGranted = true;
+			expect(await statusOf('/plain/x')).toEqual(200);
+			isTrialGranted = false;
+			expect(await statusOf('/plain/x')).toEqual(200);
+		});
+
+		it('withdraws it from a target that has not begun its answer when it becomes suspected', async () => {
+			setHandlers(() => undefined);
+			const result = call('/draft/x', {'x-parts': 'bad'});
+			await sleep(50);
+			for (const index of [1, 2]) {
+				context.crashGuard.recordCrash(crashed(index), [{components: ['part:bad']}]);
+			}
+
+			const {status} = await result;
+			expect(status).toEqual(502);
+			await sleep(50);
+			expect(targets.reduce((sum, target) => sum + target.cancelledCount, 0)).toEqual(1);
 		});
 	});
 });
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,5 +1,6 @@
 /** An entry process: follows the control processes, serves callers, and lists the entries that callers may use. */
 
+import {CrashGuard} from '@rattanspring/crash-evidence';
 import type {DocumentCodec} from '@rattanspring/desired-state';
 import {
 	ControlLinks, type DownMessage, followedControls, type NodeCard,
@@ -7,19 +8,21 @@
 import type {Logger} from '@rattanspring/logger';
 import type {DaemonMetrics} from '@rattanspring/metrics';
 import {
-	AdmissionQueue, CrashGuard, type EntryPosition, type RetryAllowance, RetryBudget, TargetSelector, writersWithin,
+	AdmissionQueue, type EntryPosition, type RetryAllowance, RetryBudget, TargetSelector, writersWithin,
 } from '@rattanspring/placement';
 import {isReachable, type TargetTransport} from '@rattanspring/target-connection';
 import {type TargetLifetime, TargetTable} from '@rattanspring/target-table';
 import type {Clock} from '@rattanspring/types';
 import {CallerServer} from './caller-server.js';
-import {CrashDetector} from './crash-detector.js';
+import {ControlTrials} from './control-trials.js';
+import {type BrokenRequest, CrashDetector} from './crash-detector.js';
 import {DocumentFollower} from './document-follower.js';
 import {FirstAttemptEstimator} from './first-attempt-estimator.js';
-import type {GatewayContext} from './gateway-context.js';
+import type {GatewayContext, Withdrawable} from './gateway-context.js';
 import type {HeaderCodec} from './header-codec.js';
 import {PauseObjectives} from './pause-objectives.js';
 import {serveRequest} from './request-flow.js';
+import {TrialGate} from './trial-gate.js';
 
 /** Interval at which targets are checked for missing reports. */
 const targetRefreshIntervalMs = 500;
@@ -57,6 +60,7 @@
 	readonly #server: CallerServer;
 	readonly #links: ControlLinks;
 	readonly #documents: DocumentFollower;
+	readonly #trials: ControlTrials;
 	readonly #targets = new TargetTable();
 	readonly #selector: TargetSelector;
 	readonly #context: GatewayContext;
@@ -79,16 +83,25 @@
 		});
 		const crashDetector = new CrashDetector({
 			isReachable,
-			onCrash: crash => {
-				const {targetId, bornMs, requestId, components, answerBegunMs} = crash;
-				logger.log('warn', 'targetDied', {
-					targetId, bornMs, requestId, components: components.join(','), answerBegunMs,
+			onCrash: (target, requests) => {
+				this.#onTargetCrash(target, requests);
+			},
+		});
+		const crashGuard = new CrashGuard({
+			onNewEvidence: records => {
+				this.#links.send({type: 'evidence', records});
+			},
+			onVerdict({component, crashes, refuted}, verdict) {
+				logger.log('warn', 'componentJudged', {
+					component, verdict, crashes: crashes.join(','), refuted: refuted.length,
 				});
-				metrics.targetCrashes.inc();
-				this.#context.crashGuard.recordCrash(crash);
-				this.#links.send({type: 'crash', crash: {fingerprint: crash.fingerprint, targetId, bornMs}});
+				for (const request of forwarding) {
+					request.withdrawIfSuspected();
+				}
 			},
 		});
+		this.#trials = new ControlTrials(() => [...this.#links.nodes.values()].filter(({role}) => role === 'control'));
+		const forwarding = new Set<Withdrawable>();
 		const inProgress = new Map<string, number>();
 		this.#context = {
 			headerCodec,
@@ -102,7 +115,11 @@
 				},
 			}),
 			retryBudget: new RetryBudget(options.allowance),
-			crashGuard: new CrashGuard(),
+			crashGuard,
+			trialGate: new TrialGate({
+				crashGuard, random, requestTrial: async component => this.#trials.request(component),
+			}),
+			forwarding,
 			firstAttempts: new FirstAttemptEstimator(),
 			inProgress,
 			nowMs,
@@ -111,9 +128,7 @@
 			newestVersion: () => this.#documents.newestVersion,
 			entryCount: () => Math.max(1, this.#entries.length),
 			onTargetLeaving: target => this.#onTargetLeaving(target),
-			onConnectionBroken(crash, address) {
-				crashDetector.suspect(crash, address);
-			},
+			onConnectionBroken: async (request, address) => crashDetector.check(request, address),
 		};
 		this.#server = new CallerServer({
 			host: options.callerHost,
@@ -154,7 +169,9 @@
 			},
 			onConnectionChange: (linkAddress, isUp) => {
 				logger.log(isUp ? 'info' : 'warn', isUp ? 'controlReached' : 'controlLost', {linkAddress});
-				if (!isUp) {
+				if (isUp) {
+					this.#sendOpenCases(linkAddress);
+				} else {
 					this.#documents.dropConnection(linkAddress);
 				}
 			},
@@ -210,6 +227,7 @@
 		}
 
 		this.#links.close();
+		this.#trials.close();
 		this.#documents.close();
 		this.#server.close();
 		this.#options.exchange.close();
@@ -306,12 +324,8 @@
 				break;
 			}
 
-			case 'crashes': {
-				this.#options.logger.log('info', 'crashReportsReceived', {count: message.crashes.length, linkAddress: address});
-				for (const crash of message.crashes) {
-					this.#context.crashGuard.recordCrash(crash);
-				}
-
+			case 'evidence': {
+				this.#context.crashGuard.receive(message.records);
 				break;
 			}
 
@@ -323,6 +337,26 @@
 		}
 	}
 
+	#onTargetCrash(target: TargetLifetime, requests: readonly BrokenRequest[]): void {
+		const {logger, metrics} = this.#options;
+		for (const {requestId, components, answerBegunMs, trialOf} of requests) {
+			logger.log('warn', 'targetDied', {
+				...target, requestId, components: components.join(','), answerBegunMs, trialOf,
+			});
+		}
+
+		metrics.targetCrashes.inc(requests.length);
+		this.#context.crashGuard.recordCrash(target, requests);
+	}
+
+	/** A control process that has restarted learns from the entries what crashes targets. */
+	#sendOpenCases(linkAddress: string): void {
+		const records = this.#context.crashGuard.openCases;
+		if (records.length > 0) {
+			this.#links.send({type: 'evidence', records}, linkAddress);
+		}
+	}
+
 	/** A target that leaves gets no further requests from this entry, and the other entries are told. */
 	#onTargetLeaving(target: TargetLifetime): boolean {
 		const isNew = this.#targets.markLeaving(target);
--- a/packages/gateway/src/request-flow.ts
+++ b/packages/gateway/src/request-flow.ts
@@ -43,10 +43,9 @@
 	const body = await readBodyBeforeDeadline(request, table.state.limits.maxBodyBytes, deadlineAtMs - arrivedAtMs);
 	if (body.kind === 'whole') {
 		const path = request.url!;
-		const fingerprint = fingerprintOf(path, account?.name, body.body);
 		const routedRequest: RoutedRequest = {
 			metadata, route, service: selectWeightedService(route.split, context.random()), account, method: request.method!, path, rawHeaders: request.rawHeaders, body: body.body,
-			fingerprint, components: componentsOf(fingerprint, metadata), arrivedAtMs, deadlineAtMs,
+			components: componentsOf(fingerprintOf(path, account?.name, body.body), metadata), arrivedAtMs, deadlineAtMs,
 		};
 		new RequestForwarder(context, answer, routedRequest).start(response);
 		return;
--- a/packages/gateway/src/request-forwarder.ts
+++ b/packages/gateway/src/request-forwarder.ts
@@ -5,6 +5,7 @@
 
 import type {Buffer} from 'node:buffer';
 import type {ServerResponse} from 'node:http';
+import {mayHaveCausedCrash} from '@rattanspring/crash-evidence';
 import {
 	type Admission, type AttemptOutcome, type ExchangeOutcome, isRetryable, nextStep, type TargetView, type PendingAdmission, readPauseRequest,
 } from '@rattanspring/placement';
@@ -16,6 +17,7 @@
 import type {GatewayContext} from './gateway-context.js';
 import type {ResponseMetadata} from './header-codec.js';
 import type {RoutedRequest} from './routed-request.js';
+import type {GateDecision} from './trial-gate.js';
 
 /** The final response is sent this long before the deadline. */
 const deadlineMarginMs = 15;
@@ -30,9 +32,6 @@
 /** Urgency sent to the target: requests that can still meet their objective precede those that can't. */
 const urgencies = {resumed: 1, onTime: 3, late: 7} as const;
 
-/** `Retry-After` for requests that are refused because they crash targets. */
-const crashRetryAfterMs = 5000;
-
 type RunningAttempt = {readonly attempt: Attempt; readonly targetId: string; readonly bornMs: number; readonly address: string};
 
 /** Forwards one request. */
@@ -62,6 +61,12 @@
 	#lastView: TargetView | undefined;
 	/** Whether the current target has not yet started its response. */
 	#isAwaitingResponse = false;
+	/** Whether it is being decided whether the request may be sent, or sent again. */
+	#isAwaitingDecision = false;
+	/** The component on trial, if the request is one. */
+	#trialOf: string | undefined;
+	/** Components for which the request was refused or withdrawn. */
+	#suspectedComponents: readonly string[] = [];
 	/** When the current target started its response. */
 	#attemptBegunAtMs: number | undefined;
 	#isFinished = false;
@@ -76,21 +81,67 @@
 
 	/** Starts forwarding. Cleans up when the response ends or the caller disconnects. */
 	start(response: ServerResponse): void {
-		const {inProgress, retryBudget, crashGuard} = this.#context;
-		const {service, fingerprint} = this.#request;
+		const {inProgress, retryBudget} = this.#context;
+		const {service} = this.#request;
 		inProgress.set(this.#accountName, (inProgress.get(this.#accountName) ?? 0) + 1);
 		response.on('close', () => {
 			this.#onCallerDisconnect();
 		});
 		retryBudget.recordRequest(service, this.#nowMs);
-		if (crashGuard.isRefused(fingerprint)) {
-			this.#refuse('crashesTargets', crashRetryAfterMs);
-			return;
-		}
-
 		this.#deadline = setTimeout(() => {
 			this.#onDeadline();
 		}, Math.max(0, this.#request.deadlineAtMs - deadlineMarginMs - this.#nowMs));
+		this.#context.forwarding.add(this);
+		this.#passGate();
+	}
+
+	/** Ends the request if it contains something that may crash targets, and no target has begun its answer. */
+	withdrawIfSuspected(): void {
+		if (this.#isFinished || this.#isAwaitingDecision || this.#trialOf !== undefined || this.#attemptBegunAtMs !== undefined) {
+			return;
+		}
+
+		const {verdict, components} = this.#context.crashGuard.judge(this.#request.components);
+		if (verdict === 'unsuspected') {
+			return;
+		}
+
+		this.#suspectedComponents = components;
+		this.#mayHaveRun ||= this.#running?.attempt.isSent === true;
+		this.#running?.attempt.abandon();
+		this.#endAttempt('abandoned');
+		this.#giveUp(verdict === 'convicted' ? 'crashesTargets' : 'mayCrashTargets', undefined);
+	}
+
+	#passGate(): void {
+		const {trialGate} = this.#context;
+		const {components} = this.#request;
+		const decision = trialGate.decideNow(components);
+		if (decision) {
+			this.#onGateDecision(decision);
+			return;
+		}
+
+		this.#isAwaitingDecision = true;
+		void (async () => {
+			const later = await trialGate.decide(components);
+			this.#isAwaitingDecision = false;
+			this.#onGateDecision(later);
+		})();
+	}
+
+	#onGateDecision(decision: GateDecision): void {
+		if (this.#isFinished) {
+			return;
+		}
+
+		if (decision.kind === 'refused') {
+			this.#suspectedComponents = decision.components;
+			this.#refuse(decision.reason, decision.retryAfterMs);
+			return;
+		}
+
+		this.#trialOf = decision.trialOf;
 		this.#admit();
 	}
 
@@ -229,6 +280,7 @@
 		}
 
 		this.#endAttempt(isFailure ? 'failed' : 'answered');
+		this.#context.crashGuard.recordAnswer(this.#request.components);
 		this.#firstByteAtMs = this.#nowMs;
 		this.#answer.pass(answer.head, answer.body);
 		this.#end('answered', answer.head.status);
@@ -269,6 +321,7 @@
 
 	#onStreamEnd(head: ResponseHead): void {
 		this.#endAttempt('answered');
+		this.#context.crashGuard.recordAnswer(this.#request.components);
 		if (!this.#streamHead) {
 			this.#answer.startStream(head);
 		}
@@ -279,8 +332,6 @@
 
 	#onOutcome(outcome: AttemptOutcome, detail: string): void {
 		const running = this.#running!;
-		const {logger, crashGuard, onConnectionBroken} = this.#context;
-		const {route, service, fingerprint, components, metadata} = this.#request;
 		const answerBegunMs = sinceMs(this.#attemptBegunAtMs ?? 0, this.#attemptBegunAtMs === undefined ? undefined : this.#nowMs);
 		this.#endAttempt(exchangeOutcomes[outcome]);
 		if (outcome === 'notSent') {
@@ -291,18 +342,41 @@
 		}
 
 		if (outcome === 'broken' && detail !== 'silent' && detail !== unframed) {
-			onConnectionBroken({
-				fingerprint, targetId: running.targetId, bornMs: running.bornMs, requestId: metadata.requestId, components, answerBegunMs,
-			}, running.address);
+			void this.#continueAfterBreak(running, detail, answerBegunMs);
+		} else {
+			this.#continue(running, outcome, detail);
+		}
+	}
+
+	/** Tries another target only once it is known whether the first one has crashed, unless its answer had begun too long before. */
+	async #continueAfterBreak(running: RunningAttempt, detail: string, answerBegunMs: number | undefined): Promise<void> {
+		const {targetId, bornMs, address} = running;
+		const {components, metadata} = this.#request;
+		const check = this.#context.onConnectionBroken({
+			targetId, bornMs, requestId: metadata.requestId, components, answerBegunMs, trialOf: this.#trialOf,
+		}, address);
+		if (mayHaveCausedCrash({answerBegunMs})) {
+			this.#isAwaitingDecision = true;
+			await check;
+			this.#isAwaitingDecision = false;
+		}
+
+		if (!this.#isFinished) {
+			this.#continue(running, 'broken', detail);
 		}
+	}
 
+	#continue({targetId}: RunningAttempt, outcome: AttemptOutcome, detail: string): void {
+		const {logger, crashGuard} = this.#context;
+		const {route, service, components, metadata} = this.#request;
 		const step = nextStep({
 			kind: route.kind, isResumable: route.isResumable, outcome, sentCount: this.#sentCount, unreachedCount: this.#unreachedCount, maxAttempts: route.maxAttempts, mayHaveRun: this.#mayHaveRun,
 		});
-		const mayRetry = step === 'tryAnother' && !crashGuard.isRefused(fingerprint)
+		const isAccused = this.#trialOf !== undefined || crashGuard.isAccused(components);
+		const mayRetry = step === 'tryAnother' && !isAccused
 			&& (outcome === 'notSent' || this.#context.retryBudget.tryConsume(service, this.#nowMs, this.#context.entryCount()));
 		logger.log('info', 'attemptEnded', {
-			requestId: metadata.requestId, targetId: running.targetId, outcome, detail, step: mayRetry ? step : 'giveUp', sent: this.#sentCount, lastEventId: this.#lastEventId,
+			requestId: metadata.requestId, targetId, outcome, detail, step: mayRetry ? step : 'giveUp', isAccused, sent: this.#sentCount, lastEventId: this.#lastEventId,
 		});
 		if (mayRetry) {
 			this.#admit();
@@ -383,6 +457,7 @@
 		}
 
 		this.#isFinished = true;
+		this.#context.forwarding.delete(this);
 		this.#pendingAdmission?.cancel();
 		clearTimeout(this.#deadline);
 		clearTimeout(this.#silenceTimer);
@@ -400,6 +475,8 @@
 			outcome,
 			status,
 			reason,
+			...(this.#suspectedComponents.length > 0 && {components: this.#suspectedComponents.join(',')}),
+			trialOf: this.#trialOf,
 			targetId: this.#lastView?.report.targetId,
 			busy: this.#lastView?.busy,
 			limit: this.#lastView?.limit,
--- a/packages/gateway/src/routed-request.ts
+++ b/packages/gateway/src/routed-request.ts
@@ -14,8 +14,6 @@
 	readonly path: string;
 	readonly rawHeaders: readonly string[];
 	readonly body: Buffer;
-	/** Digest of path, client account and body. */
-	readonly fingerprint: string;
 	/** What the request consists of, as far as other requests may contain it too: the whole of it, and the shared parts of its prompt. */
 	readonly components: readonly string[];
 	readonly arrivedAtMs: number;
--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -1,6 +1,5 @@
 /** Selects targets for requests, limits how long a request waits for one, and refuses it otherwise. */
 export * from './admission.js';
-export * from './crash-guard.js';
 export * from './retry-budget.js';
 export * from './slot-shares.js';
 export * from './target-pause.js';
--- a/packages/placement/src/retry.test.ts
+++ b/packages/placement/src/retry.test.ts
@@ -1,7 +1,7 @@
 import {describe, it} from 'node:test';
 import {expect} from 'earl';
 import {
-	type AttemptHistory, CrashGuard, nextStep, RetryBudget,
+	type AttemptHistory, nextStep, RetryBudget,
 } from './index.js';
 
 describe('RetryBudget', () => {
@@ -51,20 +51,6 @@
 	});
 });
 
-describe('CrashGuard', () => {
-	it('refuses a request that was running at three targets when they crashed, and counts each crash once', () => {
-		const guard = new CrashGuard();
-		const crash = {fingerprint: 'f', targetId: 't1', bornMs: 1};
-		guard.recordCrash(crash);
-		guard.recordCrash(crash);
-		guard.recordCrash({...crash, bornMs: 2});
-		expect(guard.isRefused('f')).toEqual(false);
-		guard.recordCrash({...crash, targetId: 't2'});
-		expect(guard.isRefused('f')).toEqual(true);
-		expect(guard.isRefused('unrelated')).toEqual(false);
-	});
-});
-
 describe('nextStep', () => {
 	const history: AttemptHistory = {
 		kind: 'nonIdempotent', isResumable: false, outcome: 'broken', sentCount: 1, unreachedCount: 0, maxAttempts: 2, mayHaveRun: true,
