Keep convictions on the disks of control processes

Change: each control process with a disk keeps the convicted components in a file of its own, replaced atomically, and reads it before it accepts streams. Copies need not agree, since evidence is merged in any order. A disk that is full or damaged costs the memory of past losses only, with one log line. Test (failed before: no evidence within 2 s): convictions remain after all three processes stopped. Also: evidence reaches entries of other control processes and those that come later, before the document; it is passed on once; a malformed message ends its stream only.

--- /dev/null
+++ b/packages/fleet-control/src/crash-evidence-spread.test.ts
@@ -0,0 +1,146 @@
+import {mkdtemp, rm, writeFile} from 'node:fs/promises';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import {
+	afterEach, beforeEach, describe, it,
+} from 'node:test';
+import {setTimeout as sleep} from 'node:timers/promises';
+import type {ComponentEvidence} from '@rattanspring/crash-evidence';
+import {
+	ControlLinks, type DownMessage, LinkCalls, linkService, type UpMessage,
+} from '@rattanspring/fleet-link';
+import {SilentLogger} from '@rattanspring/logger';
+import {waitUntil} from '@rattanspring/test-kit';
+import {expect} from 'earl';
+import {ConvictionStore} from './conviction-store.js';
+import {TestGroup} from './test-group.js';
+
+const conviction: ComponentEvidence = {
+	component: 'part:bad', crashes: ['t1 1', 't2 1', 't3 1'], trialCrashes: ['t3 1'], refuted: [],
+};
+
+/** An entry's streams, and the evidence that has arrived on them. */
+class TestEntry {
+	readonly messages: DownMessage[] = [];
+	readonly links: ControlLinks;
+
+	constructor(nodeId: string, addresses: readonly string[]) {
+		this.links = new ControlLinks({
+			nowMs: () => performance.now(), seeds: () => addresses, card: () => ({
+				nodeId, role: 'entry', failureDomain: 'a', isLeaving: false,
+			}),
+			onMessage: message => {
+				this.messages.push(message);
+			},
+		});
+	}
+
+	get evidence(): ComponentEvidence[] {
+		return this.messages.flatMap(message => message.type === 'evidence' ? message.records : []);
+	}
+
+	get connectedCount(): number {
+		return this.links.connectedAddresses().length;
+	}
+}
+
+describe('evidence about what crashes targets', () => {
+	let group: TestGroup;
+	let entries: TestEntry[];
+
+	beforeEach(async () => {
+		group = await TestGroup.create({size: 3, faultTolerance: 1, failureDomainCount: 3});
+		await group.startFirst();
+		entries = [];
+	});
+	afterEach(async () => {
+		for (const {links} of entries) {
+			links.close();
+		}
+
+		await group.close();
+	});
+
+	async function addEntry(positions: readonly number[]): Promise<TestEntry> {
+		const entry = new TestEntry(`entry-${entries.length}`, positions.map(position => group.addressOf(position)));
+		entries.push(entry);
+		await waitUntil(() => entry.connectedCount === positions.length, {timeoutMs: 5000});
+		return entry;
+	}
+
+	const sentBy = (entry: TestEntry) => {
+		entry.links.send({type: 'evidence', records: [conviction]});
+	};
+
+	it('reaches entries that follow another control process, and those that come later before they learn of a document', async () => {
+		const reporter = await addEntry([0]);
+		const other = await addEntry([1]);
+		sentBy(reporter);
+		await waitUntil(() => other.evidence.length > 0, {timeoutMs: 2000});
+		await group.replace(0, 1);
+		const late = await addEntry([2]);
+		await waitUntil(() => late.messages.some(({type}) => type === 'version'), {timeoutMs: 2000});
+		expect(late.evidence).toEqual([conviction]);
+		const types = late.messages.map(({type}) => type);
+		expect(types.indexOf('evidence')).toBeLessThan(types.indexOf('version'));
+	});
+
+	it('is passed on once by each control process, however often it is sent', async () => {
+		const reporter = await addEntry([0, 1, 2]);
+		const other = await addEntry([0, 1, 2]);
+		for (let times = 0; times < 5; times++) {
+			sentBy(reporter);
+		}
+
+		await sleep(400);
+		expect(other.evidence.length).toEqual(other.connectedCount);
+	});
+
+	it('remains after all processes have lost their power, as far as it convicts', async () => {
+		const reporter = await addEntry([0, 1, 2]);
+		sentBy(reporter);
+		reporter.links.send({type: 'evidence', records: [{...conviction, component: 'part:once', trialCrashes: []}]});
+		await sleep(500);
+		reporter.links.close();
+		await group.stop(0, 1, 2);
+		await Promise.all([0, 1, 2].map(async index => group.start(index)));
+		const entry = await addEntry([1]);
+		await waitUntil(() => entry.evidence.length > 0, {timeoutMs: 2000});
+		expect(entry.evidence).toEqual([conviction]);
+	});
+
+	it('that is malformed ends its stream, and no process', async () => {
+		const reporter = await addEntry([0]);
+		reporter.links.send({type: 'evidence', records: [{component: 7}]} as unknown as UpMessage);
+		await sleep(300);
+		const other = await addEntry([0]);
+		sentBy(other);
+		await waitUntil(() => other.evidence.length > 0, {timeoutMs: 2000});
+	});
+
+	it('is gathered by one trial at a time', async () => {
+		const calls = new LinkCalls();
+		const request = async (component: string) => calls.call(group.addressOf(0), linkService.trial, {component}, 1000);
+		const replies = [await request('part:bad'), await request('part:bad'), await request('part:other')];
+		calls.close();
+		expect(replies).toEqual([{isGranted: true}, {isGranted: false}, {isGranted: true}]);
+	});
+});
+
+describe('ConvictionStore', () => {
+	it('starts without convictions if its file is unreadable, and writes the newest of several lists', async () => {
+		const folder = await mkdtemp(path.join(tmpdir(), 'convictions-'));
+		const store = new ConvictionStore({folder, logger: new SilentLogger()});
+		await writeFile(path.join(folder, 'convictions'), 'no record');
+		expect(await store.load()).toEqual([]);
+		await Promise.all([store.save([]), store.save([]), store.save([conviction])]);
+		expect(await store.load()).toEqual([conviction]);
+		await rm(folder, {recursive: true});
+	});
+
+	it('goes on if its folder takes no file', async () => {
+		const store = new ConvictionStore({folder: '/dev/null/none', logger: new SilentLogger()});
+		expect(await store.load()).toEqual([]);
+		await store.save([conviction]);
+	});
+});
--- a/packages/fleet-control/src/fleet-control.ts
+++ b/packages/fleet-control/src/fleet-control.ts
@@ -22,6 +22,7 @@
 	type handleUnaryCall, type sendUnaryData, Server, type ServerDuplexStream, status, type UntypedServiceImplementation,
 } from '@grpc/grpc-js';
 import type {ControlGroup} from './control-group.js';
+import {ConvictionStore} from './conviction-store.js';
 import {DisklessGroup} from './diskless-group.js';
 import {DocumentGroup} from './document-group.js';
 import {FigureBatches} from './figure-batches.js';
@@ -56,6 +57,7 @@
 	readonly #figures: FigureBatches;
 	readonly #crashEvidence = new CrashEvidence();
 	readonly #trials = new TrialGrants();
+	readonly #convictions: ConvictionStore | undefined;
 	#isLeaving = false;
 
 	constructor(options: FleetControlOptions) {
@@ -84,6 +86,8 @@
 				this.#linkServer.scheduleNodesUpdate();
 			},
 		});
+		const {dataFolder, logger} = options;
+		this.#convictions = dataFolder === undefined ? undefined : new ConvictionStore({folder: dataFolder, logger});
 		this.#group = this.#createGroup();
 	}
 
@@ -91,6 +95,7 @@
 	async start(): Promise<void> {
 		this.#server.addService(this.#group.service.definition, this.#group.service.implementation);
 		this.#server.addService(controlMethods, this.#handlers());
+		this.#crashEvidence.merge(await this.#convictions?.load() ?? []);
 		await listen(this.#server, this.#options.linkAddress);
 		this.#figures.start();
 		this.#addInterval(expireIntervalMs, () => {
@@ -309,8 +314,13 @@
 	/** Passes on evidence about what crashes targets, as far as it is new. */
 	#recordEvidence(records: readonly ComponentEvidence[], receivers: readonly NodeRole[]): void {
 		const changed = this.#crashEvidence.merge(records);
-		if (changed.length > 0) {
-			this.#linkServer.broadcast({type: 'evidence', records: changed}, {roles: receivers});
+		if (changed.length === 0) {
+			return;
+		}
+
+		this.#linkServer.broadcast({type: 'evidence', records: changed}, {roles: receivers});
+		if (changed.some(({trialCrashes}) => trialCrashes.length > 0)) {
+			void this.#convictions?.save(this.#crashEvidence.withVerdict('convicted'));
 		}
 	}
 
--- a/packages/log-storage/src/index.ts
+++ b/packages/log-storage/src/index.ts
@@ -5,3 +5,4 @@
 export * from './file-log-storage.js';
 export * from './file-system.js';
 export * from './node-file-system.js';
+export {readRecordFile, replaceRecordFile} from './record-file.js';
