--- a/packages/gateway/src/header-codec.ts
+++ b/packages/gateway/src/header-codec.ts
@@ -39,6 +39,8 @@
 	readonly isSigned: boolean;
 	/** Whether the target says that it is leaving, so that it wants no further requests. */
 	readonly isLeaving: boolean;
+	/** Requests a second that the target takes from all entries together, as long as it says so: a number, or a text that is none. */
+	readonly limitPerSecond?: number | string;
 	/** Time for which the target asks for no further requests from this entry: a number of milliseconds, or a text that is none. */
 	readonly pause?: number | string;
 };
--- a/packages/gateway/src/request-forwarder.ts
+++ b/packages/gateway/src/request-forwarder.ts
@@ -243,13 +243,17 @@
 	}
 
 	/** What a target says of itself holds from the head of its answer on, whatever becomes of the rest. */
-	#onMetadata({isLeaving, pause}: ResponseMetadata, target: TargetLifetime): void {
+	#onMetadata({isLeaving, pause, limitPerSecond}: ResponseMetadata, target: TargetLifetime): void {
 		const {logger, onTargetLeaving} = this.#context;
 		const {requestId} = this.#request.metadata;
 		if (isLeaving && onTargetLeaving(target)) {
 			logger.log('info', 'targetLeaving', {...target, source: 'answer', requestId});
 		}
 
+		if (limitPerSecond !== undefined) {
+			logger.log('info', 'targetLimited', {...target, limitPerSecond, requestId});
+		}
+
 		if (pause === undefined) {
 			return;
 		}
