Keep the limits that targets name for the requests of all entries together

Cause: Server-Limit was not read, and no entry can know by itself what the others send. An even split starves busy entries; with 11 entries and one and a half requests a second, even one request a share at a time is too much.

A limit that one entry learns from an answer is told to all through control, once. A request to such a target needs a permit; the control process that comes first in an order for the target gives them from a token bucket at the rate of the limit. Entries ask one ahead while requests come, and for as many as wait; permits go to who asks, so by demand, and end after half a second or sooner. A bucket begins empty, so that a new authority adds little to what the old one gave; without an answer there is no permit. Retries and resumed streams are admitted the same way. What can't be sent in time is refused with a time to come back that follows from the permits of the last seconds and from those who wait. The limit ends with an answer that names none to a request that was sent under it; it says nothing of health.

--- a/packages/fleet-control/src/crash-evidence-spread.test.ts
+++ b/packages/fleet-control/src/crash-evidence-spread.test.ts
@@ -6,43 +6,19 @@
 } from 'node:test';
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {ComponentEvidence} from '@rattanspring/crash-evidence';
-import {
-	ControlLinks, type DownMessage, LinkCalls, linkService, type UpMessage,
-} from '@rattanspring/fleet-link';
+import {LinkCalls, linkService, type UpMessage} from '@rattanspring/fleet-link';
 import {SilentLogger} from '@rattanspring/logger';
 import {waitUntil} from '@rattanspring/test-kit';
 import {expect} from 'earl';
 import {ConvictionStore} from './conviction-store.js';
+import {TestEntry} from './test-entry.js';
 import {TestGroup} from './test-group.js';
 
 const conviction: ComponentEvidence = {
 	component: 'part:bad', crashes: ['t1 1', 't2 1', 't3 1'], trialCrashes: ['t3 1'], refuted: [],
 };
 
-/** An entry's streams, and the evidence that has arrived on them. */
-class TestEntry {
-	readonly messages: DownMessage[] = [];
-	readonly links: ControlLinks;
-
-	constructor(nodeId: string, addresses: readonly string[]) {
-		this.links = new ControlLinks({
-			nowMs: () => performance.now(), seeds: () => addresses, card: () => ({
-				nodeId, role: 'entry', failureDomain: 'a', isLeaving: false,
-			}),
-			onMessage: message => {
-				this.messages.push(message);
-			},
-		});
-	}
-
-	get evidence(): ComponentEvidence[] {
-		return this.messages.flatMap(message => message.type === 'evidence' ? message.records : []);
-	}
-
-	get connectedCount(): number {
-		return this.links.connectedAddresses().length;
-	}
-}
+const evidenceOf = ({messages}: TestEntry) => messages.flatMap(message => message.type === 'evidence' ? message.records : []);
 
 describe('evidence about what crashes targets', () => {
 	let group: TestGroup;
@@ -76,11 +52,11 @@
 		const reporter = await addEntry([0]);
 		const other = await addEntry([1]);
 		sentBy(reporter);
-		await waitUntil(() => other.evidence.length > 0, {timeoutMs: 2000});
+		await waitUntil(() => evidenceOf(other).length > 0, {timeoutMs: 2000});
 		await group.replace(0, 1);
 		const late = await addEntry([2]);
 		await waitUntil(() => late.messages.some(({type}) => type === 'version'), {timeoutMs: 2000});
-		expect(late.evidence).toEqual([conviction]);
+		expect(evidenceOf(late)).toEqual([conviction]);
 		const types = late.messages.map(({type}) => type);
 		expect(types.indexOf('evidence')).toBeLessThan(types.indexOf('version'));
 	});
@@ -93,7 +69,7 @@
 		}
 
 		await sleep(400);
-		expect(other.evidence.length).toEqual(other.connectedCount);
+		expect(evidenceOf(other).length).toEqual(other.connectedCount);
 	});
 
 	it('remains after all processes have lost their power, as far as it convicts', async () => {
@@ -105,8 +81,8 @@
 		await group.stop(0, 1, 2);
 		await Promise.all([0, 1, 2].map(async index => group.start(index)));
 		const entry = await addEntry([1]);
-		await waitUntil(() => entry.evidence.length > 0, {timeoutMs: 2000});
-		expect(entry.evidence).toEqual([conviction]);
+		await waitUntil(() => evidenceOf(entry).length > 0, {timeoutMs: 2000});
+		expect(evidenceOf(entry)).toEqual([conviction]);
 	});
 
 	it('that is malformed ends its stream, and no process', async () => {
@@ -115,7 +91,7 @@
 		await sleep(300);
 		const other = await addEntry([0]);
 		sentBy(other);
-		await waitUntil(() => other.evidence.length > 0, {timeoutMs: 2000});
+		await waitUntil(() => evidenceOf(other).length > 0, {timeoutMs: 2000});
 	});
 
 	it('is gathered by one trial at a time', async () => {
--- a/packages/fleet-control/src/fleet-control.ts
+++ b/packages/fleet-control/src/fleet-control.ts
@@ -17,6 +17,7 @@
 import {
 	type TargetLifetime, type TargetReport, type TargetHeartbeat, TargetTable,
 } from '@rattanspring/target-table';
+import {LimitTable, PermitAuthority, type TargetLimit} from '@rattanspring/target-limits';
 import type {Clock} from '@rattanspring/types';
 import {
 	type handleUnaryCall, type sendUnaryData, Server, type ServerDuplexStream, status, type UntypedServiceImplementation,
@@ -57,6 +58,8 @@
 	readonly #figures: FigureBatches;
 	readonly #crashEvidence = new CrashEvidence();
 	readonly #trials = new TrialGrants();
+	readonly #limits = new LimitTable();
+	readonly #permits = new PermitAuthority();
 	readonly #convictions: ConvictionStore | undefined;
 	#isLeaving = false;
 
@@ -210,6 +213,7 @@
 			document: this.#unary('document', async (request: DocumentRequest) => this.#documentSender.reply(request)),
 			submit: this.#unary('submit', async (document: StoredDocument) => ({outcome: await this.#group.submit(document)})),
 			trial: this.#unary('trial', async (request: TrialRequest) => this.#grantTrial(request)),
+			permit: this.#unary('permit', async (limit: TargetLimit) => this.#permits.take(limit, this.#options.clock.monotonicMs())),
 			join: this.#unary('join', async (request: JoinRequest) => this.#group.join(request)),
 		};
 	}
@@ -242,6 +246,11 @@
 				break;
 			}
 
+			case 'limits': {
+				this.#recordLimits(message.limits, ['entry', 'control']);
+				break;
+			}
+
 			case 'evidence': {
 				this.#recordEvidence(message.records, ['entry', 'control']);
 				break;
@@ -288,6 +297,11 @@
 				break;
 			}
 
+			case 'limits': {
+				this.#recordLimits(message.limits, ['entry']);
+				break;
+			}
+
 			case 'evidence': {
 				this.#recordEvidence(message.records, ['entry']);
 				break;
@@ -311,6 +325,14 @@
 		}
 	}
 
+	/** Passes on which limits targets name, once. */
+	#recordLimits(limits: readonly TargetLimit[], receivers: readonly NodeRole[]): void {
+		const changed = limits.filter(limit => this.#limits.set(limit));
+		if (changed.length > 0) {
+			this.#linkServer.broadcast({type: 'limits', limits: changed}, {roles: receivers});
+		}
+	}
+
 	/** Passes on evidence about what crashes targets, as far as it is new. */
 	#recordEvidence(records: readonly ComponentEvidence[], receivers: readonly NodeRole[]): void {
 		const changed = this.#crashEvidence.merge(records);
@@ -341,6 +363,11 @@
 			messages.push({type: 'leaving', targets: leaving});
 		}
 
+		const limits = this.#limits.all.filter(({targetId, bornMs}) => this.#targets.get(targetId)?.bornMs === bornMs);
+		if (role !== 'agent' && limits.length > 0) {
+			messages.push({type: 'limits', limits});
+		}
+
 		// Before the version: an entry begins to serve once it has the document.
 		const records = this.#crashEvidence.withVerdict('unsuspected', 'suspected', 'convicted');
 		if (role !== 'agent' && records.length > 0) {
--- /dev/null
+++ b/packages/fleet-control/src/target-limits-spread.test.ts
@@ -0,0 +1,79 @@
+import {
+	afterEach, beforeEach, describe, it,
+} from 'node:test';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {LinkCalls, linkService, type UpMessage} from '@rattanspring/fleet-link';
+import type {TargetReport} from '@rattanspring/target-table';
+import {waitUntil} from '@rattanspring/test-kit';
+import {expect} from 'earl';
+import {TestEntry} from './test-entry.js';
+import {TestGroup} from './test-group.js';
+
+const limit = {targetId: 't1', bornMs: 100, perSecond: 4};
+
+const report: TargetReport = {
+	targetId: 't1', bornMs: 100, sequence: 4, service: 's', address: '10.0.0.1:80', failureDomain: 'a', slots: 8, state: 'ready', coldLeftMs: 0,
+};
+
+describe('limits that targets name', () => {
+	let group: TestGroup;
+	let entries: TestEntry[];
+
+	beforeEach(async () => {
+		group = await TestGroup.create({size: 2, faultTolerance: 0, failureDomainCount: 2});
+		await group.startFirst();
+		entries = [];
+	});
+	afterEach(async () => {
+		for (const {links} of entries) {
+			links.close();
+		}
+
+		await group.close();
+	});
+
+	async function addEntry(): Promise<TestEntry> {
+		const entry = new TestEntry(`entry-${entries.length}`, [group.addressOf(0), group.addressOf(1)]);
+		entries.push(entry);
+		await waitUntil(() => entry.connectedCount === 2, {timeoutMs: 5000});
+		return entry;
+	}
+
+	const limitsOf = ({messages}: TestEntry) => messages.flatMap(message => message.type === 'limits' ? message.limits : []);
+
+	it('reach other entries once from each control process, and entries that come later while the target runs', async () => {
+		const reporter = await addEntry();
+		const other = await addEntry();
+		for (let times = 0; times < 5; times++) {
+			reporter.links.send({type: 'limits', limits: [limit]});
+		}
+
+		await sleep(300);
+		expect(limitsOf(other)).toEqual([limit, limit]);
+		group.get(0).report(report);
+		reporter.links.send({type: 'limits', limits: [{...limit, perSecond: 3}]});
+		const late = await addEntry();
+		await waitUntil(() => limitsOf(late).length > 0, {timeoutMs: 2000});
+		expect(limitsOf(late)[0].perSecond).toEqual(3);
+	});
+
+	it('that are malformed end their stream, and no process', async () => {
+		const reporter = await addEntry();
+		reporter.links.send({type: 'limits', limits: [{...limit, perSecond: 'many'}]} as unknown as UpMessage);
+		await sleep(300);
+		const other = await addEntry();
+		other.links.send({type: 'limits', limits: [limit]});
+		await waitUntil(() => limitsOf(other).length > 0, {timeoutMs: 2000});
+	});
+
+	it('are kept by one process, which gives permits at their rate', async () => {
+		const calls = new LinkCalls();
+		const take = async () => calls.call(group.addressOf(0), linkService.permit, limit, 1000);
+		const first = await take();
+		await sleep(300);
+		const second = await take();
+		const third = await take();
+		calls.close();
+		expect([first?.isGranted, second?.isGranted, third?.isGranted]).toEqual([false, true, false]);
+	});
+});
--- a/packages/fleet-link/src/link-service.ts
+++ b/packages/fleet-link/src/link-service.ts
@@ -6,6 +6,7 @@
 import {Buffer} from 'node:buffer';
 import type {MethodDefinition} from '@grpc/grpc-js';
 import {readEvidenceRecords} from '@rattanspring/crash-evidence';
+import {type PermitDecision, readTargetLimit, type TargetLimit} from '@rattanspring/target-limits';
 import {fromLoadRow, toLoadRow} from './load-rows.js';
 import type {DownMessage, UpMessage} from './messages.js';
 
@@ -88,6 +89,7 @@
 	submit: method<SubmitRequest, SubmitReply>('Submit', false),
 	join: method<JoinRequest, JoinReply>('Join', false),
 	trial: {...method<TrialRequest, TrialReply>('Trial', false), requestDeserialize: parseTrialRequest},
+	permit: {...method<TargetLimit, PermitDecision>('Permit', false), requestDeserialize: (bytes: Buffer) => readTargetLimit(parseJson(bytes))},
 	rank: rankMethod(),
 };
 
@@ -134,7 +136,7 @@
 
 /** Throws if the bytes are not a message; the library then ends the stream. */
 function parseDown(bytes: Buffer): DownMessage {
-	const message = withCheckedEvidence(parseObject(bytes) as DownMessage & {readonly rows?: unknown});
+	const message = withCheckedLists(parseObject(bytes) as DownMessage & {readonly rows?: unknown});
 	return message.type === 'loads' ? {type: 'loads', loads: rowsOf(message.rows).map(row => fromLoadRow(row))} : message;
 }
 
@@ -144,12 +146,17 @@
 
 /** Throws if the bytes are not a message; the library then ends the stream. */
 function parseUp(bytes: Buffer): UpMessage {
-	const message = withCheckedEvidence(parseObject(bytes) as UpMessage & {readonly row?: unknown});
+	const message = withCheckedLists(parseObject(bytes) as UpMessage & {readonly row?: unknown});
 	return message.type === 'load' ? {type: 'load', load: fromLoadRow(message.row)} : message;
 }
 
-function withCheckedEvidence<Message extends UpMessage | DownMessage>(message: Message): Message {
-	return message.type === 'evidence' ? {...message, records: readEvidenceRecords(message.records)} : message;
+/** Messages whose lists daemons merge are checked before, so that a malformed one ends its stream and does no harm. */
+function withCheckedLists<Message extends UpMessage | DownMessage>(message: Message): Message {
+	if (message.type === 'evidence') {
+		return {...message, records: readEvidenceRecords(message.records)};
+	}
+
+	return message.type === 'limits' ? {...message, limits: message.limits.map(limit => readTargetLimit(limit))} : message;
 }
 
 function parseTrialRequest(bytes: Buffer): TrialRequest {
--- a/packages/fleet-link/src/messages.ts
+++ b/packages/fleet-link/src/messages.ts
@@ -1,6 +1,7 @@
 /** Messages on the streams between control processes and the other daemons. They carry soft state only; any of them may be lost. */
 
 import type {ComponentEvidence} from '@rattanspring/crash-evidence';
+import type {TargetLimit} from '@rattanspring/target-limits';
 import type {
 	RankPlace, TargetLifetime, TargetLoad, TargetReport, TargetHeartbeat,
 } from '@rattanspring/target-table';
@@ -59,6 +60,9 @@
 /** Evidence about components of requests that crash targets. */
 export type EvidenceMessage = {readonly type: 'evidence'; readonly records: readonly ComponentEvidence[]};
 
+/** Limits that targets have named, or name no more, in answers to some entry. */
+export type LimitsMessage = {readonly type: 'limits'; readonly limits: readonly TargetLimit[]};
+
 /** Messages from a daemon to a control process. */
 export type UpMessage
 	/** `isPrimary` is whether the daemon takes load figures and heartbeats of the targets from this stream; it takes them from one of its streams. */
@@ -67,7 +71,8 @@
 		| {readonly type: 'load'; readonly load: TargetLoad}
 		/** A target said in an answer to the sender that it is leaving. */
 		| {readonly type: 'leaving'; readonly target: TargetLifetime}
-		| EvidenceMessage;
+		| EvidenceMessage
+		| LimitsMessage;
 
 /** Messages from a control process to a daemon. */
 export type DownMessage
@@ -83,5 +88,6 @@
 		/** Targets that said in an answer to some entry that they are leaving. */
 		| {readonly type: 'leaving'; readonly targets: readonly TargetLifetime[]}
 		| EvidenceMessage
+		| LimitsMessage
 		/** The latest document version that the control group accepted. */
 		| {readonly type: 'version'; readonly version: number};
--- a/packages/gateway/src/gateway-context.ts
+++ b/packages/gateway/src/gateway-context.ts
@@ -8,10 +8,12 @@
 	AdmissionQueue, RetryBudget, TargetSelector,
 } from '@rattanspring/placement';
 import type {TargetTransport} from '@rattanspring/target-connection';
+import type {TargetLimit} from '@rattanspring/target-limits';
 import type {TargetLifetime} from '@rattanspring/target-table';
 import type {BrokenRequest} from './crash-detector.js';
 import type {FirstAttemptEstimator} from './first-attempt-estimator.js';
 import type {HeaderCodec} from './header-codec.js';
+import type {PermitRequests} from './permit-requests.js';
 import type {TrialGate} from './trial-gate.js';
 
 /** A request in progress that can be ended for what it contains. */
@@ -42,6 +44,9 @@
 	readonly entryCount: () => number;
 	/** Called when a target said in an answer that it is leaving; returns false if that was known. */
 	readonly onTargetLeaving: (target: TargetLifetime) => boolean;
+	/** Called with a limit that a target named, or names no more; returns whether that is new. */
+	readonly onTargetLimit: (limit: TargetLimit) => boolean;
+	readonly permitRequests: Pick<PermitRequests, 'ask'>;
 	/** Called when the connection of a running request broke. Resolves, once that is known, to whether the target has crashed. */
 	readonly onConnectionBroken: (request: BrokenRequest, address: string) => Promise<boolean>;
 };
--- a/packages/gateway/src/gateway.test.ts
+++ b/packages/gateway/src/gateway.test.ts
@@ -205,6 +205,8 @@
 			table: () => table,
 			newestVersion: () => newestVersion,
 			entryCount: () => 1,
+			onTargetLimit: limit => selector.setLimit(limit),
+			permitRequests: {ask: () => undefined},
 			onTargetLeaving({targetId}) {
 				leaving.push(targetId);
 				return true;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -3,7 +3,7 @@
 import {CrashGuard} from '@rattanspring/crash-evidence';
 import type {DocumentCodec} from '@rattanspring/desired-state';
 import {
-	ControlLinks, type DownMessage, followedControls, type NodeCard,
+	ControlLinks, type DownMessage, followedControls, linkService, type NodeCard,
 } from '@rattanspring/fleet-link';
 import type {Logger} from '@rattanspring/logger';
 import type {DaemonMetrics} from '@rattanspring/metrics';
@@ -11,16 +11,18 @@
 	AdmissionQueue, type EntryPosition, type RetryAllowance, RetryBudget, TargetSelector, writersWithin,
 } from '@rattanspring/placement';
 import {isReachable, type TargetTransport} from '@rattanspring/target-connection';
+import type {TargetLimit} from '@rattanspring/target-limits';
 import {type TargetLifetime, TargetTable} from '@rattanspring/target-table';
 import type {Clock} from '@rattanspring/types';
+import {AuthorityCalls} from './authority-calls.js';
 import {CallerServer} from './caller-server.js';
-import {ControlTrials} from './control-trials.js';
 import {type BrokenRequest, CrashDetector} from './crash-detector.js';
 import {DocumentFollower} from './document-follower.js';
 import {FirstAttemptEstimator} from './first-attempt-estimator.js';
 import type {GatewayContext, Withdrawable} from './gateway-context.js';
 import type {HeaderCodec} from './header-codec.js';
 import {PauseObjectives} from './pause-objectives.js';
+import {PermitRequests} from './permit-requests.js';
 import {serveRequest} from './request-flow.js';
 import {TrialGate} from './trial-gate.js';
 
@@ -60,7 +62,7 @@
 	readonly #server: CallerServer;
 	readonly #links: ControlLinks;
 	readonly #documents: DocumentFollower;
-	readonly #trials: ControlTrials;
+	readonly #authorityCalls: AuthorityCalls;
 	readonly #targets = new TargetTable();
 	readonly #selector: TargetSelector;
 	readonly #context: GatewayContext;
@@ -100,7 +102,7 @@
 				}
 			},
 		});
-		this.#trials = new ControlTrials(() => [...this.#links.nodes.values()].filter(({role}) => role === 'control'));
+		this.#authorityCalls = new AuthorityCalls({controls: () => [...this.#links.nodes.values()], nowMs});
 		const forwarding = new Set<Withdrawable>();
 		const inProgress = new Map<string, number>();
 		this.#context = {
@@ -117,7 +119,7 @@
 			retryBudget: new RetryBudget(options.allowance),
 			crashGuard,
 			trialGate: new TrialGate({
-				crashGuard, random, requestTrial: async component => this.#trials.request(component),
+				crashGuard, random, requestTrial: async component => this.#isTrialGranted(component),
 			}),
 			forwarding,
 			firstAttempts: new FirstAttemptEstimator(),
@@ -128,6 +130,17 @@
 			newestVersion: () => this.#documents.newestVersion,
 			entryCount: () => Math.max(1, this.#entries.length),
 			onTargetLeaving: target => this.#onTargetLeaving(target),
+			onTargetLimit: limit => this.#onTargetLimit(limit),
+			permitRequests: new PermitRequests({
+				permits: this.#selector.permits,
+				limitedTargets: service => this.#selector.limitedTargets(service, nowMs()),
+				waitingCount: () => this.#context.admission.waitingCount,
+				take: async target => this.#authorityCalls.call(target.targetId, linkService.permit, target),
+				onGranted: () => {
+					this.#context.admission.processQueue(nowMs());
+				},
+				nowMs,
+			}),
 			onConnectionBroken: async (request, address) => crashDetector.check(request, address),
 		};
 		this.#server = new CallerServer({
@@ -227,7 +240,7 @@
 		}
 
 		this.#links.close();
-		this.#trials.close();
+		this.#authorityCalls.close();
 		this.#documents.close();
 		this.#server.close();
 		this.#options.exchange.close();
@@ -243,6 +256,10 @@
 		setTimeout(() => {
 			this.#isQueueProcessingScheduled = false;
 			this.#context.admission.processQueue(this.#context.nowMs());
+			for (const service of this.#context.admission.waitingServices) {
+				this.#context.permitRequests.ask(service);
+			}
+
 			if (this.#context.admission.waitingCount > 0) {
 				this.#scheduleQueueProcessing();
 			}
@@ -324,6 +341,14 @@
 				break;
 			}
 
+			case 'limits': {
+				for (const limit of message.limits) {
+					this.#selector.setLimit(limit);
+				}
+
+				break;
+			}
+
 			case 'evidence': {
 				this.#context.crashGuard.receive(message.records);
 				break;
@@ -368,6 +393,22 @@
 		return isNew;
 	}
 
+	/** A target's limit is for the requests of all entries, so the others are told. */
+	#onTargetLimit(limit: TargetLimit): boolean {
+		const isNew = this.#selector.setLimit(limit);
+		if (isNew) {
+			this.#links.send({type: 'limits', limits: [limit]});
+		}
+
+		return isNew;
+	}
+
+	/** Without an answer of the authority there is no trial. */
+	async #isTrialGranted(component: string): Promise<boolean> {
+		const reply = await this.#authorityCalls.call(component, linkService.trial, {component});
+		return reply?.isGranted === true;
+	}
+
 	#refreshTargets(): void {
 		const ready = this.#targets.ready();
 		this.#selector.setTargets(ready, this.#context.nowMs());
--- a/packages/gateway/src/request-forwarder.ts
+++ b/packages/gateway/src/request-forwarder.ts
@@ -59,6 +59,8 @@
 	#failureResponse: CompleteResponse | undefined;
 	/** Data from which the target was last chosen. */
 	#lastView: TargetView | undefined;
+	/** Whether the current target was known to name a limit when the request was sent. */
+	#wasSentUnderLimit = false;
 	/** Whether the current target has not yet started its response. */
 	#isAwaitingResponse = false;
 	/** Whether it is being decided whether the request may be sent, or sent again. */
@@ -159,6 +161,7 @@
 	}
 
 	#admit(): void {
+		this.#context.permitRequests.ask(this.#request.service);
 		const {service, route, arrivedAtMs, deadlineAtMs, account} = this.#request;
 		let isSettled = false;
 		const pendingAdmission = this.#context.admission.admit({
@@ -194,6 +197,7 @@
 		this.#isAwaitingResponse = true;
 		this.#attemptBegunAtMs = undefined;
 		this.#lastView = admission.view;
+		this.#wasSentUnderLimit = admission.view.isLimited === true;
 		const isResumed = this.#streamHead !== undefined;
 		const urgency = isResumed ? urgencies.resumed : (admission.isLate ? urgencies.late : urgencies.onTime);
 		this.#send(report.address, report.targetId, report.bornMs, urgency);
@@ -243,17 +247,14 @@
 	}
 
 	/** What a target says of itself holds from the head of its answer on, whatever becomes of the rest. */
-	#onMetadata({isLeaving, pause, limitPerSecond}: ResponseMetadata, target: TargetLifetime): void {
+	#onMetadata({isLeaving, isSigned, pause, limitPerSecond}: ResponseMetadata, target: TargetLifetime): void {
 		const {logger, onTargetLeaving} = this.#context;
 		const {requestId} = this.#request.metadata;
 		if (isLeaving && onTargetLeaving(target)) {
 			logger.log('info', 'targetLeaving', {...target, source: 'answer', requestId});
 		}
 
-		if (limitPerSecond !== undefined) {
-			logger.log('info', 'targetLimited', {...target, limitPerSecond, requestId});
-		}
-
+		this.#recordLimit(target, limitPerSecond, isSigned);
 		if (pause === undefined) {
 			return;
 		}
@@ -270,6 +271,24 @@
 		});
 	}
 
+	/** A limit ends with an answer that names none, to a request that was sent after the limit had become known. */
+	#recordLimit(target: TargetLifetime, limitPerSecond: number | string | undefined, isSigned: boolean): void {
+		const {logger, onTargetLimit} = this.#context;
+		const {requestId} = this.#request.metadata;
+		if (typeof limitPerSecond === 'string') {
+			logger.log('warn', 'targetLimitIgnored', {targetId: target.targetId, text: limitPerSecond.slice(0, 40), requestId});
+			return;
+		}
+
+		const hasEnded = limitPerSecond === undefined && isSigned && this.#wasSentUnderLimit;
+		if (limitPerSecond !== undefined || hasEnded) {
+			const {targetId, bornMs} = target;
+			if (onTargetLimit({targetId, bornMs, ...(limitPerSecond !== undefined && {perSecond: limitPerSecond})})) {
+				logger.log('info', 'targetLimit', {...target, limitPerSecond, requestId});
+			}
+		}
+	}
+
 	#onResponse(answer: CompleteResponse): void {
 		if (this.#streamHead) {
 			this.#onOutcome('failed', `status ${answer.head.status} instead of a stream`);
--- a/packages/placement/src/admission.ts
+++ b/packages/placement/src/admission.ts
@@ -60,8 +60,8 @@
 	readonly excluded?: ReadonlySet<string>;
 };
 
-/** Why a request is refused: no free slot within the wait, no target, too many queued requests, or all targets have asked for a pause. */
-export type RefusalReason = 'full' | 'noTarget' | 'lineFull' | 'paused';
+/** Why a request is refused: no free slot within the wait, no target, too many queued requests, all targets have asked for a pause, or all name limits that are used up. */
+export type RefusalReason = 'full' | 'noTarget' | 'lineFull' | 'paused' | 'limited';
 
 /** A target, or a refusal with the time after which the caller may retry. */
 export type Admission
@@ -113,6 +113,11 @@
 		this.#options = options;
 	}
 
+	/** Services for which requests are queued. */
+	get waitingServices(): Set<string> {
+		return new Set(this.#queue.map(({request}) => request.service));
+	}
+
 	/** Number of queued requests. */
 	get waitingCount(): number {
 		return this.#queue.length;
@@ -166,7 +171,7 @@
 			} else if (nowMs >= queued.refuseAtMs && !queued.isLate && queued.request.mayBeRetry) {
 				this.#demoteToLate(queued, nowMs);
 			} else if (nowMs >= queued.refuseAtMs) {
-				this.#end(queued, this.#refusal('full'));
+				this.#end(queued, choice.kind === 'limited' ? this.#limitedRefusal(nowMs) : this.#refusal('full'));
 			} else {
 				full.add(`${service} ${lane}`);
 			}
@@ -206,7 +211,13 @@
 		return {kind: 'refused', reason: 'paused', retryAfterMs: pauseLeftMs + (spreadMs * this.#options.random())};
 	}
 
-	#refusal(reason: Exclude<RefusalReason, 'paused'>): Admission {
+	/** All targets name limits: the caller may come back when those who wait have had their turn. */
+	#limitedRefusal(nowMs: number): Admission {
+		const waitMs = this.#options.selector.permits.expectedWaitMs(this.#queue.length, nowMs);
+		return {kind: 'refused', reason: 'limited', retryAfterMs: waitMs + (Math.max(retryAfterJitterMs, waitMs) * this.#options.random())};
+	}
+
+	#refusal(reason: Exclude<RefusalReason, 'paused' | 'limited'>): Admission {
 		return {kind: 'refused', reason, retryAfterMs: pauseMs(reason, this.#options.random())};
 	}
 }
@@ -229,7 +240,7 @@
 }
 
 /** Returns the retry delay for a refused caller, randomised so that retries do not arrive all at once. */
-function pauseMs(reason: Exclude<RefusalReason, 'paused'>, random: number): number {
+function pauseMs(reason: Exclude<RefusalReason, 'paused' | 'limited'>, random: number): number {
 	return reason === 'noTarget' ? noTargetRetryAfterMs + (random * noTargetRetryAfterJitterMs) : minRetryAfterMs + (random * retryAfterJitterMs);
 }
 
--- a/packages/placement/src/target-selector.ts
+++ b/packages/placement/src/target-selector.ts
@@ -3,7 +3,8 @@
 the entry's own pending prefill work at the target, its reported load, its failure rate, its pace and its failure domain.
 */
 
-import type {TargetLoad, TargetReport} from '@rattanspring/target-table';
+import {LimitTable, PermitHolder, type TargetLimit} from '@rattanspring/target-limits';
+import type {TargetLifetime, TargetLoad, TargetReport} from '@rattanspring/target-table';
 import type {EntryPosition} from './slot-shares.js';
 import {TargetPauses} from './target-pause.js';
 import {
@@ -36,7 +37,19 @@
 const passesToFirstEvent = 3;
 
 /** A target with its load as the entry sees it. */
-export type TargetView = {readonly report: TargetReport; readonly busy: number; readonly limit: number; readonly isBackingOff: boolean; readonly inFlight: number; readonly loadAgeMs?: number};
+export type TargetView = {
+	readonly report: TargetReport;
+	readonly busy: number;
+	readonly limit: number;
+	readonly isBackingOff: boolean;
+	readonly inFlight: number;
+	readonly loadAgeMs?: number;
+	/** Whether the target names a limit. */
+	readonly isLimited?: boolean;
+};
+
+/** A target that accepts work and names a limit, in requests a second of all entries together. */
+export type LimitedTarget = TargetLifetime & {readonly perSecond: number};
 
 /** Input of a choice. */
 export type ChoiceInput = {
@@ -51,8 +64,14 @@
 	readonly random: () => number;
 };
 
-/** A target to send to, or why there is none: `full` if no usable target has a free slot, `paused` if all of them have asked for a pause, `none` if there is no usable target. */
-export type Choice = {readonly kind: 'target'; readonly view: TargetView} | {readonly kind: 'full'} | {readonly kind: 'paused'; readonly untilMs: number} | {readonly kind: 'none'};
+/**
+A target to send to, or why there is none: `full` if no usable target has a free slot, `limited` if all of them name limits that leave no request
+for now, `paused` if all of them have asked for a pause, `none` if there is no usable target.
+*/
+export type Choice
+	= | {readonly kind: 'target'; readonly view: TargetView}
+		| {readonly kind: 'full' | 'limited' | 'none'}
+		| {readonly kind: 'paused'; readonly untilMs: number};
 
 export type TargetSelectorOptions = {
 	readonly failureDomain: string;
@@ -78,6 +97,8 @@
 	/** Records of the targets, by target id. */
 	readonly #entries = new Map<string, TargetRecord>();
 	readonly #pauses = new TargetPauses();
+	readonly #limits = new LimitTable();
+	readonly #permits = new PermitHolder();
 	/** Newest load figures, by target address. */
 	readonly #loads = new Map<string, {readonly load: TargetLoad; readonly atMs: number}>();
 
@@ -88,6 +109,7 @@
 	/** Replaces the set of targets that accept new work. Removed targets are kept while requests are in progress there. */
 	setTargets(reports: readonly TargetReport[], nowMs: number): void {
 		this.#pauses.removeEnded(nowMs);
+		this.#permits.retain(targetId => this.#entries.has(targetId));
 		const ready = new Set<string>();
 		for (const report of reports) {
 			ready.add(report.targetId);
@@ -126,6 +148,10 @@
 	sent(targetId: string, nowMs: number, promptTokens?: number): void {
 		const record = this.#entries.get(targetId);
 		if (record) {
+			if (this.#limits.perSecondOf(record.report) !== undefined) {
+				this.#permits.use(record.report);
+			}
+
 			record.inFlight++;
 			record.pendingPrefillPasses += prefillPassesOf(promptTokens);
 			record.sentAtMs = record.sentAtMs.filter(sentAtMs => sentAtMs > nowMs - maxLoadAgeMs - loadDelayMs);
@@ -146,6 +172,25 @@
 		this.#pauses.add(targetId, bornMs, untilMs);
 	}
 
+	/** The permits for targets that name a limit. */
+	get permits(): PermitHolder {
+		return this.#permits;
+	}
+
+	/** Records a limit; returns whether it differs from the known one. */
+	setLimit(limit: TargetLimit): boolean {
+		return this.#limits.set(limit);
+	}
+
+	/** Targets of a service that accept work and name a limit. */
+	limitedTargets(service: string, nowMs: number): LimitedTarget[] {
+		return [...this.#entries.values()].flatMap(record => {
+			const {targetId, bornMs} = record.report;
+			const perSecond = this.#limits.perSecondOf(record.report);
+			return perSecond !== undefined && isUsable(record, service, nowMs) ? [{targetId, bornMs, perSecond}] : [];
+		});
+	}
+
 	/** Records how a request ended. */
 	ended(targetId: string, outcome: ExchangeOutcome, nowMs: number): void {
 		const record = this.#entries.get(targetId);
@@ -166,6 +211,7 @@
 		let best: TargetView | undefined;
 		let bestScore = Number.POSITIVE_INFINITY;
 		let hasUsableTarget = false;
+		let areAllLimited = true;
 		let firstPauseEndMs = Number.POSITIVE_INFINITY;
 		const groupPaces = this.#groupPaces(nowMs);
 		const writers = this.#writersByGroup(service, nowMs);
@@ -182,6 +228,11 @@
 			}
 
 			hasUsableTarget = true;
+			if (!this.#mayBeSent(record, nowMs)) {
+				continue;
+			}
+
+			areAllLimited = false;
 			const view = this.#view(record, nowMs, limitOf(record, writers));
 			const excessLoad = Math.max(0, view.busy - (record.report.slots * lowLoadShare));
 			const ownsFreeSlot = ownedSlotsLeft(record, nowMs, {position: place, limit: view.limit}) > 0;
@@ -200,12 +251,17 @@
 		}
 
 		if (hasUsableTarget) {
-			return {kind: 'full'};
+			return {kind: areAllLimited ? 'limited' : 'full'};
 		}
 
 		return Number.isFinite(firstPauseEndMs) ? {kind: 'paused', untilMs: firstPauseEndMs} : {kind: 'none'};
 	}
 
+	/** Whether the target names no limit, or this entry has a permit for it. */
+	#mayBeSent({report}: TargetRecord, nowMs: number): boolean {
+		return this.#limits.perSecondOf(report) === undefined || this.#permits.has(report, nowMs);
+	}
+
 	get #entryPosition(): EntryPosition {
 		return this.#options.entryPosition?.() ?? alone;
 	}
@@ -241,6 +297,7 @@
 			isBackingOff: nowMs < backoffUntilMs,
 			inFlight,
 			...(record.load && {loadAgeMs}),
+			...(this.#limits.perSecondOf(report) !== undefined && {isLimited: true}),
 		};
 	}
 
