Bound what answers without an end take: buffered responses in all, and streams that their callers do not read

A stream is now ended, and its caller disconnected, once 1 MB waits. Buffered responses take 8 MB each (32 before) and 48 MB in all of an entry. Heads, bodies with and without a length and in chunks were cut before, too: the caller gets a whole answer from elsewhere, or 502 where the request may not be repeated, and connections are closed.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -8,13 +8,14 @@
 import {
 	EventSplitter, type Exchange, type ExchangeFailure, type ResponseHead, type TargetRequest, type TargetTransport,
 } from '@rattanspring/target-connection';
+import type {ByteBudget} from './byte-budget.js';
 import type {HeaderCodec, ResponseMetadata} from './header-codec.js';
 
 /** Detail of a response whose end is marked only by the end of its connection, so that it may be truncated. */
 export const unframed = 'unframed';
 
 /** Maximum size of a response that is buffered before it is forwarded. */
-const maxResponseBytes = 33_554_432;
+const maxResponseBytes = 8_388_608;
 
 /** A response with its complete body. */
 export type CompleteResponse = {readonly head: ResponseHead; readonly body: Buffer};
@@ -40,6 +41,8 @@
 	readonly isStream: boolean;
 	/** Whether the request may run more than once. If so, an unframed response counts as a failure, since it may be truncated. */
 	readonly isRetryable: boolean;
+	/** Bytes that the responses of all attempts may take while they are buffered. */
+	readonly responseBytes: ByteBudget;
 	readonly listener: AttemptListener;
 };
 
@@ -48,7 +51,7 @@
 	readonly #options: AttemptOptions;
 	readonly #exchange: Exchange;
 	readonly #events = new EventSplitter();
-	readonly #chunks: Buffer[] = [];
+	#chunks: Buffer[] = [];
 	#length = 0;
 	#head: ResponseHead | undefined;
 	#isNotExecuted = false;
@@ -89,10 +92,18 @@
 
 	/** Abandons the exchange. The listener is not called any more. */
 	abandon(): void {
-		this.#isFinished = true;
+		this.#finish();
 		this.#exchange.abandon();
 	}
 
+	/** Ends the attempt and gives up what it has buffered. */
+	#finish(): void {
+		this.#isFinished = true;
+		this.#options.responseBytes.release(this.#length);
+		this.#length = 0;
+		this.#chunks = [];
+	}
+
 	#onHead(head: ResponseHead): void {
 		const metadata = this.#options.headerCodec.readResponse(head);
 		const {requestId} = this.#options;
@@ -134,11 +145,13 @@
 			return;
 		}
 
-		this.#length += chunk.byteLength;
-		this.#chunks.push(chunk);
-		if (this.#length > maxResponseBytes) {
+		if (this.#length + chunk.byteLength > maxResponseBytes || !this.#options.responseBytes.take(chunk.byteLength)) {
 			this.#fail('answerTooLarge');
+			return;
 		}
+
+		this.#length += chunk.byteLength;
+		this.#chunks.push(chunk);
 	}
 
 	get #isStreaming(): boolean {
@@ -150,14 +163,15 @@
 			return;
 		}
 
-		this.#isFinished = true;
+		const body = Buffer.concat(this.#chunks);
+		this.#finish();
 		const {listener} = this.#options;
 		if (this.#isNotExecuted) {
 			listener.onOutcome('notRun', `status ${this.#head.status}`);
 		} else if (!isFramed && this.#options.isRetryable) {
 			listener.onOutcome('broken', unframed);
 		} else if (!this.#isStreaming) {
-			listener.onResponse({head: this.#head, body: Buffer.concat(this.#chunks)});
+			listener.onResponse({head: this.#head, body});
 		} else if (this.#events.isAtEventBoundary) {
 			listener.onStreamEnd(this.#head);
 		} else {
@@ -167,7 +181,7 @@
 
 	#onFailed({type, message}: ExchangeFailure): void {
 		if (!this.#isFinished) {
-			this.#isFinished = true;
+			this.#finish();
 			this.#options.listener.onOutcome(type === 'notSent' ? 'notSent' : 'broken', message);
 		}
 	}
--- a/packages/gateway/src/caller-response.ts
+++ b/packages/gateway/src/caller-response.ts
@@ -29,6 +29,11 @@
 		return this.#response.headersSent;
 	}
 
+	/** Bytes that wait to be sent, as the caller has not read what came before. */
+	get unsentBytes(): number {
+		return this.#response.writableLength;
+	}
+
 	/** Sends 503 with a guarantee that the request did not run, and the time after which to retry. */
 	refuse(reason: string, retryAfterMs: number): void {
 		this.#sendProblem(503, reason, 'didNotRun', this.#headerCodec.refusalHeaders(retryAfterMs));
--- a/packages/gateway/src/gateway-context.ts
+++ b/packages/gateway/src/gateway-context.ts
@@ -10,6 +10,7 @@
 import type {TargetTransport} from '@rattanspring/target-connection';
 import type {TargetLimit} from '@rattanspring/target-limits';
 import type {TargetLifetime} from '@rattanspring/target-table';
+import type {ByteBudget} from './byte-budget.js';
 import type {BrokenRequest} from './crash-detector.js';
 import type {FirstAttemptEstimator} from './first-attempt-estimator.js';
 import type {HeaderCodec} from './header-codec.js';
@@ -27,6 +28,8 @@
 	readonly retryBudget: RetryBudget;
 	readonly crashGuard: CrashGuard;
 	readonly trialGate: TrialGate;
+	/** Bytes that responses may take until they are complete and are forwarded. */
+	readonly responseBytes: ByteBudget;
 	/** Requests in progress. */
 	readonly forwarding: Set<Withdrawable>;
 	readonly logger: Logger;
--- a/packages/gateway/src/gateway.test.ts
+++ b/packages/gateway/src/gateway.test.ts
@@ -16,6 +16,7 @@
 import type {TargetReport} from '@rattanspring/target-table';
 import {freePorts} from '@rattanspring/test-kit';
 import {expect} from 'earl';
+import {ByteBudget} from './byte-budget.js';
 import type {BrokenRequest} from './crash-detector.js';
 import {FirstAttemptEstimator} from './first-attempt-estimator.js';
 import type {GatewayContext} from './gateway-context.js';
@@ -196,6 +197,7 @@
 			crashGuard,
 			trialGate: new TrialGate({crashGuard, random: Math.random, requestTrial: async () => isTrialGranted}),
 			forwarding,
+			responseBytes: new ByteBudget(50_000_000),
 			firstAttempts: new FirstAttemptEstimator(),
 			logger: new SilentLogger(),
 			metrics: new DaemonMetrics(),
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -15,6 +15,7 @@
 import {type TargetLifetime, TargetTable} from '@rattanspring/target-table';
 import type {Clock} from '@rattanspring/types';
 import {AuthorityCalls} from './authority-calls.js';
+import {ByteBudget} from './byte-budget.js';
 import {CallerServer} from './caller-server.js';
 import {type BrokenRequest, CrashDetector} from './crash-detector.js';
 import {DocumentFollower} from './document-follower.js';
@@ -35,6 +36,9 @@
 /** Maximum number of entry addresses returned to a caller. */
 const maxEntryAddresses = 64;
 
+/** Bytes of all responses that are not complete yet: a part of the memory that is left beside the program. */
+const maxResponseBytes = 50_331_648;
+
 /** With at least this many entries in the caller's failure domain, only those are returned. */
 const minLocalEntries = 2;
 
@@ -122,6 +126,7 @@
 				crashGuard, random, requestTrial: async component => this.#isTrialGranted(component),
 			}),
 			forwarding,
+			responseBytes: new ByteBudget(maxResponseBytes),
 			firstAttempts: new FirstAttemptEstimator(),
 			inProgress,
 			nowMs,
--- a/packages/gateway/src/request-forwarder.ts
+++ b/packages/gateway/src/request-forwarder.ts
@@ -29,6 +29,9 @@
 const firstEventTimeoutMs = 1600;
 const nextEventTimeoutMs = 1000;
 
+/** Bytes of a stream that may wait for a caller to read them. */
+const maxUnsentBytes = 1_048_576;
+
 /** Urgency sent to the target: requests that can still meet their objective precede those that can't. */
 const urgencies = {resumed: 1, onTime: 3, late: 7} as const;
 
@@ -220,6 +223,7 @@
 			requestId: metadata.requestId,
 			isStream: route.kind === 'streaming',
 			isRetryable: isRetryable(route),
+			responseBytes: this.#context.responseBytes,
 			listener: {
 				onMetadata: metadata => {
 					this.#onMetadata(metadata, {targetId, bornMs});
@@ -320,11 +324,24 @@
 		this.#recordEventGap();
 		this.#lastEventId = lastId ?? this.#lastEventId;
 		this.#answer.write(bytes);
+		if (this.#answer.unsentBytes > maxUnsentBytes) {
+			this.#endUnreadStream();
+			return;
+		}
+
 		if (isRetryable(this.#request.route)) {
 			this.#startSilenceTimer(nextEventTimeoutMs);
 		}
 	}
 
+	/** A caller that does not read its stream is disconnected before the stream fills the memory. */
+	#endUnreadStream(): void {
+		this.#running?.attempt.abandon();
+		this.#endAttempt('abandoned');
+		this.#answer.closeConnection();
+		this.#end('callerDoesNotRead', 0);
+	}
+
 	#recordResponseStart(): void {
 		if (this.#isAwaitingResponse && this.#running) {
 			this.#isAwaitingResponse = false;
