Take an answer without a length for whole if its connection was closed in order

Cause: an answer that ends with its connection counted as broken where the request may be repeated, since it may be truncated. What is broken off shows itself: a reset, or an end inside an event. Change: a clean close ends a whole answer, for a stream at the border of an event. Attempts that the entry has ended itself are no longer checked for a crash of the target, which delayed their retries.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -11,8 +11,14 @@
 import type {ByteBudget} from './byte-budget.js';
 import type {HeaderCodec, ResponseMetadata} from './header-codec.js';
 
-/** Detail of a response whose end is marked only by the end of its connection, so that it may be truncated. */
-export const unframed = 'unframed';
+/** Details of attempts that the entry itself has ended, so that they say nothing of the target's connection. */
+const ownEnds = ['silent', 'answerOfAnotherRequest', 'answerWithoutSignature', 'answerIsEncoded', 'eventTooLarge', 'answerTooLarge'] as const;
+type OwnEnd = typeof ownEnds[number];
+
+/** Whether an attempt with this detail ended because its connection broke. */
+export function isBrokenConnection(detail: string): boolean {
+	return !ownEnds.includes(detail as OwnEnd);
+}
 
 /** Maximum size of a response that is buffered before it is forwarded. */
 const maxResponseBytes = 8_388_608;
@@ -39,7 +45,7 @@
 	readonly requestId?: string;
 	/** Whether a successful response is a stream of events. */
 	readonly isStream: boolean;
-	/** Whether the request may run more than once. If so, an unframed response counts as a failure, since it may be truncated. */
+	/** Whether the request may run more than once. If not, it needs a connection that the target's idle timeout cannot close. */
 	readonly isRetryable: boolean;
 	/** Bytes that the responses of all attempts may take while they are buffered. */
 	readonly responseBytes: ByteBudget;
@@ -75,8 +81,8 @@
 				onData: chunk => {
 					this.#onData(chunk);
 				},
-				onEnd: isFramed => {
-					this.#onEnd(isFramed);
+				onEnd: () => {
+					this.#onEnd();
 				},
 				onFailed: failure => {
 					this.#onFailed(failure);
@@ -158,7 +164,8 @@
 		return this.#options.isStream && this.#head?.status === 200;
 	}
 
-	#onEnd(isFramed: boolean): void {
+	/** A response without a length ends with its connection: it is whole if that was closed in order, and, as a stream, after a whole event. */
+	#onEnd(): void {
 		if (this.#isFinished || !this.#head) {
 			return;
 		}
@@ -168,8 +175,6 @@
 		const {listener} = this.#options;
 		if (this.#isNotExecuted) {
 			listener.onOutcome('notRun', `status ${this.#head.status}`);
-		} else if (!isFramed && this.#options.isRetryable) {
-			listener.onOutcome('broken', unframed);
 		} else if (!this.#isStreaming) {
 			listener.onResponse({head: this.#head, body});
 		} else if (this.#events.isAtEventBoundary) {
@@ -186,7 +191,7 @@
 		}
 	}
 
-	#fail(detail: string): void {
+	#fail(detail: OwnEnd): void {
 		this.abandon();
 		this.#options.listener.onOutcome('broken', detail);
 	}
--- a/packages/gateway/src/request-forwarder.ts
+++ b/packages/gateway/src/request-forwarder.ts
@@ -11,7 +11,7 @@
 } from '@rattanspring/placement';
 import type {ResponseHead} from '@rattanspring/target-connection';
 import type {TargetLifetime} from '@rattanspring/target-table';
-import {Attempt, type CompleteResponse, unframed} from './attempt.js';
+import {Attempt, type CompleteResponse, isBrokenConnection} from './attempt.js';
 import type {CallerResponse} from './caller-response.js';
 import type {TimeSinceFirstAttempt} from './first-attempt-estimator.js';
 import type {GatewayContext} from './gateway-context.js';
@@ -381,7 +381,7 @@
 			this.#mayHaveRun ||= outcome !== 'notRun';
 		}
 
-		if (outcome === 'broken' && detail !== 'silent' && detail !== unframed) {
+		if (outcome === 'broken' && isBrokenConnection(detail)) {
 			void this.#continueAfterBreak(running, detail, answerBegunMs);
 		} else {
 			this.#continue(running, outcome, detail);
