Move what targets say in heads, and the times of a response, out of RequestForwarder

The file had grown to 526 lines. Behaviour as before, but for one case: a suspected request that waits for a second target is withdrawn, also if a first one had begun its answer.

--- a/packages/gateway/src/request-forwarder.ts
+++ b/packages/gateway/src/request-forwarder.ts
@@ -7,16 +7,16 @@
 import type {ServerResponse} from 'node:http';
 import {mayHaveCausedCrash} from '@rattanspring/crash-evidence';
 import {
-	type Admission, type AttemptOutcome, type ExchangeOutcome, isRetryable, nextStep, type TargetView, type PendingAdmission, readPauseRequest,
+	type Admission, type AttemptOutcome, type ExchangeOutcome, isRetryable, nextStep, type TargetView, type PendingAdmission,
 } from '@rattanspring/placement';
 import type {ResponseHead} from '@rattanspring/target-connection';
-import type {TargetLifetime} from '@rattanspring/target-table';
 import {Attempt, type CompleteResponse, isBrokenConnection} from './attempt.js';
 import type {CallerResponse} from './caller-response.js';
 import type {TimeSinceFirstAttempt} from './first-attempt-estimator.js';
 import type {GatewayContext} from './gateway-context.js';
-import type {ResponseMetadata} from './header-codec.js';
+import {ResponseProgress} from './response-progress.js';
 import type {RoutedRequest} from './routed-request.js';
+import {recordNotices} from './target-notices.js';
 import type {GateDecision} from './trial-gate.js';
 
 /** The final response is sent this long before the deadline. */
@@ -52,9 +52,7 @@
 	#unreachedCount = 0;
 	#mayHaveRun = false;
 	#admittedAtMs: number | undefined;
-	#firstByteAtMs: number | undefined;
-	#lastEventAtMs: number | undefined;
-	#longestEventGapMs: number | undefined;
+	readonly #progress = new ResponseProgress();
 	#lastEventId: string | undefined;
 	/** Head of the stream that the caller received or will receive. */
 	#streamHead: ResponseHead | undefined;
@@ -62,8 +60,6 @@
 	#failureResponse: CompleteResponse | undefined;
 	/** Data from which the target was last chosen. */
 	#lastView: TargetView | undefined;
-	/** Whether the current target was known to name a limit when the request was sent. */
-	#wasSentUnderLimit = false;
 	/** Whether the current target has not yet started its response. */
 	#isAwaitingResponse = false;
 	/** Whether it is being decided whether the request may be sent, or sent again. */
@@ -102,7 +98,7 @@
 
 	/** Ends the request if it contains something that may crash targets, and no target has begun its answer. */
 	withdrawIfSuspected(): void {
-		if (this.#isFinished || this.#isAwaitingDecision || this.#trialOf !== undefined || this.#attemptBegunAtMs !== undefined) {
+		if (this.#isFinished || this.#isAwaitingDecision || this.#trialOf !== undefined || this.#hasAnswerBegun) {
 			return;
 		}
 
@@ -154,6 +150,11 @@
 		return this.#context.nowMs();
 	}
 
+	/** Whether a target is writing its answer. */
+	get #hasAnswerBegun(): boolean {
+		return this.#running !== undefined && !this.#isAwaitingResponse;
+	}
+
 	/** Whether the caller may have sent this request before. */
 	get #mayBeRetry(): boolean {
 		return this.#timeSinceFirstAttempt.atMostMs > minRetryDelayMs;
@@ -200,7 +201,6 @@
 		this.#isAwaitingResponse = true;
 		this.#attemptBegunAtMs = undefined;
 		this.#lastView = admission.view;
-		this.#wasSentUnderLimit = admission.view.isLimited === true;
 		const isResumed = this.#streamHead !== undefined;
 		const urgency = isResumed ? urgencies.resumed : (admission.isLate ? urgencies.late : urgencies.onTime);
 		this.#send(report.address, report.targetId, report.bornMs, urgency);
@@ -225,8 +225,10 @@
 			isRetryable: isRetryable(route),
 			responseBytes: this.#context.responseBytes,
 			listener: {
-				onMetadata: metadata => {
-					this.#onMetadata(metadata, {targetId, bornMs});
+				onMetadata: responseMetadata => {
+					recordNotices(this.#context, {
+						targetId, bornMs, requestId: metadata.requestId, wasSentUnderLimit: this.#lastView?.isLimited === true,
+					}, responseMetadata);
 				},
 				onResponse: answer => {
 					this.#onResponse(answer);
@@ -250,49 +252,6 @@
 		}
 	}
 
-	/** What a target says of itself holds from the head of its answer on, whatever becomes of the rest. */
-	#onMetadata({isLeaving, isSigned, pause, limitPerSecond}: ResponseMetadata, target: TargetLifetime): void {
-		const {logger, onTargetLeaving} = this.#context;
-		const {requestId} = this.#request.metadata;
-		if (isLeaving && onTargetLeaving(target)) {
-			logger.log('info', 'targetLeaving', {...target, source: 'answer', requestId});
-		}
-
-		this.#recordLimit(target, limitPerSecond, isSigned);
-		if (pause === undefined) {
-			return;
-		}
-
-		const requested = readPauseRequest(pause);
-		if (requested.kind === 'ignored') {
-			logger.log('warn', 'targetPauseIgnored', {targetId: target.targetId, text: requested.text, requestId});
-			return;
-		}
-
-		this.#context.selector.pause(target.targetId, target.bornMs, this.#nowMs + requested.pauseMs);
-		logger.log('info', 'targetPaused', {
-			targetId: target.targetId, pauseMs: Math.round(requested.pauseMs), isShortened: requested.kind === 'shortened', requestId,
-		});
-	}
-
-	/** A limit ends with an answer that names none, to a request that was sent after the limit had become known. */
-	#recordLimit(target: TargetLifetime, limitPerSecond: number | string | undefined, isSigned: boolean): void {
-		const {logger, onTargetLimit} = this.#context;
-		const {requestId} = this.#request.metadata;
-		if (typeof limitPerSecond === 'string') {
-			logger.log('warn', 'targetLimitIgnored', {targetId: target.targetId, text: limitPerSecond.slice(0, 40), requestId});
-			return;
-		}
-
-		const hasEnded = limitPerSecond === undefined && isSigned && this.#wasSentUnderLimit;
-		if (limitPerSecond !== undefined || hasEnded) {
-			const {targetId, bornMs} = target;
-			if (onTargetLimit({targetId, bornMs, ...(limitPerSecond !== undefined && {perSecond: limitPerSecond})})) {
-				logger.log('info', 'targetLimit', {...target, limitPerSecond, requestId});
-			}
-		}
-	}
-
 	#onResponse(answer: CompleteResponse): void {
 		if (this.#streamHead) {
 			this.#onOutcome('failed', `status ${answer.head.status} instead of a stream`);
@@ -308,7 +267,7 @@
 
 		this.#endAttempt(isFailure ? 'failed' : 'answered');
 		this.#context.crashGuard.recordAnswer(this.#request.components);
-		this.#firstByteAtMs = this.#nowMs;
+		this.#progress.recordFirstByte(this.#nowMs);
 		this.#answer.pass(answer.head, answer.body);
 		this.#end('answered', answer.head.status);
 	}
@@ -317,11 +276,10 @@
 		this.#recordResponseStart();
 		if (!this.#streamHead) {
 			this.#streamHead = head;
-			this.#firstByteAtMs = this.#nowMs;
 			this.#answer.startStream(head);
 		}
 
-		this.#recordEventGap();
+		this.#progress.recordEvents(this.#nowMs);
 		this.#lastEventId = lastId ?? this.#lastEventId;
 		this.#answer.write(bytes);
 		if (this.#answer.unsentBytes > maxUnsentBytes) {
@@ -350,15 +308,6 @@
 		}
 	}
 
-	#recordEventGap(): void {
-		const nowMs = this.#nowMs;
-		if (this.#lastEventAtMs !== undefined) {
-			this.#longestEventGapMs = Math.max(this.#longestEventGapMs ?? 0, nowMs - this.#lastEventAtMs);
-		}
-
-		this.#lastEventAtMs = nowMs;
-	}
-
 	#onStreamEnd(head: ResponseHead): void {
 		this.#endAttempt('answered');
 		this.#context.crashGuard.recordAnswer(this.#request.components);
@@ -505,8 +454,9 @@
 		const {metadata, route, service, arrivedAtMs} = this.#request;
 		inProgress.set(this.#accountName, inProgress.get(this.#accountName)! - 1);
 		metrics.requests.inc({service, outcome});
-		if (this.#firstByteAtMs !== undefined) {
-			metrics.firstByteSeconds.observe({service}, (this.#firstByteAtMs - arrivedAtMs) / 1000);
+		const {firstByteAtMs, longestEventGapMs} = this.#progress;
+		if (firstByteAtMs !== undefined) {
+			metrics.firstByteSeconds.observe({service}, (firstByteAtMs - arrivedAtMs) / 1000);
 		}
 
 		logger.log('info', 'requestEnded', {
@@ -524,8 +474,8 @@
 			sent: this.#sentCount,
 			sinceFirstTryMs: this.#mayBeRetry ? Math.round(this.#timeSinceFirstAttempt.atLeastMs) : undefined,
 			waitedMs: sinceMs(arrivedAtMs, this.#admittedAtMs),
-			firstByteMs: sinceMs(arrivedAtMs, this.#firstByteAtMs),
-			pauseMs: sinceMs(0, this.#longestEventGapMs),
+			firstByteMs: sinceMs(arrivedAtMs, firstByteAtMs),
+			pauseMs: sinceMs(0, longestEventGapMs),
 			tookMs: sinceMs(arrivedAtMs, this.#nowMs),
 		});
 	}
