Send a trial to the target with the fewest requests

A trial may crash its target, and all that runs there with it. It went to the target that scored best for any request. Test: the idle target is chosen though its pace is slow. crashing-prompt-part passes as before.

--- a/packages/gateway/src/request-forwarder.ts
+++ b/packages/gateway/src/request-forwarder.ts
@@ -178,6 +178,7 @@
 			sinceFirstTryMs: this.#timeSinceFirstAttempt.atLeastMs,
 			mayBeRetry: this.#mayBeRetry,
 			isFailover: this.#sentCount > 0,
+			isTrial: this.#trialOf !== undefined,
 			excluded: this.#triedTargets,
 		}, this.#nowMs, admission => {
 			isSettled = true;
--- a/packages/placement/src/admission.ts
+++ b/packages/placement/src/admission.ts
@@ -57,6 +57,8 @@
 	readonly mayBeRetry?: boolean;
 	/** Whether the request continues at another target: its caller has a part of the answer, or makes no further try. */
 	readonly isFailover?: boolean;
+	/** Whether the request may crash its target, so that it goes where the fewest others are. */
+	readonly isTrial?: boolean;
 	readonly excluded?: ReadonlySet<string>;
 };
 
@@ -186,9 +188,9 @@
 		this.#queue = this.#queue.map(other => other === queued ? late : other);
 	}
 
-	#choose({service, excluded}: AdmissionRequest, lane: Lane, nowMs: number): Choice {
+	#choose({service, excluded, isTrial}: AdmissionRequest, lane: Lane, nowMs: number): Choice {
 		return this.#options.selector.choose({
-			service, nowMs, excluded, slotShare: lane === 'onTime' ? 1 : lateSlotShare, entriesPerSlot: entriesPerSlot[lane], random: this.#options.random,
+			service, nowMs, excluded, preferIdle: isTrial, slotShare: lane === 'onTime' ? 1 : lateSlotShare, entriesPerSlot: entriesPerSlot[lane], random: this.#options.random,
 		});
 	}
 
--- a/packages/placement/src/target-selector.test.ts
+++ b/packages/placement/src/target-selector.test.ts
@@ -104,6 +104,18 @@
 			expect(chosen.size > 3).toEqual(true);
 		});
 
+		it('sends a trial to the target with the fewest requests, whatever else speaks for others', () => {
+			const selector = createSelector(3, 8);
+			const loadOf = (index: number, active: number) => ({
+				address: `10.0.0.${index}:80`, bornMs: 1, active, queued: 0, memoryShare: 0, pace: index === 2 ? 3 : 1,
+			});
+			selector.setLoads([loadOf(0, 3), loadOf(1, 2), loadOf(2, 0)], 0);
+			const choice = selector.choose({
+				service: 's', nowMs: 0, random: () => 0.5, preferIdle: true,
+			});
+			expect(choice.kind === 'target' && choice.view.report.targetId).toEqual('t2');
+		});
+
 		it('never chooses a target of another service or of a broken group', () => {
 			const selector = new TargetSelector({failureDomain: 'a'});
 			const [first, second] = targets(2);
--- a/packages/placement/src/target-selector.ts
+++ b/packages/placement/src/target-selector.ts
@@ -56,6 +56,8 @@
 	readonly service: string;
 	readonly nowMs: number;
 	readonly excluded?: ReadonlySet<string>;
+	/** Whether the target with the fewest requests is chosen, whatever else speaks for others. */
+	readonly preferIdle?: boolean;
 	/** Share of each target's slots that may be used; all by default. */
 	readonly slotShare?: number;
 	/** Number of entries to which each free slot is assigned, if only slots assigned to this entry may be used. Without it any free slot may be used. */
@@ -207,7 +209,7 @@
 	}
 
 	/** Chooses the target with the lowest score among those that have a free slot. */
-	choose({service, nowMs, excluded, random, slotShare = 1, entriesPerSlot}: ChoiceInput): Choice {
+	choose({service, nowMs, excluded, random, preferIdle = false, slotShare = 1, entriesPerSlot}: ChoiceInput): Choice {
 		let best: TargetView | undefined;
 		let bestScore = Number.POSITIVE_INFINITY;
 		let hasUsableTarget = false;
@@ -237,7 +239,7 @@
 			const excessLoad = Math.max(0, view.busy - (record.report.slots * lowLoadShare));
 			const ownsFreeSlot = ownedSlotsLeft(record, nowMs, {position: place, limit: view.limit}) > 0;
 			const slotPenalty = ownsFreeSlot ? random() * scoreJitter : unownedSlotPenalty + (random() * unownedSlotJitter);
-			const rank = record.pendingPrefillPasses + excessLoad + this.#penalty(record, nowMs, groupPaces) + slotPenalty;
+			const rank = preferIdle ? view.busy + random() : record.pendingPrefillPasses + excessLoad + this.#penalty(record, nowMs, groupPaces) + slotPenalty;
 			const mayUseSlot = entriesPerSlot === undefined || ownedSlotsLeft(record, nowMs, {position: place, limit: view.limit, entriesPerSlot}) > 0;
 			const hasFreeSlot = !view.isBackingOff && view.busy < view.limit * slotShare && mayUseSlot;
 			if (hasFreeSlot && rank < bestScore) {
