Split crash reporting out of Gateway, and what control passes on out of FleetControl; limits are sent to control after a reconnect

Both files had grown. CrashWatch connects detector, evidence, gate and withdrawal; RelayedFacts keeps leaving targets, limits and evidence. One change of behaviour: an entry tells a control process that has restarted the limits that it knows, as it did with evidence, so that entries that start after that learn them.

--- a/packages/fleet-control/src/fleet-control.ts
+++ b/packages/fleet-control/src/fleet-control.ts
@@ -5,7 +5,7 @@
 acknowledged, so reports need not be replicated.
 */
 
-import {type ComponentEvidence, CrashEvidence, TrialGrants} from '@rattanspring/crash-evidence';
+import {TrialGrants} from '@rattanspring/crash-evidence';
 import type {ReplaceOutcome, StoredDocument} from '@rattanspring/desired-state';
 import {
 	ControlLinks, type DocumentRequest, DocumentSender, type DownMessage, type JoinRequest, LinkServer, linkService, listen, type NodeCard, type NodeRole, type TrialReply, type TrialRequest,
@@ -15,9 +15,9 @@
 import {describeError, type Logger} from '@rattanspring/logger';
 import {serverOptions} from '@rattanspring/protocol';
 import {
-	type TargetLifetime, type TargetReport, type TargetHeartbeat, TargetTable,
+	type TargetReport, type TargetHeartbeat, TargetTable,
 } from '@rattanspring/target-table';
-import {LimitTable, PermitAuthority, type TargetLimit} from '@rattanspring/target-limits';
+import {PermitAuthority, type TargetLimit} from '@rattanspring/target-limits';
 import type {Clock} from '@rattanspring/types';
 import {
 	type handleUnaryCall, type sendUnaryData, Server, type ServerDuplexStream, status, type UntypedServiceImplementation,
@@ -27,6 +27,7 @@
 import {DisklessGroup} from './diskless-group.js';
 import {DocumentGroup} from './document-group.js';
 import {FigureBatches} from './figure-batches.js';
+import {RelayedFacts} from './relayed-facts.js';
 
 const expireIntervalMs = 10_000;
 
@@ -56,11 +57,9 @@
 	readonly #server = new Server(serverOptions);
 	readonly #timers: NodeJS.Timeout[] = [];
 	readonly #figures: FigureBatches;
-	readonly #crashEvidence = new CrashEvidence();
 	readonly #trials = new TrialGrants();
-	readonly #limits = new LimitTable();
+	readonly #facts: RelayedFacts;
 	readonly #permits = new PermitAuthority();
-	readonly #convictions: ConvictionStore | undefined;
 	#isLeaving = false;
 
 	constructor(options: FleetControlOptions) {
@@ -90,7 +89,14 @@
 			},
 		});
 		const {dataFolder, logger} = options;
-		this.#convictions = dataFolder === undefined ? undefined : new ConvictionStore({folder: dataFolder, logger});
+		this.#facts = new RelayedFacts({
+			targets: this.#targets,
+			...(dataFolder !== undefined && {convictions: new ConvictionStore({folder: dataFolder, logger})}),
+			broadcast: (message, receivers) => {
+				this.#linkServer.broadcast(message, receivers);
+			},
+			logger,
+		});
 		this.#group = this.#createGroup();
 	}
 
@@ -98,7 +104,7 @@
 	async start(): Promise<void> {
 		this.#server.addService(this.#group.service.definition, this.#group.service.implementation);
 		this.#server.addService(controlMethods, this.#handlers());
-		this.#crashEvidence.merge(await this.#convictions?.load() ?? []);
+		await this.#facts.load();
 		await listen(this.#server, this.#options.linkAddress);
 		this.#figures.start();
 		this.#addInterval(expireIntervalMs, () => {
@@ -242,17 +248,17 @@
 			}
 
 			case 'leaving': {
-				this.#recordLeaving([message.target], ['entry', 'control']);
+				this.#facts.recordLeaving([message.target], ['entry', 'control']);
 				break;
 			}
 
 			case 'limits': {
-				this.#recordLimits(message.limits, ['entry', 'control']);
+				this.#facts.recordLimits(message.limits, ['entry', 'control']);
 				break;
 			}
 
 			case 'evidence': {
-				this.#recordEvidence(message.records, ['entry', 'control']);
+				this.#facts.recordEvidence(message.records, ['entry', 'control']);
 				break;
 			}
 
@@ -293,17 +299,17 @@
 			}
 
 			case 'leaving': {
-				this.#recordLeaving(message.targets, ['entry']);
+				this.#facts.recordLeaving(message.targets, ['entry']);
 				break;
 			}
 
 			case 'limits': {
-				this.#recordLimits(message.limits, ['entry']);
+				this.#facts.recordLimits(message.limits, ['entry']);
 				break;
 			}
 
 			case 'evidence': {
-				this.#recordEvidence(message.records, ['entry']);
+				this.#facts.recordEvidence(message.records, ['entry']);
 				break;
 			}
 
@@ -316,36 +322,6 @@
 		}
 	}
 
-	/** Passes on which targets are leaving, once. */
-	#recordLeaving(targets: readonly TargetLifetime[], receivers: readonly NodeRole[]): void {
-		const added = targets.filter(target => this.#targets.markLeaving(target));
-		if (added.length > 0) {
-			this.#options.logger.log('info', 'targetsLeaving', {targetIds: added.map(({targetId}) => targetId).join(','), source: 'answer'});
-			this.#linkServer.broadcast({type: 'leaving', targets: added}, {roles: receivers});
-		}
-	}
-
-	/** Passes on which limits targets name, once. */
-	#recordLimits(limits: readonly TargetLimit[], receivers: readonly NodeRole[]): void {
-		const changed = limits.filter(limit => this.#limits.set(limit));
-		if (changed.length > 0) {
-			this.#linkServer.broadcast({type: 'limits', limits: changed}, {roles: receivers});
-		}
-	}
-
-	/** Passes on evidence about what crashes targets, as far as it is new. */
-	#recordEvidence(records: readonly ComponentEvidence[], receivers: readonly NodeRole[]): void {
-		const changed = this.#crashEvidence.merge(records);
-		if (changed.length === 0) {
-			return;
-		}
-
-		this.#linkServer.broadcast({type: 'evidence', records: changed}, {roles: receivers});
-		if (changed.some(({trialCrashes}) => trialCrashes.length > 0)) {
-			void this.#convictions?.save(this.#crashEvidence.withVerdict('convicted'));
-		}
-	}
-
 	#grantTrial({component}: TrialRequest): TrialReply {
 		const isGranted = this.#trials.grant(component, this.#options.clock.monotonicMs());
 		if (isGranted) {
@@ -358,20 +334,9 @@
 	#initialMessages(role: NodeRole): DownMessage[] {
 		const {document} = this.#group;
 		const messages: DownMessage[] = role === 'agent' ? [] : [{type: 'targets', reports: this.#targets.all()}];
-		const leaving = this.#targets.leaving();
-		if (role !== 'agent' && leaving.length > 0) {
-			messages.push({type: 'leaving', targets: leaving});
-		}
-
-		const limits = this.#limits.all.filter(({targetId, bornMs}) => this.#targets.get(targetId)?.bornMs === bornMs);
-		if (role !== 'agent' && limits.length > 0) {
-			messages.push({type: 'limits', limits});
-		}
-
-		// Before the version: an entry begins to serve once it has the document.
-		const records = this.#crashEvidence.withVerdict('unsuspected', 'suspected', 'convicted');
-		if (role !== 'agent' && records.length > 0) {
-			messages.push({type: 'evidence', records});
+		if (role !== 'agent') {
+			// Before the version: an entry begins to serve once it has the document.
+			messages.push(...this.#facts.messages);
 		}
 
 		if (document) {
--- /dev/null
+++ b/packages/fleet-control/src/relayed-facts.ts
@@ -0,0 +1,79 @@
+/**
+What entries learn from the answers of targets and all of them need: who leaves, which limits are named, what crashes targets. A control process keeps it,
+passes on what is new, and gives all of it to daemons that come later.
+*/
+
+import {type ComponentEvidence, CrashEvidence} from '@rattanspring/crash-evidence';
+import type {DownMessage, NodeRole, Receivers} from '@rattanspring/fleet-link';
+import type {Logger} from '@rattanspring/logger';
+import {LimitTable, type TargetLimit} from '@rattanspring/target-limits';
+import type {TargetLifetime, TargetTable} from '@rattanspring/target-table';
+import type {ConvictionStore} from './conviction-store.js';
+
+/** Options of the facts. */
+export type RelayedFactsOptions = {
+	readonly targets: TargetTable;
+	/** Where convictions outlast a loss of power; absent without a disk. */
+	readonly convictions?: ConvictionStore;
+	readonly broadcast: (message: DownMessage, receivers: Receivers) => void;
+	readonly logger: Logger;
+};
+
+/** The facts that one control process knows. */
+export class RelayedFacts {
+	readonly #options: RelayedFactsOptions;
+	readonly #limits = new LimitTable();
+	readonly #crashEvidence = new CrashEvidence();
+
+	constructor(options: RelayedFactsOptions) {
+		this.#options = options;
+	}
+
+	/** Reads what is kept on the disk. */
+	async load(): Promise<void> {
+		this.#crashEvidence.merge(await this.#options.convictions?.load() ?? []);
+	}
+
+	/** Records which targets are leaving. */
+	recordLeaving(targets: readonly TargetLifetime[], receivers: readonly NodeRole[]): void {
+		const added = targets.filter(target => this.#options.targets.markLeaving(target));
+		if (added.length > 0) {
+			this.#options.logger.log('info', 'targetsLeaving', {targetIds: added.map(({targetId}) => targetId).join(','), source: 'answer'});
+			this.#options.broadcast({type: 'leaving', targets: added}, {roles: receivers});
+		}
+	}
+
+	/** Records which limits targets name. */
+	recordLimits(limits: readonly TargetLimit[], receivers: readonly NodeRole[]): void {
+		const changed = limits.filter(limit => this.#limits.set(limit));
+		if (changed.length > 0) {
+			this.#options.broadcast({type: 'limits', limits: changed}, {roles: receivers});
+		}
+	}
+
+	/** Records evidence about what crashes targets. */
+	recordEvidence(records: readonly ComponentEvidence[], receivers: readonly NodeRole[]): void {
+		const changed = this.#crashEvidence.merge(records);
+		if (changed.length === 0) {
+			return;
+		}
+
+		this.#options.broadcast({type: 'evidence', records: changed}, {roles: receivers});
+		if (changed.some(({trialCrashes}) => trialCrashes.length > 0)) {
+			void this.#options.convictions?.save(this.#crashEvidence.withVerdict('convicted'));
+		}
+	}
+
+	/** Messages with all facts, for an entry or a control process that has just connected. */
+	get messages(): DownMessage[] {
+		const {targets} = this.#options;
+		const leaving = targets.leaving();
+		const limits = this.#limits.all.filter(({targetId, bornMs}) => targets.get(targetId)?.bornMs === bornMs);
+		const records = this.#crashEvidence.withVerdict('unsuspected', 'suspected', 'convicted');
+		return [
+			...(leaving.length > 0 ? [{type: 'leaving', targets: leaving} as const] : []),
+			...(limits.length > 0 ? [{type: 'limits', limits} as const] : []),
+			...(records.length > 0 ? [{type: 'evidence', records} as const] : []),
+		];
+	}
+}
--- a/packages/gateway/src/gateway-context.ts
+++ b/packages/gateway/src/gateway-context.ts
@@ -1,6 +1,5 @@
 /** Dependencies that all requests of an entry share. */
 
-import type {CrashGuard} from '@rattanspring/crash-evidence';
 import type {RouteTable} from '@rattanspring/desired-state';
 import type {Logger} from '@rattanspring/logger';
 import type {DaemonMetrics} from '@rattanspring/metrics';
@@ -11,14 +10,10 @@
 import type {TargetLimit} from '@rattanspring/target-limits';
 import type {TargetLifetime} from '@rattanspring/target-table';
 import type {ByteBudget} from './byte-budget.js';
-import type {BrokenRequest} from './crash-detector.js';
+import type {CrashWatch} from './crash-watch.js';
 import type {FirstAttemptEstimator} from './first-attempt-estimator.js';
 import type {HeaderCodec} from './header-codec.js';
 import type {PermitRequests} from './permit-requests.js';
-import type {TrialGate} from './trial-gate.js';
-
-/** A request in progress that can be ended for what it contains. */
-export type Withdrawable = {readonly withdrawIfSuspected: () => void};
 
 export type GatewayContext = {
 	readonly headerCodec: HeaderCodec;
@@ -26,12 +21,9 @@
 	readonly selector: TargetSelector;
 	readonly admission: AdmissionQueue;
 	readonly retryBudget: RetryBudget;
-	readonly crashGuard: CrashGuard;
-	readonly trialGate: TrialGate;
+	readonly crashWatch: CrashWatch;
 	/** Bytes that responses may take until they are complete and are forwarded. */
 	readonly responseBytes: ByteBudget;
-	/** Requests in progress. */
-	readonly forwarding: Set<Withdrawable>;
 	readonly logger: Logger;
 	readonly metrics: DaemonMetrics;
 	readonly firstAttempts: FirstAttemptEstimator;
@@ -50,6 +42,4 @@
 	/** Called with a limit that a target named, or names no more; returns whether that is new. */
 	readonly onTargetLimit: (limit: TargetLimit) => boolean;
 	readonly permitRequests: Pick<PermitRequests, 'ask'>;
-	/** Called when the connection of a running request broke. Resolves, once that is known, to whether the target has crashed. */
-	readonly onConnectionBroken: (request: BrokenRequest, address: string) => Promise<boolean>;
 };
--- a/packages/gateway/src/gateway.test.ts
+++ b/packages/gateway/src/gateway.test.ts
@@ -5,7 +5,6 @@
 	after, afterEach, before, beforeEach, describe, it,
 } from 'node:test';
 import {setTimeout as sleep} from 'node:timers/promises';
-import {CrashGuard} from '@rattanspring/crash-evidence';
 import {type DesiredState, type Route, RouteTable} from '@rattanspring/desired-state';
 import {SilentLogger} from '@rattanspring/logger';
 import {DaemonMetrics} from '@rattanspring/metrics';
@@ -18,10 +17,10 @@
 import {expect} from 'earl';
 import {ByteBudget} from './byte-budget.js';
 import type {BrokenRequest} from './crash-detector.js';
+import {CrashWatch} from './crash-watch.js';
 import {FirstAttemptEstimator} from './first-attempt-estimator.js';
 import type {GatewayContext} from './gateway-context.js';
 import {serveRequest} from './request-flow.js';
-import {TrialGate} from './trial-gate.js';
 import {
 	CallerServer, type ForwardingMetadata, HeaderCodec, type RequestMetadata, type ResponseMetadata,
 } from './index.js';
@@ -123,6 +122,14 @@
 describe('an entry', () => {
 	const targets = [new Target(), new Target()];
 	const crashes: BrokenRequest[] = [];
+
+	class RecordingWatch extends CrashWatch {
+		override async onConnectionBroken(request: BrokenRequest, address: string): Promise<boolean> {
+			crashes.push(request);
+			return super.onConnectionBroken(request, address);
+		}
+	}
+
 	const leaving: string[] = [];
 	let server: CallerServer;
 	let port: number;
@@ -175,15 +182,6 @@
 			targetId: `t${index}`, bornMs: 1, sequence: 1, service: 's', address: `127.0.0.1:${target.port}`, failureDomain: 'a', slots: 4, state: 'ready', coldLeftMs: 0,
 		})), 0);
 		const inProgress = new Map<string, number>();
-		const forwarding: GatewayContext['forwarding'] = new Set();
-		const crashGuard = new CrashGuard({
-			onNewEvidence: () => undefined,
-			onVerdict() {
-				for (const request of forwarding) {
-					request.withdrawIfSuspected();
-				}
-			},
-		});
 		isTrialGranted = false;
 		areTargetsCrashing = false;
 		context = {
@@ -194,9 +192,15 @@
 				selector, random: Math.random, inProgressOf: () => 0, onWaiting: () => undefined,
 			}),
 			retryBudget: new RetryBudget({ratio: 0.2, slack: 100, windowMs: 10_000}),
-			crashGuard,
-			trialGate: new TrialGate({crashGuard, random: Math.random, requestTrial: async () => isTrialGranted}),
-			forwarding,
+			crashWatch: new RecordingWatch({
+				isReachable: async () => !areTargetsCrashing,
+				probeDelayMs: 1,
+				onNewEvidence: () => undefined,
+				requestTrial: async () => isTrialGranted,
+				random: Math.random,
+				logger: new SilentLogger(),
+				metrics: new DaemonMetrics(),
+			}),
 			responseBytes: new ByteBudget(50_000_000),
 			firstAttempts: new FirstAttemptEstimator(),
 			logger: new SilentLogger(),
@@ -213,14 +217,6 @@
 				leaving.push(targetId);
 				return true;
 			},
-			async onConnectionBroken(crash) {
-				crashes.push(crash);
-				if (areTargetsCrashing) {
-					context.crashGuard.recordCrash(crash, [crash]);
-				}
-
-				return areTargetsCrashing;
-			},
 		};
 	}
 
@@ -603,13 +599,13 @@
 		async function crash(otherCount: number): Promise<void> {
 			await call('/plain/x');
 			for (let index = 0; index < otherCount; index++) {
-				context.crashGuard.recordCrash(crashed(index), crashes);
+				context.crashWatch.guard.recordCrash(crashed(index), crashes);
 			}
 		}
 
 		it('refuses it after the second crash, except as a trial, and after the crash in that trial altogether', async () => {
 			for (let index = 0; index < 3; index++) {
-				context.crashGuard.recordCrash({targetId: `t${index}`, bornMs: 1}, [{components: ['request:unrelated']}]);
+				context.crashWatch.guard.recordCrash({targetId: `t${index}`, bornMs: 1}, [{components: ['request:unrelated']}]);
 			}
 
 			await crash(1);
@@ -641,7 +637,7 @@
 
 		it('does not repeat a trial at another target', async () => {
 			await call('/lookup/x');
-			context.crashGuard.recordCrash(crashed(1), crashes);
+			context.crashWatch.guard.recordCrash(crashed(1), crashes);
 			isTrialGranted = true;
 			const before = sent();
 			expect(await statusOf('/lookup/x')).toEqual(502);
@@ -664,7 +660,7 @@
 			const result = call('/draft/x', {'x-parts': 'bad'});
 			await sleep(50);
 			for (const index of [1, 2]) {
-				context.crashGuard.recordCrash(crashed(index), [{components: ['part:bad']}]);
+				context.crashWatch.guard.recordCrash(crashed(index), [{components: ['part:bad']}]);
 			}
 
 			const {status} = await result;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,6 +1,5 @@
 /** An entry process: follows the control processes, serves callers, and lists the entries that callers may use. */
 
-import {CrashGuard} from '@rattanspring/crash-evidence';
 import type {DocumentCodec} from '@rattanspring/desired-state';
 import {
 	ControlLinks, type DownMessage, followedControls, linkService, type NodeCard,
@@ -17,15 +16,14 @@
 import {AuthorityCalls} from './authority-calls.js';
 import {ByteBudget} from './byte-budget.js';
 import {CallerServer} from './caller-server.js';
-import {type BrokenRequest, CrashDetector} from './crash-detector.js';
+import {CrashWatch} from './crash-watch.js';
 import {DocumentFollower} from './document-follower.js';
 import {FirstAttemptEstimator} from './first-attempt-estimator.js';
-import type {GatewayContext, Withdrawable} from './gateway-context.js';
+import type {GatewayContext} from './gateway-context.js';
 import type {HeaderCodec} from './header-codec.js';
 import {PauseObjectives} from './pause-objectives.js';
 import {PermitRequests} from './permit-requests.js';
 import {serveRequest} from './request-flow.js';
-import {TrialGate} from './trial-gate.js';
 
 /** Interval at which targets are checked for missing reports. */
 const targetRefreshIntervalMs = 500;
@@ -87,27 +85,17 @@
 		this.#selector = new TargetSelector({
 			failureDomain, entryPosition: () => this.#entryPosition, writersWithin: (service, skew) => this.#writersWithin(service, skew),
 		});
-		const crashDetector = new CrashDetector({
+		this.#authorityCalls = new AuthorityCalls({controls: () => [...this.#links.nodes.values()], nowMs});
+		const crashWatch = new CrashWatch({
 			isReachable,
-			onCrash: (target, requests) => {
-				this.#onTargetCrash(target, requests);
-			},
-		});
-		const crashGuard = new CrashGuard({
 			onNewEvidence: records => {
 				this.#links.send({type: 'evidence', records});
 			},
-			onVerdict({component, crashes, refuted}, verdict) {
-				logger.log('warn', 'componentJudged', {
-					component, verdict, crashes: crashes.join(','), refuted: refuted.length,
-				});
-				for (const request of forwarding) {
-					request.withdrawIfSuspected();
-				}
-			},
+			requestTrial: async component => this.#isTrialGranted(component),
+			random,
+			logger,
+			metrics,
 		});
-		this.#authorityCalls = new AuthorityCalls({controls: () => [...this.#links.nodes.values()], nowMs});
-		const forwarding = new Set<Withdrawable>();
 		const inProgress = new Map<string, number>();
 		this.#context = {
 			headerCodec,
@@ -121,11 +109,7 @@
 				},
 			}),
 			retryBudget: new RetryBudget(options.allowance),
-			crashGuard,
-			trialGate: new TrialGate({
-				crashGuard, random, requestTrial: async component => this.#isTrialGranted(component),
-			}),
-			forwarding,
+			crashWatch,
 			responseBytes: new ByteBudget(maxResponseBytes),
 			firstAttempts: new FirstAttemptEstimator(),
 			inProgress,
@@ -146,7 +130,6 @@
 				},
 				nowMs,
 			}),
-			onConnectionBroken: async (request, address) => crashDetector.check(request, address),
 		};
 		this.#server = new CallerServer({
 			host: options.callerHost,
@@ -188,7 +171,7 @@
 			onConnectionChange: (linkAddress, isUp) => {
 				logger.log(isUp ? 'info' : 'warn', isUp ? 'controlReached' : 'controlLost', {linkAddress});
 				if (isUp) {
-					this.#sendOpenCases(linkAddress);
+					this.#sendKnownFacts(linkAddress);
 				} else {
 					this.#documents.dropConnection(linkAddress);
 				}
@@ -355,7 +338,7 @@
 			}
 
 			case 'evidence': {
-				this.#context.crashGuard.receive(message.records);
+				this.#context.crashWatch.guard.receive(message.records);
 				break;
 			}
 
@@ -367,24 +350,17 @@
 		}
 	}
 
-	#onTargetCrash(target: TargetLifetime, requests: readonly BrokenRequest[]): void {
-		const {logger, metrics} = this.#options;
-		for (const {requestId, components, answerBegunMs, trialOf} of requests) {
-			logger.log('warn', 'targetDied', {
-				...target, requestId, components: components.join(','), answerBegunMs, trialOf,
-			});
-		}
-
-		metrics.targetCrashes.inc(requests.length);
-		this.#context.crashGuard.recordCrash(target, requests);
-	}
-
-	/** A control process that has restarted learns from the entries what crashes targets. */
-	#sendOpenCases(linkAddress: string): void {
-		const records = this.#context.crashGuard.openCases;
+	/** A control process that has restarted learns from the entries which limits targets name, and what crashes them. */
+	#sendKnownFacts(linkAddress: string): void {
+		const records = this.#context.crashWatch.guard.openCases;
+		const {limits} = this.#selector;
 		if (records.length > 0) {
 			this.#links.send({type: 'evidence', records}, linkAddress);
 		}
+
+		if (limits.length > 0) {
+			this.#links.send({type: 'limits', limits}, linkAddress);
+		}
 	}
 
 	/** A target that leaves gets no further requests from this entry, and the other entries are told. */
--- a/packages/gateway/src/request-forwarder.ts
+++ b/packages/gateway/src/request-forwarder.ts
@@ -92,7 +92,7 @@
 		this.#deadline = setTimeout(() => {
 			this.#onDeadline();
 		}, Math.max(0, this.#request.deadlineAtMs - deadlineMarginMs - this.#nowMs));
-		this.#context.forwarding.add(this);
+		this.#context.crashWatch.forwarding.add(this);
 		this.#passGate();
 	}
 
@@ -102,7 +102,7 @@
 			return;
 		}
 
-		const {verdict, components} = this.#context.crashGuard.judge(this.#request.components);
+		const {verdict, components} = this.#context.crashWatch.guard.judge(this.#request.components);
 		if (verdict === 'unsuspected') {
 			return;
 		}
@@ -115,9 +115,9 @@
 	}
 
 	#passGate(): void {
-		const {trialGate} = this.#context;
+		const {gate} = this.#context.crashWatch;
 		const {components} = this.#request;
-		const decision = trialGate.decideNow(components);
+		const decision = gate.decideNow(components);
 		if (decision) {
 			this.#onGateDecision(decision);
 			return;
@@ -125,7 +125,7 @@
 
 		this.#isAwaitingDecision = true;
 		void (async () => {
-			const later = await trialGate.decide(components);
+			const later = await gate.decide(components);
 			this.#isAwaitingDecision = false;
 			this.#onGateDecision(later);
 		})();
@@ -267,7 +267,7 @@
 		}
 
 		this.#endAttempt(isFailure ? 'failed' : 'answered');
-		this.#context.crashGuard.recordAnswer(this.#request.components);
+		this.#context.crashWatch.guard.recordAnswer(this.#request.components);
 		this.#progress.recordFirstByte(this.#nowMs);
 		this.#answer.pass(answer.head, answer.body);
 		this.#end('answered', answer.head.status);
@@ -311,7 +311,7 @@
 
 	#onStreamEnd(head: ResponseHead): void {
 		this.#endAttempt('answered');
-		this.#context.crashGuard.recordAnswer(this.#request.components);
+		this.#context.crashWatch.guard.recordAnswer(this.#request.components);
 		if (!this.#streamHead) {
 			this.#answer.startStream(head);
 		}
@@ -342,7 +342,7 @@
 	async #continueAfterBreak(running: RunningAttempt, detail: string, answerBegunMs: number | undefined): Promise<void> {
 		const {targetId, bornMs, address} = running;
 		const {components, metadata} = this.#request;
-		const check = this.#context.onConnectionBroken({
+		const check = this.#context.crashWatch.onConnectionBroken({
 			targetId, bornMs, requestId: metadata.requestId, components, answerBegunMs, trialOf: this.#trialOf,
 		}, address);
 		if (mayHaveCausedCrash({answerBegunMs})) {
@@ -357,12 +357,12 @@
 	}
 
 	#continue({targetId}: RunningAttempt, outcome: AttemptOutcome, detail: string): void {
-		const {logger, crashGuard} = this.#context;
+		const {logger, crashWatch} = this.#context;
 		const {route, service, components, metadata} = this.#request;
 		const step = nextStep({
 			kind: route.kind, isResumable: route.isResumable, outcome, sentCount: this.#sentCount, unreachedCount: this.#unreachedCount, maxAttempts: route.maxAttempts, mayHaveRun: this.#mayHaveRun,
 		});
-		const isAccused = this.#trialOf !== undefined || crashGuard.isAccused(components);
+		const isAccused = this.#trialOf !== undefined || crashWatch.guard.isAccused(components);
 		const mayRetry = step === 'tryAnother' && !isAccused
 			&& (outcome === 'notSent' || this.#context.retryBudget.tryConsume(service, this.#nowMs, this.#context.entryCount()));
 		logger.log('info', 'attemptEnded', {
@@ -447,7 +447,7 @@
 		}
 
 		this.#isFinished = true;
-		this.#context.forwarding.delete(this);
+		this.#context.crashWatch.forwarding.delete(this);
 		this.#pendingAdmission?.cancel();
 		clearTimeout(this.#deadline);
 		clearTimeout(this.#silenceTimer);
--- a/packages/placement/src/target-selector.ts
+++ b/packages/placement/src/target-selector.ts
@@ -179,6 +179,11 @@
 		return this.#permits;
 	}
 
+	/** The limits that targets name. */
+	get limits(): TargetLimit[] {
+		return this.#limits.all;
+	}
+
 	/** Records a limit; returns whether it differs from the known one. */
 	setLimit(limit: TargetLimit): boolean {
 		return this.#limits.set(limit);
