Give withdrawn requests the same time to come back as refused ones, and keep the entries of two tests in one place

A request that was withdrawn before it was sent had been told 150 ms, whatever the verdict; its caller came back during the trial, or to a conviction.

--- a/.dependency-cruiser.cjs
+++ b/.dependency-cruiser.cjs
@@ -41,7 +41,7 @@
 		{
 			name: 'the-test-kit-stays-in-tests',
 			severity: 'error',
-			from: {path: '^(packages/(?!test-kit/)|platform/)', pathNot: `${testFile}|^(packages/daemon|platform)/src/test-fleet`},
+			from: {path: '^(packages/(?!test-kit/)|platform/)', pathNot: `${testFile}|^packages/daemon/src/test-fleet`},
 			to: {path: '^packages/test-kit/'},
 		},
 		{
--- a/packages/fleet-control/src/crash-evidence-spread.test.ts
+++ b/packages/fleet-control/src/crash-evidence-spread.test.ts
@@ -11,7 +11,7 @@
 import {waitUntil} from '@rattanspring/test-kit';
 import {expect} from 'earl';
 import {ConvictionStore} from './conviction-store.js';
-import {TestEntry} from './test-entry.js';
+import {TestEntries, type TestEntry} from './test-entry.js';
 import {TestGroup} from './test-group.js';
 
 const conviction: ComponentEvidence = {
@@ -22,27 +22,19 @@
 
 describe('evidence about what crashes targets', () => {
 	let group: TestGroup;
-	let entries: TestEntry[];
+	let entries: TestEntries;
 
 	beforeEach(async () => {
 		group = await TestGroup.create({size: 3, faultTolerance: 1, failureDomainCount: 3});
 		await group.startFirst();
-		entries = [];
+		entries = new TestEntries();
 	});
 	afterEach(async () => {
-		for (const {links} of entries) {
-			links.close();
-		}
-
+		entries.close();
 		await group.close();
 	});
 
-	async function addEntry(positions: readonly number[]): Promise<TestEntry> {
-		const entry = new TestEntry(`entry-${entries.length}`, positions.map(position => group.addressOf(position)));
-		entries.push(entry);
-		await waitUntil(() => entry.connectedCount === positions.length, {timeoutMs: 5000});
-		return entry;
-	}
+	const addEntry = async (positions: readonly number[]) => entries.add(positions.map(position => group.addressOf(position)));
 
 	const sentBy = (entry: TestEntry) => {
 		entry.links.send({type: 'evidence', records: [conviction]});
--- a/packages/fleet-control/src/target-limits-spread.test.ts
+++ b/packages/fleet-control/src/target-limits-spread.test.ts
@@ -6,7 +6,7 @@
 import type {TargetReport} from '@rattanspring/target-table';
 import {waitUntil} from '@rattanspring/test-kit';
 import {expect} from 'earl';
-import {TestEntry} from './test-entry.js';
+import {TestEntries, type TestEntry} from './test-entry.js';
 import {TestGroup} from './test-group.js';
 
 const limit = {targetId: 't1', bornMs: 100, perSecond: 4};
@@ -17,27 +17,19 @@
 
 describe('limits that targets name', () => {
 	let group: TestGroup;
-	let entries: TestEntry[];
+	let entries: TestEntries;
 
 	beforeEach(async () => {
 		group = await TestGroup.create({size: 2, faultTolerance: 0, failureDomainCount: 2});
 		await group.startFirst();
-		entries = [];
+		entries = new TestEntries();
 	});
 	afterEach(async () => {
-		for (const {links} of entries) {
-			links.close();
-		}
-
+		entries.close();
 		await group.close();
 	});
 
-	async function addEntry(): Promise<TestEntry> {
-		const entry = new TestEntry(`entry-${entries.length}`, [group.addressOf(0), group.addressOf(1)]);
-		entries.push(entry);
-		await waitUntil(() => entry.connectedCount === 2, {timeoutMs: 5000});
-		return entry;
-	}
+	const addEntry = async () => entries.add([group.addressOf(0), group.addressOf(1)]);
 
 	const limitsOf = ({messages}: TestEntry) => messages.flatMap(message => message.type === 'limits' ? message.limits : []);
 
--- a/packages/gateway/src/request-forwarder.ts
+++ b/packages/gateway/src/request-forwarder.ts
@@ -102,16 +102,16 @@
 			return;
 		}
 
-		const {verdict, components} = this.#context.crashWatch.guard.judge(this.#request.components);
-		if (verdict === 'unsuspected') {
+		const refusal = this.#context.crashWatch.gate.refusalOf(this.#request.components);
+		if (!refusal) {
 			return;
 		}
 
-		this.#suspectedComponents = components;
+		this.#suspectedComponents = refusal.components;
 		this.#mayHaveRun ||= this.#running?.attempt.isSent === true;
 		this.#running?.attempt.abandon();
 		this.#endAttempt('abandoned');
-		this.#giveUp(verdict === 'convicted' ? 'crashesTargets' : 'mayCrashTargets', undefined);
+		this.#giveUp(refusal.reason, refusal.retryAfterMs);
 	}
 
 	#passGate(): void {
--- a/packages/gateway/src/trial-gate.ts
+++ b/packages/gateway/src/trial-gate.ts
@@ -12,10 +12,17 @@
 const suspectedRetryAfterMs = 800;
 const suspectedRetryJitterMs = 700;
 
+/** Why a request may not be sent, and when its caller may come back. */
+export type GateRefusal = {
+	readonly kind: 'refused';
+	readonly reason: 'crashesTargets' | 'mayCrashTargets';
+	/** The components that are convicted or suspected. */
+	readonly components: readonly string[];
+	readonly retryAfterMs: number;
+};
+
 /** Whether a request may be sent; `trialOf` is the component on trial, if it is one. */
-export type GateDecision
-	= | {readonly kind: 'passed'; readonly trialOf?: string}
-		| {readonly kind: 'refused'; readonly reason: 'crashesTargets' | 'mayCrashTargets'; readonly components: readonly string[]; readonly retryAfterMs: number};
+export type GateDecision = GateRefusal | {readonly kind: 'passed'; readonly trialOf?: string};
 
 /** Options of a gate. */
 export type TrialGateOptions = {
@@ -34,16 +41,18 @@
 		this.#options = options;
 	}
 
-	/** The decision, where no trial has to be asked for. */
-	decideNow(components: readonly string[]): GateDecision | undefined {
+	/** Why the request may not be sent unless as a trial; undefined if it may. */
+	refusalOf(components: readonly string[]): GateRefusal | undefined {
 		const judgement = this.#options.crashGuard.judge(components);
 		switch (judgement.verdict) {
 			case 'unsuspected': {
-				return {kind: 'passed'};
+				return undefined;
 			}
 
 			case 'suspected': {
-				return undefined;
+				return {
+					kind: 'refused', reason: 'mayCrashTargets', components: judgement.components, retryAfterMs: suspectedRetryAfterMs + (suspectedRetryJitterMs * this.#options.random()),
+				};
 			}
 
 			case 'convicted': {
@@ -54,17 +63,21 @@
 		}
 	}
 
+	/** The decision, where no trial has to be asked for. */
+	decideNow(components: readonly string[]): GateDecision | undefined {
+		const refusal = this.refusalOf(components);
+		return refusal?.reason === 'mayCrashTargets' ? undefined : refusal ?? {kind: 'passed'};
+	}
+
 	/** Asks for a trial. Of several suspected components the last one is on trial: it is the most specific one. */
 	async decide(components: readonly string[]): Promise<GateDecision> {
-		const suspected = this.#options.crashGuard.judge(components).components;
-		const trialOf = suspected.at(-1);
+		const trialOf = this.refusalOf(components)?.components.at(-1);
 		const isGranted = trialOf !== undefined && await this.#options.requestTrial(trialOf);
-		return this.decideNow(components) ?? (isGranted ? {kind: 'passed', trialOf} : this.#refusal(suspected));
-	}
+		const refusal = this.refusalOf(components);
+		if (refusal === undefined) {
+			return {kind: 'passed'};
+		}
 
-	#refusal(components: readonly string[]): GateDecision {
-		return {
-			kind: 'refused', reason: 'mayCrashTargets', components, retryAfterMs: suspectedRetryAfterMs + (suspectedRetryJitterMs * this.#options.random()),
-		};
+		return isGranted && refusal.reason === 'mayCrashTargets' ? {kind: 'passed', trialOf} : refusal;
 	}
 }
