Test the slope of evidence: none for complete answers, one refutation an entry and accusation

The tests bounded memory, not messages. 10,000 answers with unique parts send nothing; each of 10 or 100 entries sends at most one refutation of an accusation, if all hear of it at once. So a control process receives at most one for each entry, and passes on one. No change of code.

--- a/packages/crash-evidence/src/crash-evidence.test.ts
+++ b/packages/crash-evidence/src/crash-evidence.test.ts
@@ -112,6 +112,35 @@
 		expect(guard.judge(['part:bad']).verdict).toEqual('suspected');
 	});
 
+	it('sends nothing for complete answers, however many unique parts they bring', () => {
+		const fleet = new Fleet(1);
+		for (let index = 0; index < 10_000; index++) {
+			fleet.guards[0].recordAnswer([`request:${index}`, `part:${index}`]);
+		}
+
+		expect(fleet.sharedCount).toEqual(0);
+	});
+
+	for (const size of [10, 100]) {
+		it(`sends at most one refutation of an accusation from each of ${size} entries, also if all hear of it at once`, () => {
+			const sentCounts: number[] = [];
+			for (let index = 0; index < size; index++) {
+				sentCounts[index] = 0;
+				const guard = new CrashGuard({
+					onNewEvidence(records) {
+						sentCounts[index] += records.length;
+					},
+					onVerdict: () => undefined,
+				});
+				guard.recordAnswer(['part:shared']);
+				guard.receive([evidence('part:shared', {crashes: ['t1 1']})]);
+				guard.receive([evidence('part:shared', {crashes: ['t1 1'], refuted: ['t1 1']})]);
+			}
+
+			expect(Math.max(...sentCounts)).toEqual(1);
+		});
+	}
+
 	it('sends one record for each accused component, whatever the number of requests on the target', () => {
 		const fleet = new Fleet(1);
 		fleet.guards[0].recordCrash(target(1), Array.from({length: 50}, () => crashing));
