--- a/packages/gateway/src/gateway.test.ts
+++ b/packages/gateway/src/gateway.test.ts
@@ -189,7 +189,7 @@
 			exchange: new ConnectionPool(),
 			selector,
 			admission: new AdmissionQueue({
-				selector, random: Math.random, inProgressOf: () => 0, onWaiting: () => undefined,
+				selector, random: Math.random, onWaiting: () => undefined,
 			}),
 			retryBudget: new RetryBudget({ratio: 0.2, slack: 100, windowMs: 10_000}),
 			crashWatch: new RecordingWatch({
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -7,7 +7,7 @@
 import type {Logger} from '@rattanspring/logger';
 import type {DaemonMetrics} from '@rattanspring/metrics';
 import {
-	AdmissionQueue, type EntryPosition, type RetryAllowance, RetryBudget, TargetSelector, writersWithin,
+	AdmissionQueue, type EntryPosition, InProgressOrder, type RetryAllowance, RetryBudget, TargetSelector, writersWithin,
 } from '@rattanspring/placement';
 import {isReachable, type TargetTransport} from '@rattanspring/target-connection';
 import type {TargetLimit} from '@rattanspring/target-limits';
@@ -104,7 +104,7 @@
 			metrics,
 			selector: this.#selector,
 			admission: new AdmissionQueue({
-				selector: this.#selector, random, inProgressOf: name => inProgress.get(name) ?? 0, onWaiting: () => {
+				selector: this.#selector, random, order: new InProgressOrder(name => inProgress.get(name) ?? 0), onWaiting: () => {
 					this.#scheduleQueueProcessing();
 				},
 			}),
--- a/packages/placement/src/admission.ts
+++ b/packages/placement/src/admission.ts
@@ -3,6 +3,8 @@
 Requests that can still meet their latency objective are served first; late requests share the remaining capacity.
 */
 
+import {InProgressOrder, type QueueOrder} from './queue-order.js';
+import {FixedReturnTimes, type RefusalReason, type ReturnTimes} from './return-times.js';
 import type {Choice, TargetSelector, TargetView} from './target-selector.js';
 
 /** Share of the objective after which a queued on-time request is refused: early enough for its caller to retry in time. */
@@ -30,17 +32,6 @@
 /** Maximum number of queued requests at one entry. */
 const maxQueueLength = 64;
 
-/** Minimum of the retry delay given to a refused caller, and its random part. */
-const minRetryAfterMs = 80;
-const retryAfterJitterMs = 120;
-
-/** Retry delay if a service has no target: it takes seconds until one has reported. */
-const noTargetRetryAfterMs = 1200;
-const noTargetRetryAfterJitterMs = 1200;
-
-/** Random part of the retry delay while all targets pause, as a share of the pause, so that the callers' return is no peak. */
-const pauseSpreadShare = 0.25;
-
 /** A request to be admitted. */
 export type AdmissionRequest = {
 	readonly service: string;
@@ -62,9 +53,6 @@
 	readonly excluded?: ReadonlySet<string>;
 };
 
-/** Why a request is refused: no free slot within the wait, no target, too many queued requests, all targets have asked for a pause, or all name limits that are used up. */
-export type RefusalReason = 'full' | 'noTarget' | 'lineFull' | 'paused' | 'limited';
-
 /** A target, or a refusal with the time after which the caller may retry. */
 export type Admission
 	= | {readonly kind: 'admitted'; readonly view: TargetView; readonly isLate: boolean}
@@ -100,19 +88,26 @@
 	readonly selector: TargetSelector;
 	/** Random numbers in [0, 1). */
 	readonly random: () => number;
-	/** Number of an account's requests in progress at this entry: among otherwise equal requests, the account with fewer goes first. */
-	readonly inProgressOf: (accountName: string) => number;
+	/** By default without regard to accounts. */
+	readonly order?: QueueOrder;
+	/** By default fixed for each reason. */
+	readonly returnTimes?: ReturnTimes;
 	/** Called when a request is queued; from then on the caller has to call `processQueue` repeatedly until the queue is empty. */
 	readonly onWaiting: () => void;
 };
 
 /** Admission queue of one entry. */
 export class AdmissionQueue {
-	readonly #options: AdmissionOptions;
+	readonly #options: Required<AdmissionOptions>;
 	#queue: QueuedRequest[] = [];
 
 	constructor(options: AdmissionOptions) {
-		this.#options = options;
+		const {selector, random} = options;
+		this.#options = {
+			order: new InProgressOrder(() => 0),
+			returnTimes: new FixedReturnTimes({random, permitWaitMs: (waitingCount, nowMs) => selector.permits.expectedWaitMs(waitingCount, nowMs)}),
+			...options,
+		};
 	}
 
 	/** Services for which requests are queued. */
@@ -135,13 +130,9 @@
 			return notQueued;
 		}
 
-		if (choice.kind === 'paused') {
-			settle(this.#pausedRefusal(choice.untilMs, nowMs));
-			return notQueued;
-		}
-
-		if (choice.kind === 'none' || this.#queue.length >= maxQueueLength) {
-			settle(this.#refusal(choice.kind === 'none' ? 'noTarget' : 'lineFull'));
+		const reason = refusalReasonOf(choice) ?? (this.#queue.length >= maxQueueLength ? 'queueFull' : undefined);
+		if (reason) {
+			settle(this.#refusal(reason, {request, choice, nowMs}));
 			return notQueued;
 		}
 
@@ -159,7 +150,7 @@
 
 	/** Tries to admit the queued requests: call it when a target gets a free slot, when load figures arrive, and every few milliseconds while requests are queued. */
 	processQueue(nowMs: number): void {
-		const order = this.#queue.toSorted((left, right) => this.#compare(left, right));
+		const order = this.#queue.toSorted((left, right) => this.#options.order.compare(left, right, nowMs));
 		const full = new Set<string>();
 		for (const queued of order) {
 			const {service} = queued.request;
@@ -168,12 +159,12 @@
 			const choice = isFull ? {kind: 'full' as const} : this.#choose(queued.request, lane, nowMs);
 			if (choice.kind === 'target') {
 				this.#end(queued, {kind: 'admitted', view: choice.view, isLate: queued.isLate});
-			} else if (choice.kind === 'paused') {
-				this.#end(queued, this.#pausedRefusal(choice.untilMs, nowMs));
+			} else if (choice.kind === 'paused' || choice.kind === 'drained') {
+				this.#end(queued, this.#refusal(choice.kind, {request: queued.request, choice, nowMs}));
 			} else if (nowMs >= queued.refuseAtMs && !queued.isLate && queued.request.mayBeRetry) {
 				this.#demoteToLate(queued, nowMs);
 			} else if (nowMs >= queued.refuseAtMs) {
-				this.#end(queued, choice.kind === 'limited' ? this.#limitedRefusal(nowMs) : this.#refusal('full'));
+				this.#end(queued, this.#refusal(choice.kind === 'limited' ? 'limited' : 'full', {request: queued.request, choice, nowMs}));
 			} else {
 				full.add(`${service} ${lane}`);
 			}
@@ -194,34 +185,26 @@
 		});
 	}
 
-	#compare(left: QueuedRequest, right: QueuedRequest): number {
-		return (Number(left.isLate) - Number(right.isLate))
-			|| (left.request.priority - right.request.priority)
-			|| (this.#options.inProgressOf(left.request.accountName) - this.#options.inProgressOf(right.request.accountName))
-			|| (left.request.arrivedAtMs - right.request.arrivedAtMs);
-	}
-
 	#end(queued: QueuedRequest, admission: Admission): void {
 		this.#queue = this.#queue.filter(other => other !== queued);
 		queued.settle(admission);
 	}
 
-	/** All targets have asked for a pause: the caller may come back once the first of them takes requests again. */
-	#pausedRefusal(untilMs: number, nowMs: number): Admission {
-		const pauseLeftMs = untilMs - nowMs;
-		const spreadMs = Math.max(retryAfterJitterMs, pauseLeftMs * pauseSpreadShare);
-		return {kind: 'refused', reason: 'paused', retryAfterMs: pauseLeftMs + (spreadMs * this.#options.random())};
+	#refusal(reason: RefusalReason, {request, choice, nowMs}: {readonly request: AdmissionRequest; readonly choice: Choice; readonly nowMs: number}): Admission {
+		const retryAfterMs = this.#options.returnTimes.retryAfterMs({
+			reason, request, nowMs, waitingCount: this.#queue.length, ...(choice.kind === 'paused' && {pausedUntilMs: choice.untilMs}),
+		});
+		return {kind: 'refused', reason, retryAfterMs};
 	}
+}
 
-	/** All targets name limits: the caller may come back when those who wait have had their turn. */
-	#limitedRefusal(nowMs: number): Admission {
-		const waitMs = this.#options.selector.permits.expectedWaitMs(this.#queue.length, nowMs);
-		return {kind: 'refused', reason: 'limited', retryAfterMs: waitMs + (Math.max(retryAfterJitterMs, waitMs) * this.#options.random())};
+/** Why a request that is not queued yet is refused at once; undefined if a slot may become free for it. */
+function refusalReasonOf({kind}: Choice): RefusalReason | undefined {
+	if (kind === 'none') {
+		return 'noTarget';
 	}
 
-	#refusal(reason: Exclude<RefusalReason, 'paused' | 'limited'>): Admission {
-		return {kind: 'refused', reason, retryAfterMs: pauseMs(reason, this.#options.random())};
-	}
+	return kind === 'paused' || kind === 'drained' ? kind : undefined;
 }
 
 /** Whether a request that is admitted within the on-time wait can be answered on time. */
@@ -241,11 +224,6 @@
 	return nowMs - queuedAtMs < ownedSlotsOnlyMs ? 'lateOwnedSlots' : 'late';
 }
 
-/** Returns the retry delay for a refused caller, randomised so that retries do not arrive all at once. */
-function pauseMs(reason: Exclude<RefusalReason, 'paused' | 'limited'>, random: number): number {
-	return reason === 'noTarget' ? noTargetRetryAfterMs + (random * noTargetRetryAfterJitterMs) : minRetryAfterMs + (random * retryAfterJitterMs);
-}
-
 function refuseAtMs({arrivedAtMs, objectiveMs, deadlineAtMs, isFailover = false}: AdmissionRequest, isLate: boolean, nowMs: number): number {
 	return isLate || isFailover
 		? nowMs + Math.min(maxLateWaitMs, (deadlineAtMs - nowMs) * lateWaitShare)
--- a/packages/placement/src/herding.test.ts
+++ b/packages/placement/src/herding.test.ts
@@ -102,7 +102,7 @@
 		const selector = new TargetSelector({failureDomain: 'a', entryPosition: () => ({index, count: entryCount})});
 		selector.setTargets(reports.slice(0, 1), 0);
 		const queue = new AdmissionQueue({
-			selector, random: () => 0.5, inProgressOf: () => 0, onWaiting() {
+			selector, random: () => 0.5, onWaiting() {
 				// The tests call `processQueue`.
 			},
 		});
--- a/packages/placement/src/target-pause.test.ts
+++ b/packages/placement/src/target-pause.test.ts
@@ -64,7 +64,7 @@
 		selector.pause('t1', 1, 2000);
 		selector.pause('t2', 1, 3000);
 		const queue = new AdmissionQueue({
-			selector, random: seededRandom(1), inProgressOf: () => 0, onWaiting: () => undefined,
+			selector, random: seededRandom(1), onWaiting: () => undefined,
 		});
 		const times: number[] = [];
 		for (let index = 0; index < 50; index++) {
--- a/packages/placement/src/target-selector.ts
+++ b/packages/placement/src/target-selector.ts
@@ -6,6 +6,7 @@
 import {LimitTable, PermitHolder, type TargetLimit} from '@rattanspring/target-limits';
 import type {TargetLifetime, TargetLoad, TargetReport} from '@rattanspring/target-table';
 import type {EntryPosition} from './slot-shares.js';
+import type {ExclusionReason, TargetExclusion} from './target-exclusion.js';
 import {TargetPauses} from './target-pause.js';
 import {
 	busyOf, type ExchangeOutcome, failureRateAt, isOutdated, isUsable, limitOf, maxLoadAgeMs, ownedSlotsLeft, prefillPassesOf, recordHealth, targetNumberOf, type TargetRecord,
@@ -68,11 +69,11 @@
 
 /**
 A target to send to, or why there is none: `full` if no usable target has a free slot, `limited` if all of them name limits that leave no request
-for now, `paused` if all of them have asked for a pause, `none` if there is no usable target.
+for now, `paused` if all of them have asked for a pause, `drained` if all usable targets are in drained failure domains, `none` if there is no usable target.
 */
 export type Choice
 	= | {readonly kind: 'target'; readonly view: TargetView}
-		| {readonly kind: 'full' | 'limited' | 'none'}
+		| {readonly kind: 'full' | 'limited' | 'drained' | 'none'}
 		| {readonly kind: 'paused'; readonly untilMs: number};
 
 export type TargetSelectorOptions = {
@@ -81,6 +82,8 @@
 	readonly entryPosition?: () => EntryPosition;
 	/** Requests that a target of a service may process on average, at the given skew of its group's expert load; undefined if only its slots limit them. */
 	readonly writersWithin?: (service: string, skew: number) => number | undefined;
+	/** Reasons against ready targets; none by default. */
+	readonly exclusions?: readonly TargetExclusion[];
 };
 
 const alone: EntryPosition = {index: 0, count: 1};
@@ -194,7 +197,7 @@
 		return [...this.#entries.values()].flatMap(record => {
 			const {targetId, bornMs} = record.report;
 			const perSecond = this.#limits.perSecondOf(record.report);
-			return perSecond !== undefined && isUsable(record, service, nowMs) ? [{targetId, bornMs, perSecond}] : [];
+			return perSecond !== undefined && isUsable(record, service, nowMs) && this.#exclusionOf(record, nowMs) === undefined ? [{targetId, bornMs, perSecond}] : [];
 		});
 	}
 
@@ -219,6 +222,7 @@
 		let bestScore = Number.POSITIVE_INFINITY;
 		let hasUsableTarget = false;
 		let areAllLimited = true;
+		let hasDrainedTarget = false;
 		let firstPauseEndMs = Number.POSITIVE_INFINITY;
 		const groupPaces = this.#groupPaces(nowMs);
 		const writers = this.#writersByGroup(service, nowMs);
@@ -228,6 +232,12 @@
 				continue;
 			}
 
+			const exclusion = this.#exclusionOf(record, nowMs);
+			if (exclusion) {
+				hasDrainedTarget ||= exclusion === 'domainDrained';
+				continue;
+			}
+
 			const pausedUntilMs = this.#pauses.untilMs(targetId, record.report.bornMs, nowMs);
 			if (pausedUntilMs !== undefined) {
 				firstPauseEndMs = Math.min(firstPauseEndMs, pausedUntilMs);
@@ -261,7 +271,22 @@
 			return {kind: areAllLimited ? 'limited' : 'full'};
 		}
 
-		return Number.isFinite(firstPauseEndMs) ? {kind: 'paused', untilMs: firstPauseEndMs} : {kind: 'none'};
+		if (Number.isFinite(firstPauseEndMs)) {
+			return {kind: 'paused', untilMs: firstPauseEndMs};
+		}
+
+		return {kind: hasDrainedTarget ? 'drained' : 'none'};
+	}
+
+	#exclusionOf({report}: TargetRecord, nowMs: number): ExclusionReason | undefined {
+		for (const exclusion of this.#options.exclusions ?? []) {
+			const reason = exclusion.reasonAgainst(report, nowMs);
+			if (reason) {
+				return reason;
+			}
+		}
+
+		return undefined;
 	}
 
 	/** Whether the target names no limit, or this entry has a permit for it. */
--- a/packages/placement/src/test-fixtures.ts
+++ b/packages/placement/src/test-fixtures.ts
@@ -2,6 +2,7 @@
 
 import type {TargetReport} from '@rattanspring/target-table';
 import {AdmissionQueue, type AdmissionRequest} from './admission.js';
+import {InProgressOrder} from './queue-order.js';
 import {TargetSelector} from './target-selector.js';
 
 /** Targets of one service, all ready. */
@@ -21,7 +22,7 @@
 /** Creates a queue in which the account `busy` has requests in progress. */
 export function createQueue(selector: TargetSelector): AdmissionQueue {
 	return new AdmissionQueue({
-		selector, random: () => 0.5, inProgressOf: name => name === 'busy' ? 5 : 0, onWaiting: () => undefined,
+		selector, random: () => 0.5, order: new InProgressOrder(name => name === 'busy' ? 5 : 0), onWaiting: () => undefined,
 	});
 }
 
