Plan of expert maps: try the fastest ranks first as receivers

Change: a search tries the fastest quarter of the ranks as receivers, and the others only if none of these helps.

--- a/packages/expert-map/src/planner/even-share-search.ts
+++ b/packages/expert-map/src/planner/even-share-search.ts
@@ -27,6 +27,10 @@
 /** Largest number of copies that one change needs: one for each rank that receives an expert. */
 const maxCopies = 2;
 
+/** Ranks that are tried first as receivers of an expert: this share of all, the fastest ones, and at least this many. The others are tried if none of these helps. */
+const firstReceiverShare = 0.25;
+const minFirstReceivers = 12;
+
 /** Searches one placement. */
 export class EvenShareSearch {
 	readonly #placement: EvenSharePlacement;
@@ -34,13 +38,14 @@
 	/** The best candidate by number of copies; one that needs none counts as one. */
 	#best: Array<Candidate | undefined> = [];
 	/** Power of the time of each rank, before any candidate. */
-	#powers: number[] = [];
+	readonly #powers: Float64Array;
 	/** Difference that an expert's remaining holders make if a rank gives it up, by rank and place in its list. */
 	#dropDifferences: number[][] = [];
 
 	constructor(placement: EvenSharePlacement, limits: PlaceLimits) {
 		this.#placement = placement;
 		this.#limits = limits;
+		this.#powers = new Float64Array(placement.rankCount);
 	}
 
 	/**
@@ -51,17 +56,18 @@
 		const placement = this.#placement;
 		const slowest = placement.slowestRank;
 		this.#best = [];
-		this.#powers = placement.lists.map((_, rank) => power(placement.time(rank)));
-		this.#dropDifferences = placement.lists.map((experts, rank) => experts.map(expert => this.#dropDifference(rank, expert)));
+		for (let rank = 0; rank < placement.rankCount; rank++) {
+			this.#powers[rank] = power(placement.time(rank));
+		}
+
+		const ranks = this.#otherRanksByTime(slowest);
+		const firstCount = Math.max(minFirstReceivers, Math.ceil(placement.rankCount * firstReceiverShare));
+		this.#dropDifferences = [];
+		this.#setDropDifferences(slowest);
 		this.#tryDrops(slowest);
-		for (const add of placement.lists[slowest]) {
-			const addDifference = this.#addDifference(add);
-			for (let to = 0; to < placement.rankCount; to++) {
-				if (to !== slowest && !placement.holds(to, add)) {
-					this.#tryReplicas(add, to, addDifference);
-					this.#tryExchanges(add, to, slowest);
-				}
-			}
+		this.#tryReceivers(slowest, ranks.slice(0, firstCount));
+		if (this.#best.every(candidate => candidate === undefined)) {
+			this.#tryReceivers(slowest, ranks.slice(firstCount));
 		}
 
 		return this.#bestPerCopy();
@@ -77,6 +83,35 @@
 		return isGivingAllowed && this.#canReceive(to, this.#copiesOf(to, add, drop));
 	}
 
+	/** All ranks but the slowest one, the fastest first. */
+	#otherRanksByTime(slowest: number): number[] {
+		return Array.from({length: this.#placement.rankCount}, (_, rank) => rank)
+			.filter(rank => rank !== slowest)
+			.toSorted((left, right) => this.#powers[left] - this.#powers[right]);
+	}
+
+	#setDropDifferences(rank: number): void {
+		this.#dropDifferences[rank] = this.#placement.lists[rank].map(expert => this.#dropDifference(rank, expert));
+	}
+
+	/** Tries changes in which one of the given ranks receives an expert of the slowest one. */
+	#tryReceivers(slowest: number, receivers: readonly number[]): void {
+		const placement = this.#placement;
+		for (const rank of receivers) {
+			this.#setDropDifferences(rank);
+		}
+
+		for (const add of placement.lists[slowest]) {
+			const addDifference = this.#addDifference(add);
+			for (const to of receivers) {
+				if (!placement.holds(to, add)) {
+					this.#tryReplicas(add, to, addDifference);
+					this.#tryExchanges(add, to, slowest);
+				}
+			}
+		}
+	}
+
 	#tryDrops(rank: number): void {
 		const placement = this.#placement;
 		for (const [place, drop] of placement.lists[rank].entries()) {
