A coordinator keeps its fencing number from one successful switch to the next

Change: after a switch that succeeded, the next one in the same formation goes on under the same number. Once another coordinator has taken a higher one the ranks refuse it, and the switch after that takes a new one.

--- a/packages/rank-agent/src/map-rebalancer.ts
+++ b/packages/rank-agent/src/map-rebalancer.ts
@@ -71,6 +71,8 @@
 	#panelTurn = 0;
 	#paceTurn = 0;
 	#known: {readonly key: string; readonly lists: RankLists} | undefined;
+	/** Fencing number of the last switch, if it succeeded, and the formation in which that was. */
+	#held: {readonly formation: string; readonly fencing: number} | undefined;
 	#active = 0;
 	#backoffUntilMs = Number.NEGATIVE_INFINITY;
 	readonly #skippedRounds: SkippedRounds;
@@ -154,7 +156,8 @@
 	}
 
 	/** Adds a sample of the demand; returns the reason if that is not possible. */
-	async #sample({group, epoch, engines}: GroupRanks, sets: number): Promise<SkipReason | undefined> {
+	async #sample(ranks: GroupRanks, sets: number): Promise<SkipReason | undefined> {
+		const {epoch, engines} = ranks;
 		const panel = samplePanel(engines.length, sets * this.#options.engine.expertsPerSet, this.#panelTurn);
 		const answers: Array<ExpertCounts | undefined> = engines.map(() => undefined);
 		await Promise.all([
@@ -164,7 +167,7 @@
 				answers[rank] = answer?.epoch === epoch ? answer : undefined;
 			}),
 		]);
-		const unusable = this.#demand.observe(`${group} ${epoch}`, sets, answers, this.#options.nowMs(), panel.length);
+		const unusable = this.#demand.observe(formationOf(ranks), sets, answers, this.#options.nowMs(), panel.length);
 		this.#panelTurn += unusable === 'countsMissing' ? 1 : 0;
 		return unusable;
 	}
@@ -229,8 +232,9 @@
 		const version = this.#options.versions.next();
 		const startedAtMs = nowMs();
 		const changedAtMs = this.#demand.unansweredChangeAtMs;
+		const formation = formationOf(ranks);
 		const mapSwitch = new MapSwitch({
-			ranks, holdingRank, nowMs, sleep, stepMs: this.#passMs(plan.skewBefore),
+			ranks, holdingRank, nowMs, sleep, stepMs: this.#passMs(plan.skewBefore), heldFencing: this.#held?.formation === formation ? this.#held.fencing : undefined,
 		});
 		const outcome = await mapSwitch.run(version, plan.lists);
 		logger.log('info', 'mapSwitch', {
@@ -250,6 +254,7 @@
 			sinceChangeMs: changedAtMs === undefined ? undefined : Math.round(nowMs() - changedAtMs),
 		});
 		this.#noteOutcome(outcome);
+		this.#held = outcome === 'switched' ? {formation, fencing: mapSwitch.fencing} : undefined;
 		if (outcome === 'switched') {
 			this.#known = {key: mapKey(ranks, version), lists: plan.lists};
 		}
@@ -271,9 +276,13 @@
 	return stepTimePerSkew * (skewBefore - skewAfter) / (fixedStepTime + (stepTimePerSkew * skewBefore));
 }
 
+function formationOf({group, epoch}: GroupRanks): string {
+	return `${group} ${epoch}`;
+}
+
 /** Identifies a map: versions are unique within a formation of a group. */
-function mapKey({group, epoch}: GroupRanks, version: number | undefined): string {
-	return `${group} ${epoch} ${version}`;
+function mapKey(ranks: GroupRanks, version: number | undefined): string {
+	return `${formationOf(ranks)} ${version}`;
 }
 
 /** Fetches the experts of each rank, by set and rank; undefined unless all ranks use this version. */
--- a/packages/rank-agent/src/map-switch.test.ts
+++ b/packages/rank-agent/src/map-switch.test.ts
@@ -35,8 +35,10 @@
 	return {group, timer};
 }
 
-function newSwitch(group: FakeRankGroup): MapSwitch {
-	return new MapSwitch({ranks: {group: 'g', epoch: group.epoch, engines: group.engines}, holdingRank: 1, nowMs: () => performance.now()});
+function newSwitch(group: FakeRankGroup, heldFencing?: number): MapSwitch {
+	return new MapSwitch({
+		ranks: {group: 'g', epoch: group.epoch, engines: group.engines}, holdingRank: 1, nowMs: () => performance.now(), heldFencing,
+	});
 }
 
 /** Recovers a group that was left held, as the agent of the holding rank does. */
@@ -99,6 +101,58 @@
 		});
 	});
 
+	describe('with the fencing number of the last switch', () => {
+		it('takes no new one, and switches all ranks at the same step', async () => {
+			const {group} = startGroup(() => 'prompt', Math.random);
+			const first = newSwitch(group);
+			expect(await first.run(10, nextMap)).toEqual('switched');
+			await sleep(40);
+			const second = newSwitch(group, first.fencing);
+			expect(await second.run(20, initialMap)).toEqual('switched');
+			expect([second.fencing, Object.hasOwn(second.phaseTimes, 'fencingMs')]).toEqual([first.fencing, false]);
+			await sleep(80);
+			expect(group.versions).toEqual([20, 20, 20, 20]);
+			expect(group.mixedSteps).toEqual(0);
+		});
+
+		it('does nothing once another coordinator has taken a higher one', async () => {
+			const {group} = startGroup(() => 'prompt', Math.random);
+			const first = newSwitch(group);
+			await first.run(10, nextMap);
+			await sleep(40);
+			const other = newSwitch(group);
+			expect(await other.run(20, initialMap)).toEqual('switched');
+			await sleep(40);
+			expect(await newSwitch(group, first.fencing).run(30, nextMap)).toEqual('notPrepared');
+			await sleep(40);
+			expect(group.versions).toEqual([20, 20, 20, 20]);
+			expect(group.isHeld).toEqual(false);
+		});
+
+		for (let seed = 1; seed <= 12; seed++) {
+			it(`never mixes maps while another coordinator takes over and orders come late: seed ${seed}`, async () => {
+				const random = seededRandom(seed * 15_485_863);
+				const {group, timer} = startGroup(() => deliveryOf(random()), random);
+				let heldFencing: number | undefined;
+				for (let version = 10; version < 14; version++) {
+					const mapSwitch = newSwitch(group, heldFencing);
+					const outcome = await mapSwitch.run(version * 10, version % 2 === 0 ? nextMap : initialMap);
+					heldFencing = outcome === 'switched' ? mapSwitch.fencing : undefined;
+					await recoverIfHeld(group, (version * 10) + 5);
+				}
+
+				for (let look = 0; look < 20; look++) {
+					await sleep(20);
+					await recoverIfHeld(group, 1000 + (look * 10));
+				}
+
+				clearInterval(timer);
+				expect(group.mixedSteps).toEqual(0);
+				expect(group.isHeld).toEqual(false);
+			});
+		}
+	});
+
 	describe('when orders are lost, unanswered or applied late', () => {
 		for (let seed = 1; seed <= 24; seed++) {
 			it(`never mixes maps in a step, and leaves the group released: seed ${seed}`, async () => {
--- a/packages/rank-agent/src/map-switch.ts
+++ b/packages/rank-agent/src/map-switch.ts
@@ -55,6 +55,11 @@
 	readonly stepMs?: number;
 	/** Waits between polls; by default on a timer. */
 	readonly sleep?: (durationMs: number) => Promise<void>;
+	/**
+	The fencing number of this coordinator's last switch, if that succeeded in the same formation: the ranks refuse it once another coordinator has taken a higher one. Without it a new
+	number is taken.
+	*/
+	readonly heldFencing?: number;
 };
 
 /**
@@ -76,8 +81,9 @@
 	#phaseTimes: SwitchPhaseTimes = {};
 
 	constructor({
-		ranks, holdingRank, nowMs, stepMs = 0, sleep = sleepOnTimer,
+		ranks, holdingRank, nowMs, stepMs = 0, sleep = sleepOnTimer, heldFencing = 0,
 	}: MapSwitchOptions) {
+		this.#fencing = heldFencing;
 		this.#armMarginSteps = Math.min(maxArmMarginSteps, Math.max(minArmMarginSteps, Math.ceil(armLeadMs / Math.max(1, stepMs))));
 		this.#ranks = ranks;
 		this.#holdingEngine = ranks.engines[holdingRank];
@@ -85,6 +91,11 @@
 		this.#sleep = sleep;
 	}
 
+	/** The fencing number of this switch; 0 before it has one. */
+	get fencing(): number {
+		return this.#fencing;
+	}
+
 	/** The first order that was refused or not answered, for the log. */
 	get firstRefusal(): string | undefined {
 		return this.#firstRefusal;
@@ -97,7 +108,7 @@
 
 	/** Prepares a map and switches to it. The version must be new to all ranks. */
 	async run(version: number, map: ExpertLists): Promise<SwitchOutcome> {
-		if (!await this.#timed('fencing', async () => this.#fenceRanks())) {
+		if (this.#fencing === 0 && !await this.#timed('fencing', async () => this.#fenceRanks())) {
 			return 'groupChanged';
 		}
 
