Leave a silent target by what other streams do, not after a fixed time

Change: StreamSilence measures the first events of the last seconds. A stream is sent to another target after three times their upper quartile, if its caller would still wait for the answer and other streams of the service have events meanwhile. One timer a stream instead of one set again with each event.

--- a/packages/gateway/src/gateway-context.ts
+++ b/packages/gateway/src/gateway-context.ts
@@ -4,7 +4,7 @@
 import type {Logger} from '@rattanspring/logger';
 import type {DaemonMetrics} from '@rattanspring/metrics';
 import type {
-	AdmissionQueue, RetryBudget, TargetSelector,
+	AdmissionQueue, RetryBudget, StreamSilence, TargetSelector,
 } from '@rattanspring/placement';
 import type {TargetTransport} from '@rattanspring/target-connection';
 import type {TargetLimit} from '@rattanspring/target-limits';
@@ -21,6 +21,7 @@
 	readonly selector: TargetSelector;
 	readonly admission: AdmissionQueue;
 	readonly retryBudget: RetryBudget;
+	readonly streamSilence: StreamSilence;
 	readonly crashWatch: CrashWatch;
 	/** Bytes that responses may take until they are complete and are forwarded. */
 	readonly responseBytes: ByteBudget;
--- a/packages/gateway/src/gateway.test.ts
+++ b/packages/gateway/src/gateway.test.ts
@@ -9,7 +9,7 @@
 import {SilentLogger} from '@rattanspring/logger';
 import {DaemonMetrics} from '@rattanspring/metrics';
 import {
-	AdmissionQueue, RetryBudget, TargetSelector,
+	AdmissionQueue, RetryBudget, StreamSilence, TargetSelector,
 } from '@rattanspring/placement';
 import {ConnectionPool, type ResponseHead} from '@rattanspring/target-connection';
 import type {TargetReport} from '@rattanspring/target-table';
@@ -192,6 +192,7 @@
 				selector, random: Math.random, onWaiting: () => undefined,
 			}),
 			retryBudget: new RetryBudget({ratio: 0.2, slack: 100, windowMs: 10_000}),
+			streamSilence: new StreamSilence(),
 			crashWatch: new RecordingWatch({
 				isReachable: async () => !areTargetsCrashing,
 				probeDelayMs: 1,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -7,7 +7,7 @@
 import type {Logger} from '@rattanspring/logger';
 import type {DaemonMetrics} from '@rattanspring/metrics';
 import {
-	AdmissionQueue, type EntryPosition, InProgressOrder, type RetryAllowance, RetryBudget, TargetSelector, writersWithin,
+	AdmissionQueue, type EntryPosition, InProgressOrder, type RetryAllowance, RetryBudget, StreamSilence, TargetSelector, writersWithin,
 } from '@rattanspring/placement';
 import {isReachable, type TargetTransport} from '@rattanspring/target-connection';
 import type {TargetLimit} from '@rattanspring/target-limits';
@@ -109,6 +109,7 @@
 				},
 			}),
 			retryBudget: new RetryBudget(options.allowance),
+			streamSilence: new StreamSilence(),
 			crashWatch,
 			responseBytes: new ByteBudget(maxResponseBytes),
 			firstAttempts: new FirstAttemptEstimator(),
--- a/packages/gateway/src/request-forwarder.ts
+++ b/packages/gateway/src/request-forwarder.ts
@@ -16,6 +16,7 @@
 import type {GatewayContext} from './gateway-context.js';
 import {ResponseProgress} from './response-progress.js';
 import type {RoutedRequest} from './routed-request.js';
+import {SilenceTimer} from './silence-timer.js';
 import {recordNotices} from './target-notices.js';
 import type {GateDecision} from './trial-gate.js';
 
@@ -25,10 +26,6 @@
 /** If the first attempt may be longer ago than this, the caller may be retrying after a refusal. */
 const minRetryDelayMs = 50;
 
-/** A stream that sends no first event, or no further one, for this long is resumed at another target. */
-const firstEventTimeoutMs = 1600;
-const nextEventTimeoutMs = 1000;
-
 /** Bytes of a stream that may wait for a caller to read them. */
 const maxUnsentBytes = 1_048_576;
 
@@ -47,7 +44,8 @@
 	#pendingAdmission: PendingAdmission | undefined;
 	#running: RunningAttempt | undefined;
 	#deadline: NodeJS.Timeout | undefined;
-	#silenceTimer: NodeJS.Timeout | undefined;
+	/** Absent if the request may not be sent again. */
+	readonly #silenceTimer: SilenceTimer | undefined;
 	#sentCount = 0;
 	#unreachedCount = 0;
 	#mayHaveRun = false;
@@ -78,6 +76,15 @@
 		this.#request = request;
 		this.#lastEventId = request.metadata.lastEventId;
 		this.#timeSinceFirstAttempt = context.firstAttempts.estimate(request.route, request.metadata.timeLeftMs);
+		const {route, service} = request;
+		if (route.kind === 'streaming' && isRetryable(route)) {
+			this.#silenceTimer = new SilenceTimer({
+				silence: context.streamSilence, service, route, nowMs: context.nowMs, onSilent: () => {
+					this.#running?.attempt.abandon();
+					this.#onOutcome('broken', 'silent');
+				},
+			});
+		}
 	}
 
 	/** Starts forwarding. Cleans up when the response ends or the caller disconnects. */
@@ -248,9 +255,7 @@
 		this.#running = {
 			attempt, targetId, bornMs, address,
 		};
-		if (route.kind === 'streaming' && isRetryable(route)) {
-			this.#startSilenceTimer(firstEventTimeoutMs);
-		}
+		this.#silenceTimer?.begin();
 	}
 
 	#onResponse(answer: CompleteResponse): void {
@@ -281,15 +286,11 @@
 		}
 
 		this.#progress.recordEvents(this.#nowMs);
+		this.#silenceTimer?.recordEvent();
 		this.#lastEventId = lastId ?? this.#lastEventId;
 		this.#answer.write(bytes);
 		if (this.#answer.unsentBytes > maxUnsentBytes) {
 			this.#endUnreadStream();
-			return;
-		}
-
-		if (isRetryable(this.#request.route)) {
-			this.#startSilenceTimer(nextEventTimeoutMs);
 		}
 	}
 
@@ -393,14 +394,6 @@
 		this.#end('refused', 503, reason);
 	}
 
-	#startSilenceTimer(timeoutMs: number): void {
-		clearTimeout(this.#silenceTimer);
-		this.#silenceTimer = setTimeout(() => {
-			this.#running?.attempt.abandon();
-			this.#onOutcome('broken', 'silent');
-		}, timeoutMs);
-	}
-
 	#onDeadline(): void {
 		const {running, mayHaveRun} = {running: this.#running, mayHaveRun: this.#mayHaveRun || this.#running?.attempt.isSent === true};
 		if (running) {
@@ -428,7 +421,7 @@
 	}
 
 	#endAttempt(outcome: ExchangeOutcome): void {
-		clearTimeout(this.#silenceTimer);
+		this.#silenceTimer?.stop();
 		this.#recordResponseStart();
 		if (this.#running) {
 			this.#context.selector.ended(this.#running.targetId, outcome, this.#nowMs);
@@ -450,7 +443,7 @@
 		this.#context.crashWatch.forwarding.delete(this);
 		this.#pendingAdmission?.cancel();
 		clearTimeout(this.#deadline);
-		clearTimeout(this.#silenceTimer);
+		this.#silenceTimer?.stop();
 		const {inProgress, logger, metrics} = this.#context;
 		const {metadata, route, service, arrivedAtMs} = this.#request;
 		inProgress.set(this.#accountName, inProgress.get(this.#accountName)! - 1);
--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -4,6 +4,7 @@
 export * from './retry-budget.js';
 export * from './return-times.js';
 export * from './slot-shares.js';
+export * from './stream-silence.js';
 export * from './target-exclusion.js';
 export * from './target-pause.js';
 export type {ExchangeOutcome} from './target-record.js';
