--- a/packages/gateway/src/silence-timer.ts
+++ b/packages/gateway/src/silence-timer.ts
@@ -21,6 +21,7 @@
 /** The timer of one stream, over all its targets. */
 export class SilenceTimer {
 	readonly #options: SilenceTimerOptions;
+	readonly #stream = Symbol('stream');
 	#timer: NodeJS.Timeout | undefined;
 	#sentAtMs = 0;
 	#lastEventAtMs = 0;
@@ -37,20 +38,20 @@
 		this.#sentAtMs = nowMs();
 		this.#lastEventAtMs = this.#sentAtMs;
 		this.#hasBegun = false;
-		silence.begin(service, this, this.#sentAtMs);
+		silence.begin(service, this.#stream, this.#sentAtMs);
 		this.#check(silence.timeoutMs(service, false, this.#sentAtMs));
 	}
 
 	recordEvent(): void {
 		const {silence, service, nowMs} = this.#options;
 		this.#lastEventAtMs = nowMs();
-		silence.recordEvent(service, this, this.#lastEventAtMs, this.#hasBegun ? undefined : this.#lastEventAtMs - this.#sentAtMs);
+		silence.recordEvent(service, this.#stream, this.#lastEventAtMs, this.#hasBegun ? undefined : this.#lastEventAtMs - this.#sentAtMs);
 		this.#hasBegun = true;
 	}
 
 	stop(): void {
 		clearTimeout(this.#timer);
-		this.#options.silence.end(this.#options.service, this);
+		this.#options.silence.end(this.#options.service, this.#stream);
 	}
 
 	#check(afterMs: number): void {
@@ -68,7 +69,7 @@
 			return;
 		}
 
-		const verdict = silence.verdictOn(service, this, {
+		const verdict = silence.verdictOn(service, this.#stream, {
 			hasBegun: this.#hasBegun, silentMs, patienceMs: patienceMs(route), nowMs: nowMs(),
 		});
 		if (verdict.kind === 'wait') {
--- a/packages/placement/src/stream-silence.test.ts
+++ b/packages/placement/src/stream-silence.test.ts
@@ -6,12 +6,12 @@
 const patienceMs = 2000;
 
 /** A monitor in which each of ten streams has just had its first event after the given time, and one more stream is silent. */
-function monitorWith(firstEventMs: number, nowMs: number): {readonly silence: StreamSilence; readonly silent: Record<string, unknown>} {
+function monitorWith(firstEventMs: number, nowMs: number): {readonly silence: StreamSilence; readonly silent: symbol} {
 	const silence = new StreamSilence();
-	const silent = {};
+	const silent = Symbol('silent');
 	silence.begin(service, silent, 0);
 	for (let index = 0; index < 10; index++) {
-		const stream = {};
+		const stream = Symbol('stream');
 		silence.begin(service, stream, nowMs - firstEventMs);
 		silence.recordEvent(service, stream, nowMs, firstEventMs);
 	}
@@ -58,13 +58,13 @@
 		it('moves a silent stream while others of the service go on, and the only one', () => {
 			const {silence, silent} = monitorWith(220, 1900);
 			expect(silence.verdictOn(service, silent, begun)).toEqual({kind: 'move'});
-			expect(new StreamSilence().verdictOn(service, {}, begun)).toEqual({kind: 'move'});
+			expect(new StreamSilence().verdictOn(service, Symbol('only'), begun)).toEqual({kind: 'move'});
 		});
 
 		it('waits on while no stream of the service gets events, and moves it once others do again', () => {
 			const {silence, silent} = monitorWith(220, 1000);
 			expect(silence.verdictOn(service, silent, begun).kind).toEqual('wait');
-			const other = {};
+			const other = Symbol('other');
 			silence.begin(service, other, 2100);
 			silence.recordEvent(service, other, 2200);
 			expect(silence.verdictOn(service, silent, {...begun, nowMs: 2300}).kind).toEqual('move');
@@ -72,11 +72,11 @@
 
 		it('asks nothing of streams that have ended or of another service', () => {
 			const silence = new StreamSilence();
-			const ended = {};
+			const ended = Symbol('ended');
 			silence.begin(service, ended, 0);
 			silence.end(service, ended);
-			silence.begin('other', {}, 0);
-			expect(silence.verdictOn(service, {}, begun)).toEqual({kind: 'move'});
+			silence.begin('other', Symbol('other'), 0);
+			expect(silence.verdictOn(service, Symbol('only'), begun)).toEqual({kind: 'move'});
 		});
 	});
 });
--- a/packages/placement/src/stream-silence.ts
+++ b/packages/placement/src/stream-silence.ts
@@ -28,23 +28,33 @@
 type Service = {
 	firstEvents: Array<{readonly atMs: number; readonly tookMs: number}>;
 	/** The streams that wait for events. */
-	readonly streams: Map<Record<string, unknown>, {lastEventAtMs: number}>;
+	readonly streams: Map<symbol, {lastEventAtMs: number}>;
 };
 
 /** What happens to a stream that was silent for its time: it is moved, or waits on for some time. */
 export type SilenceVerdict = {readonly kind: 'move'} | {readonly kind: 'wait'; readonly forMs: number};
 
+/** A stream without an event. */
+export type SilentStream = {
+	/** Whether it had its first event. */
+	readonly hasBegun: boolean;
+	readonly silentMs: number;
+	/** Time without an event after which its caller gives up on it. */
+	readonly patienceMs: number;
+	readonly nowMs: number;
+};
+
 /** The streams of one entry, by service. */
 export class StreamSilence {
 	readonly #services = new Map<string, Service>();
 
 	/** Records that a stream was sent to a target. */
-	begin(service: string, stream: Record<string, unknown>, nowMs: number): void {
+	begin(service: string, stream: symbol, nowMs: number): void {
 		this.#of(service).streams.set(stream, {lastEventAtMs: nowMs});
 	}
 
 	/** Records an event; `sinceSentMs` is given with the first one. */
-	recordEvent(service: string, stream: Record<string, unknown>, nowMs: number, sinceSentMs?: number): void {
+	recordEvent(service: string, stream: symbol, nowMs: number, sinceSentMs?: number): void {
 		const known = this.#of(service);
 		const state = known.streams.get(stream);
 		if (state) {
@@ -57,7 +67,7 @@
 	}
 
 	/** Records that a stream has ended or left its target. */
-	end(service: string, stream: Record<string, unknown>): void {
+	end(service: string, stream: symbol): void {
 		this.#of(service).streams.delete(stream);
 	}
 
@@ -66,8 +76,8 @@
 		return hasBegun ? nextEventMs : this.#firstEventTimeoutMs(service, nowMs);
 	}
 
-	/** Decides about a stream that was silent for its time. `patienceMs` is the time after which its caller gives up on it. */
-	verdictOn(service: string, stream: Record<string, unknown>, {hasBegun, silentMs, patienceMs, nowMs}: {readonly hasBegun: boolean; readonly silentMs: number; readonly patienceMs: number; readonly nowMs: number}): SilenceVerdict {
+	/** Decides about a stream that was silent for its time. */
+	verdictOn(service: string, stream: symbol, {hasBegun, silentMs, patienceMs, nowMs}: SilentStream): SilenceVerdict {
 		const isOverdue = silentMs >= this.timeoutMs(service, hasBegun, nowMs);
 		const isStillUseful = hasBegun || silentMs + this.#usualFirstEventMs(service, nowMs) <= patienceMs;
 		return isOverdue && isStillUseful && this.#doOthersProgress(service, stream, nowMs) ? {kind: 'move'} : {kind: 'wait', forMs: recheckMs};
@@ -85,7 +95,7 @@
 	}
 
 	/** Whether another stream of the service had an event lately; a stream that is the only one is taken to be in the same case as if others had. */
-	#doOthersProgress(service: string, stream: Record<string, unknown>, nowMs: number): boolean {
+	#doOthersProgress(service: string, stream: symbol, nowMs: number): boolean {
 		const others = [...this.#of(service).streams].filter(([other]) => other !== stream);
 		return others.length === 0 || others.some(([, {lastEventAtMs}]) => nowMs - lastEventAtMs < progressMs);
 	}
