--- a/packages/placement/src/admission.ts
+++ b/packages/placement/src/admission.ts
@@ -3,6 +3,7 @@
 Requests that can still meet their latency objective are served first; late requests share the remaining capacity.
 */
 
+import type {AdmissionRequest} from './admission-request.js';
 import {InProgressOrder, type QueueOrder} from './queue-order.js';
 import {FixedReturnTimes, type RefusalReason, type ReturnTimes} from './return-times.js';
 import type {Choice, TargetSelector, TargetView} from './target-selector.js';
@@ -32,27 +33,6 @@
 /** Maximum number of queued requests at one entry. */
 const maxQueueLength = 64;
 
-/** A request to be admitted. */
-export type AdmissionRequest = {
-	readonly service: string;
-	/** Lower values go first. */
-	readonly priority: number;
-	readonly accountName: string;
-	readonly arrivedAtMs: number;
-	readonly objectiveMs: number;
-	/** Time until which the caller waits. */
-	readonly deadlineAtMs: number;
-	/** Minimum time since the caller's first try, if it retries after a refusal; 0 by default. */
-	readonly sinceFirstTryMs?: number;
-	/** Whether the request may be a retry, whose caller makes no further try. */
-	readonly mayBeRetry?: boolean;
-	/** Whether the request continues at another target: its caller has a part of the answer, or makes no further try. */
-	readonly isFailover?: boolean;
-	/** Whether the request may crash its target, so that it goes where the fewest others are. */
-	readonly isTrial?: boolean;
-	readonly excluded?: ReadonlySet<string>;
-};
-
 /** A target, or a refusal with the time after which the caller may retry. */
 export type Admission
 	= | {readonly kind: 'admitted'; readonly view: TargetView; readonly isLate: boolean}
--- a/packages/placement/src/queue-order.ts
+++ b/packages/placement/src/queue-order.ts
@@ -1,6 +1,6 @@
 /** Which of the queued requests of an entry is served first. */
 
-import type {AdmissionRequest} from './admission.js';
+import type {AdmissionRequest} from './admission-request.js';
 
 /** A queued request as far as its turn depends on it. */
 export type QueuedCandidate = {
@@ -11,6 +11,11 @@
 
 /** Orders queued requests. */
 export abstract class QueueOrder {
+	/** Share of the slots that a request may use, so that some stay free for those that go before it at other entries; all by default. */
+	slotShareOf(_candidate: QueuedCandidate, _nowMs: number): number {
+		return 1;
+	}
+
 	/** Negative if the left request goes first. */
 	abstract compare(left: QueuedCandidate, right: QueuedCandidate, nowMs: number): number;
 }
