Shares of client accounts order the queues, from uses that entries tell each other once a second

Cause: the order went by requests in progress at one entry. Change: each entry tells its uses to one control process, these tell each other sums, and their entries the sums of all (messages use and useTotals, read with bounds). ShareOrder orders the queue; accounts that ask for more than their share leave a part of each target's slots. Metrics: work asked, admitted and refused, and waits, by account, bounded in the number of accounts.

--- a/packages/account-shares/src/account-shares.test.ts
+++ b/packages/account-shares/src/account-shares.test.ts
@@ -137,7 +137,7 @@
 			entry.queue.sort((left, right) => entry.order.compare(left, right, nowMs));
 			entry.queue = entry.queue.filter(candidate => {
 				const {accountName, arrivedAtMs} = candidate.request;
-				if (running.size >= slots * entry.order.slotShareOf(candidate, nowMs)) {
+				if (running.size >= slots * (1 - entry.order.reserveFor(candidate, nowMs))) {
 					return nowMs - arrivedAtMs < maxWaitMs;
 				}
 
--- a/packages/account-shares/src/share-order.ts
+++ b/packages/account-shares/src/share-order.ts
@@ -28,8 +28,8 @@
 			|| (firstAttemptAtMs(left) - firstAttemptAtMs(right));
 	}
 
-	override slotShareOf(candidate: QueuedCandidate, nowMs: number): number {
-		return this.#excessOf(candidate, nowMs) > 0 ? 1 - this.#shares.reserveOf(candidate.request.service) : 1;
+	override reserveFor(candidate: QueuedCandidate, nowMs: number): number {
+		return this.#excessOf(candidate, nowMs) > 0 ? this.#shares.reserveOf(candidate.request.service) : 0;
 	}
 
 	/** What the account was admitted as a multiple of its share; 0 if it asks for no more than that. */
--- a/packages/desired-state/src/route-table.ts
+++ b/packages/desired-state/src/route-table.ts
@@ -2,17 +2,19 @@
 
 import {createHash} from 'node:crypto';
 import type {
-	ClientAccount, DesiredState, Route, WeightedService,
+	ClientAccount, DesiredState, EngineProfile, Route, WeightedService,
 } from './desired-state.js';
 
 /** An index of the routes and client accounts of a desired state. */
 export class RouteTable {
 	readonly state: DesiredState;
 	readonly #routesByHost = new Map<string, Route[]>();
+	readonly #engines: ReadonlyMap<string, EngineProfile | undefined>;
 	readonly #accountsByDigest = new Map<string, ClientAccount>();
 
 	constructor(state: DesiredState) {
 		this.state = state;
+		this.#engines = new Map(state.services.map(({name, engine}) => [name, engine]));
 		for (const route of state.routes) {
 			const routes = this.#routesByHost.get(route.host) ?? [];
 			routes.push(route);
@@ -35,6 +37,11 @@
 		return this.state.clientAccounts !== undefined;
 	}
 
+	/** The published figures of a service's engines; undefined for a plain service. */
+	engineOf(service: string): EngineProfile | undefined {
+		return this.#engines.get(service);
+	}
+
 	/** Finds the route with the longest matching path prefix. */
 	findRoute(host: string, path: string): Route | undefined {
 		return this.#routesByHost.get(host)?.find(route => path.startsWith(route.pathPrefix));
--- a/packages/fleet-control/src/fleet-control.ts
+++ b/packages/fleet-control/src/fleet-control.ts
@@ -28,6 +28,7 @@
 import {DocumentGroup} from './document-group.js';
 import {FigureBatches} from './figure-batches.js';
 import {RelayedFacts} from './relayed-facts.js';
+import {UseRelay} from './use-relay.js';
 
 const expireIntervalMs = 10_000;
 
@@ -60,6 +61,7 @@
 	readonly #trials = new TrialGrants();
 	readonly #facts: RelayedFacts;
 	readonly #permits = new PermitAuthority();
+	readonly #uses: UseRelay;
 	#isLeaving = false;
 
 	constructor(options: FleetControlOptions) {
@@ -88,6 +90,13 @@
 				this.#linkServer.scheduleNodesUpdate();
 			},
 		});
+		this.#uses = new UseRelay({
+			nodeId: options.nodeId,
+			nowMs,
+			broadcast: (message, receivers) => {
+				this.#linkServer.broadcast(message, receivers);
+			},
+		});
 		const {dataFolder, logger} = options;
 		this.#facts = new RelayedFacts({
 			targets: this.#targets,
@@ -107,6 +116,7 @@
 		await this.#facts.load();
 		await listen(this.#server, this.#options.linkAddress);
 		this.#figures.start();
+		this.#uses.start();
 		this.#addInterval(expireIntervalMs, () => {
 			this.#targets.expire(this.#options.clock.monotonicMs());
 		});
@@ -173,6 +183,7 @@
 		}
 
 		this.#figures.stop();
+		this.#uses.stop();
 		this.#controlLinks.close();
 		this.#linkServer.close();
 		await this.#group.stop();
@@ -262,6 +273,11 @@
 				break;
 			}
 
+			case 'use': {
+				this.#uses.recordEntry(message.nodeId, message.uses);
+				break;
+			}
+
 			case 'beat':
 			case 'hello': {
 				break;
@@ -313,9 +329,15 @@
 				break;
 			}
 
+			case 'use': {
+				this.#uses.recordControl(message.nodeId, message.uses);
+				break;
+			}
+
 			case 'beat':
 			case 'nodes':
 			case 'nodesChanged':
+			case 'useTotals':
 			case 'version': {
 				break;
 			}
--- a/packages/fleet-link/src/link-service.ts
+++ b/packages/fleet-link/src/link-service.ts
@@ -5,6 +5,7 @@
 
 import {Buffer} from 'node:buffer';
 import type {MethodDefinition} from '@grpc/grpc-js';
+import {readAccountUses} from '@rattanspring/account-shares';
 import {readEvidenceRecords} from '@rattanspring/crash-evidence';
 import {type PermitDecision, readTargetLimit, type TargetLimit} from '@rattanspring/target-limits';
 import {fromLoadRow, toLoadRow} from './load-rows.js';
@@ -156,6 +157,10 @@
 		return {...message, records: readEvidenceRecords(message.records)};
 	}
 
+	if (message.type === 'use' || message.type === 'useTotals') {
+		return {...message, uses: readAccountUses(message.uses)};
+	}
+
 	return message.type === 'limits' ? {...message, limits: message.limits.map(limit => readTargetLimit(limit))} : message;
 }
 
--- a/packages/fleet-link/src/messages.ts
+++ b/packages/fleet-link/src/messages.ts
@@ -1,5 +1,6 @@
 /** Messages on the streams between control processes and the other daemons. They carry soft state only; any of them may be lost. */
 
+import type {AccountUse} from '@rattanspring/account-shares';
 import type {ComponentEvidence} from '@rattanspring/crash-evidence';
 import type {TargetLimit} from '@rattanspring/target-limits';
 import type {
@@ -63,6 +64,9 @@
 /** Limits that targets have named, or name no more, in answers to some entry. */
 export type LimitsMessage = {readonly type: 'limits'; readonly limits: readonly TargetLimit[]};
 
+/** What client accounts used over the last seconds: at the entry that sends it, or at all entries that told the control process that sends it. */
+export type UseMessage = {readonly type: 'use'; readonly nodeId: string; readonly uses: readonly AccountUse[]};
+
 /** Messages from a daemon to a control process. */
 export type UpMessage
 	/** `isPrimary` is whether the daemon takes load figures and heartbeats of the targets from this stream; it takes them from one of its streams. */
@@ -72,7 +76,8 @@
 		/** A target said in an answer to the sender that it is leaving. */
 		| {readonly type: 'leaving'; readonly target: TargetLifetime}
 		| EvidenceMessage
-		| LimitsMessage;
+		| LimitsMessage
+		| UseMessage;
 
 /** Messages from a control process to a daemon. */
 export type DownMessage
@@ -89,5 +94,8 @@
 		| {readonly type: 'leaving'; readonly targets: readonly TargetLifetime[]}
 		| EvidenceMessage
 		| LimitsMessage
+		| UseMessage
+		/** What client accounts used at all entries. */
+		| {readonly type: 'useTotals'; readonly uses: readonly AccountUse[]}
 		/** The latest document version that the control group accepted. */
 		| {readonly type: 'version'; readonly version: number};
--- a/packages/gateway/src/gateway-context.ts
+++ b/packages/gateway/src/gateway-context.ts
@@ -9,6 +9,7 @@
 import type {TargetTransport} from '@rattanspring/target-connection';
 import type {TargetLimit} from '@rattanspring/target-limits';
 import type {TargetLifetime} from '@rattanspring/target-table';
+import type {AccountUsage} from './account-usage.js';
 import type {ByteBudget} from './byte-budget.js';
 import type {CrashWatch} from './crash-watch.js';
 import type {FirstAttemptEstimator} from './first-attempt-estimator.js';
@@ -28,8 +29,7 @@
 	readonly logger: Logger;
 	readonly metrics: DaemonMetrics;
 	readonly firstAttempts: FirstAttemptEstimator;
-	/** Number of requests in progress by client account. */
-	readonly inProgress: Map<string, number>;
+	readonly accountUsage: AccountUsage;
 	readonly nowMs: () => number;
 	/** Random numbers in [0, 1). */
 	readonly random: () => number;
--- a/packages/gateway/src/gateway.test.ts
+++ b/packages/gateway/src/gateway.test.ts
@@ -15,6 +15,7 @@
 import type {TargetReport} from '@rattanspring/target-table';
 import {freePorts} from '@rattanspring/test-kit';
 import {expect} from 'earl';
+import {AccountUsage} from './account-usage.js';
 import {ByteBudget} from './byte-budget.js';
 import type {BrokenRequest} from './crash-detector.js';
 import {CrashWatch} from './crash-watch.js';
@@ -181,7 +182,6 @@
 		selector.setTargets(targets.map((target, index): TargetReport => ({
 			targetId: `t${index}`, bornMs: 1, sequence: 1, service: 's', address: `127.0.0.1:${target.port}`, failureDomain: 'a', slots: 4, state: 'ready', coldLeftMs: 0,
 		})), 0);
-		const inProgress = new Map<string, number>();
 		isTrialGranted = false;
 		areTargetsCrashing = false;
 		context = {
@@ -206,7 +206,7 @@
 			firstAttempts: new FirstAttemptEstimator(),
 			logger: new SilentLogger(),
 			metrics: new DaemonMetrics(),
-			inProgress,
+			accountUsage: new AccountUsage({failureDomain: 'a', metrics: new DaemonMetrics(), nowMs: () => performance.now()}),
 			nowMs: () => performance.now(),
 			random: Math.random,
 			table: () => table,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,5 +1,6 @@
 /** An entry process: follows the control processes, serves callers, and lists the entries that callers may use. */
 
+import {ShareOrder} from '@rattanspring/account-shares';
 import type {DocumentCodec} from '@rattanspring/desired-state';
 import {
 	ControlLinks, type DownMessage, followedControls, linkService, type NodeCard,
@@ -7,12 +8,13 @@
 import type {Logger} from '@rattanspring/logger';
 import type {DaemonMetrics} from '@rattanspring/metrics';
 import {
-	AdmissionQueue, type EntryPosition, InProgressOrder, type RetryAllowance, RetryBudget, StreamSilence, TargetSelector, writersWithin,
+	AdmissionQueue, type EntryPosition, type RetryAllowance, RetryBudget, StreamSilence, TargetSelector, writersWithin,
 } from '@rattanspring/placement';
 import {isReachable, type TargetTransport} from '@rattanspring/target-connection';
 import type {TargetLimit} from '@rattanspring/target-limits';
 import {type TargetLifetime, TargetTable} from '@rattanspring/target-table';
 import type {Clock} from '@rattanspring/types';
+import {AccountUsage} from './account-usage.js';
 import {AuthorityCalls} from './authority-calls.js';
 import {ByteBudget} from './byte-budget.js';
 import {CallerServer} from './caller-server.js';
@@ -28,6 +30,9 @@
 /** Interval at which targets are checked for missing reports. */
 const targetRefreshIntervalMs = 500;
 
+/** Interval at which the uses of client accounts are told to a control process. */
+const useIntervalMs = 1000;
+
 /** Interval at which queued requests are checked for admission. */
 const queueProcessingIntervalMs = 10;
 
@@ -67,6 +72,7 @@
 	readonly #authorityCalls: AuthorityCalls;
 	readonly #targets = new TargetTable();
 	readonly #selector: TargetSelector;
+	readonly #accountUsage: AccountUsage;
 	readonly #context: GatewayContext;
 	readonly #timers: NodeJS.Timeout[] = [];
 	#active = 0;
@@ -96,7 +102,7 @@
 			logger,
 			metrics,
 		});
-		const inProgress = new Map<string, number>();
+		this.#accountUsage = new AccountUsage({failureDomain, metrics, nowMs});
 		this.#context = {
 			headerCodec,
 			exchange,
@@ -104,7 +110,7 @@
 			metrics,
 			selector: this.#selector,
 			admission: new AdmissionQueue({
-				selector: this.#selector, random, order: new InProgressOrder(name => inProgress.get(name) ?? 0), onWaiting: () => {
+				selector: this.#selector, random, order: new ShareOrder(this.#accountUsage.shares), onWaiting: () => {
 					this.#scheduleQueueProcessing();
 				},
 			}),
@@ -113,7 +119,7 @@
 			crashWatch,
 			responseBytes: new ByteBudget(maxResponseBytes),
 			firstAttempts: new FirstAttemptEstimator(),
-			inProgress,
+			accountUsage: this.#accountUsage,
 			nowMs,
 			random,
 			table: () => this.#documents.table,
@@ -196,6 +202,9 @@
 		this.#every(targetRefreshIntervalMs, () => {
 			this.#refreshTargets();
 		});
+		this.#every(useIntervalMs, () => {
+			this.#tellUses();
+		});
 	}
 
 	/** Returns the addresses of ready entries for a caller in the given failure domain; undefined until this entry knows them. */
@@ -343,8 +352,14 @@
 				break;
 			}
 
+			case 'useTotals': {
+				this.#accountUsage.setTotals(message.uses);
+				break;
+			}
+
 			case 'beat':
 			case 'nodes':
+			case 'use':
 			case 'nodesChanged': {
 				break;
 			}
@@ -391,6 +406,16 @@
 		return reply?.isGranted === true;
 	}
 
+	/** Works out the shares of client accounts anew, and tells the nearest control process what they used here. */
+	#tellUses(): void {
+		const {nodeId, failureDomain} = this.#options;
+		const uses = this.#accountUsage.update();
+		const [nearest] = this.#links.connectedAddresses(failureDomain);
+		if (uses.length > 0 && nearest !== undefined) {
+			this.#links.send({type: 'use', nodeId, uses}, nearest);
+		}
+	}
+
 	#refreshTargets(): void {
 		const ready = this.#targets.ready();
 		this.#selector.setTargets(ready, this.#context.nowMs());
--- a/packages/gateway/src/request-flow.ts
+++ b/packages/gateway/src/request-flow.ts
@@ -43,8 +43,9 @@
 	const body = await readBodyBeforeDeadline(request, table.state.limits.maxBodyBytes, deadlineAtMs - arrivedAtMs);
 	if (body.kind === 'whole') {
 		const path = request.url!;
+		const service = selectWeightedService(route.split, context.random());
 		const routedRequest: RoutedRequest = {
-			metadata, route, service: selectWeightedService(route.split, context.random()), account, method: request.method!, path, rawHeaders: request.rawHeaders, body: body.body,
+			metadata, route, service, engine: table.engineOf(service), account, method: request.method!, path, rawHeaders: request.rawHeaders, body: body.body,
 			components: componentsOf(fingerprintOf(path, account?.name, body.body), metadata), arrivedAtMs, deadlineAtMs,
 		};
 		new RequestForwarder(context, answer, routedRequest).start(response);
--- a/packages/gateway/src/request-forwarder.ts
+++ b/packages/gateway/src/request-forwarder.ts
@@ -5,6 +5,7 @@
 
 import type {Buffer} from 'node:buffer';
 import type {ServerResponse} from 'node:http';
+import {type RequestWork, workOf} from '@rattanspring/account-shares';
 import {mayHaveCausedCrash} from '@rattanspring/crash-evidence';
 import {
 	type Admission, type AttemptOutcome, type ExchangeOutcome, isRetryable, nextStep, type TargetView, type PendingAdmission,
@@ -89,9 +90,9 @@
 
 	/** Starts forwarding. Cleans up when the response ends or the caller disconnects. */
 	start(response: ServerResponse): void {
-		const {inProgress, retryBudget} = this.#context;
+		const {accountUsage, retryBudget} = this.#context;
 		const {service} = this.#request;
-		inProgress.set(this.#accountName, (inProgress.get(this.#accountName) ?? 0) + 1);
+		accountUsage.asked(this.#work);
 		response.on('close', () => {
 			this.#onCallerDisconnect();
 		});
@@ -171,6 +172,12 @@
 		return this.#request.account?.name ?? '';
 	}
 
+	/** The request as a part of what its account uses. */
+	get #work(): RequestWork {
+		const {service, metadata, engine} = this.#request;
+		return {service, account: this.#accountName, work: workOf({promptTokens: metadata.promptTokens, answerTokens: metadata.maxAnswerTokens}, engine)};
+	}
+
 	#admit(): void {
 		this.#context.permitRequests.ask(this.#request.service);
 		const {service, route, arrivedAtMs, deadlineAtMs, account} = this.#request;
@@ -204,7 +211,11 @@
 		}
 
 		const {report} = admission.view;
-		this.#admittedAtMs ??= this.#nowMs;
+		if (this.#admittedAtMs === undefined) {
+			this.#admittedAtMs = this.#nowMs;
+			this.#context.accountUsage.admitted(this.#work, this.#nowMs - this.#request.arrivedAtMs);
+		}
+
 		this.#context.selector.sent(report.targetId, this.#nowMs, this.#request.metadata.promptTokens);
 		this.#isAwaitingResponse = true;
 		this.#attemptBegunAtMs = undefined;
@@ -390,6 +401,7 @@
 	}
 
 	#refuse(reason: string, retryAfterMs: number): void {
+		this.#context.accountUsage.refused(this.#work);
 		this.#answer.refuse(reason, retryAfterMs);
 		this.#end('refused', 503, reason);
 	}
@@ -444,9 +456,8 @@
 		this.#pendingAdmission?.cancel();
 		clearTimeout(this.#deadline);
 		this.#silenceTimer?.stop();
-		const {inProgress, logger, metrics} = this.#context;
+		const {logger, metrics} = this.#context;
 		const {metadata, route, service, arrivedAtMs} = this.#request;
-		inProgress.set(this.#accountName, inProgress.get(this.#accountName)! - 1);
 		metrics.requests.inc({service, outcome});
 		const {firstByteAtMs, longestEventGapMs} = this.#progress;
 		if (firstByteAtMs !== undefined) {
--- a/packages/gateway/src/routed-request.ts
+++ b/packages/gateway/src/routed-request.ts
@@ -1,7 +1,7 @@
 /** A caller's request after it was checked against the desired state. */
 
 import type {Buffer} from 'node:buffer';
-import type {ClientAccount, Route} from '@rattanspring/desired-state';
+import type {ClientAccount, EngineProfile, Route} from '@rattanspring/desired-state';
 import type {RequestMetadata} from './header-codec.js';
 
 /** A request with its route, service and client account. */
@@ -9,6 +9,8 @@
 	readonly metadata: RequestMetadata;
 	readonly route: Route;
 	readonly service: string;
+	/** The published figures of the service's engines; absent for a plain service. */
+	readonly engine?: EngineProfile;
 	readonly account?: ClientAccount;
 	readonly method: string;
 	readonly path: string;
--- a/packages/metrics/src/index.ts
+++ b/packages/metrics/src/index.ts
@@ -8,6 +8,8 @@
 
 const latencyBucketsSeconds = [0.001, 0.0025, 0.005, 0.01, 0.025, 0.034, 0.05, 0.1, 0.25, 0.5, 1, 1.7, 2.5, 5, 10, 30];
 
+const waitBucketsSeconds = [0.005, 0.02, 0.05, 0.1, 0.25, 0.5, 1, 2, 5];
+
 /** Default sampling interval of the event-loop delay. */
 const defaultEventLoopPrecisionMs = 10;
 
@@ -60,6 +62,21 @@
 		registers: [this.registry],
 	});
 
+	readonly accountWork = new Counter({
+		name: 'rattanspring_account_work_total',
+		help: 'Work of the requests of client accounts at this entry, by what became of them: asked, admitted, refused.',
+		labelNames: ['service', 'account', 'failureDomain', 'step'] as const,
+		registers: [this.registry],
+	});
+
+	readonly accountWaitSeconds = new Histogram({
+		name: 'rattanspring_account_wait_seconds',
+		help: 'Time that admitted requests of client accounts waited for a target.',
+		labelNames: ['service', 'account', 'failureDomain'] as const,
+		buckets: waitBucketsSeconds,
+		registers: [this.registry],
+	});
+
 	constructor(options: DaemonMetricsOptions = {}) {
 		collectDefaultMetrics({register: this.registry, eventLoopMonitoringPrecision: options.eventLoopPrecisionMs ?? defaultEventLoopPrecisionMs});
 	}
--- a/packages/placement/src/admission.ts
+++ b/packages/placement/src/admission.ts
@@ -159,9 +159,12 @@
 		this.#queue = this.#queue.map(other => other === queued ? late : other);
 	}
 
-	#choose({service, excluded, isTrial}: AdmissionRequest, lane: Lane, nowMs: number): Choice {
+	#choose(request: AdmissionRequest, lane: Lane, nowMs: number): Choice {
+		const {service, excluded, isTrial} = request;
+		const isLate = lane !== 'onTime';
+		const reserve = this.#options.order.reserveFor({request, isLate}, nowMs);
 		return this.#options.selector.choose({
-			service, nowMs, excluded, preferIdle: isTrial, slotShare: lane === 'onTime' ? 1 : lateSlotShare, entriesPerSlot: entriesPerSlot[lane], random: this.#options.random,
+			service, nowMs, excluded, preferIdle: isTrial, slotShare: isLate ? lateSlotShare : 1, reserve, entriesPerSlot: entriesPerSlot[lane], random: this.#options.random,
 		});
 	}
 
--- a/packages/placement/src/queue-order.ts
+++ b/packages/placement/src/queue-order.ts
@@ -11,9 +11,9 @@
 
 /** Orders queued requests. */
 export abstract class QueueOrder {
-	/** Share of the slots that a request may use, so that some stay free for those that go before it at other entries; all by default. */
-	slotShareOf(_candidate: QueuedCandidate, _nowMs: number): number {
-		return 1;
+	/** Share of the slots that a request leaves free for those that go before it at other entries; none by default. */
+	reserveFor(_candidate: QueuedCandidate, _nowMs: number): number {
+		return 0;
 	}
 
 	/** Negative if the left request goes first. */
--- a/packages/placement/src/target-record.ts
+++ b/packages/placement/src/target-record.ts
@@ -76,6 +76,11 @@
 	return average === undefined ? report.slots : Math.min(report.slots, Math.floor(average + (targetNumber / targetNumberRange)));
 }
 
+/** Slots of a target that stay free, as its part of a share of the slots of all. */
+export function reservedSlots({targetNumber}: TargetRecord, limit: number, reserve: number): number {
+	return reserve === 0 ? 0 : Math.floor((limit * reserve) + (targetNumber / targetNumberRange));
+}
+
 /** Position of the entry, requests that the target may process, and number of entries to which each slot is assigned. */
 export type OwnedSlotsOptions = {readonly position: EntryPosition; readonly limit: number; readonly entriesPerSlot?: number};
 
--- a/packages/placement/src/target-selector.ts
+++ b/packages/placement/src/target-selector.ts
@@ -9,7 +9,7 @@
 import type {ExclusionReason, TargetExclusion} from './target-exclusion.js';
 import {TargetPauses} from './target-pause.js';
 import {
-	busyOf, type ExchangeOutcome, failureRateAt, isOutdated, isUsable, limitOf, maxLoadAgeMs, ownedSlotsLeft, prefillPassesOf, recordHealth, targetNumberOf, type TargetRecord,
+	busyOf, type ExchangeOutcome, failureRateAt, isOutdated, isUsable, limitOf, maxLoadAgeMs, ownedSlotsLeft, prefillPassesOf, recordHealth, reservedSlots, targetNumberOf, type TargetRecord,
 } from './target-record.js';
 
 /** Approximate time between a measurement at a target and its arrival at the entry. */
@@ -61,6 +61,8 @@
 	readonly preferIdle?: boolean;
 	/** Share of each target's slots that may be used; all by default. */
 	readonly slotShare?: number;
+	/** Share of all slots that stays free; none by default. Rounded up at some targets and down at others. */
+	readonly reserve?: number;
 	/** Number of entries to which each free slot is assigned, if only slots assigned to this entry may be used. Without it any free slot may be used. */
 	readonly entriesPerSlot?: number;
 	/** Random numbers in [0, 1). */
@@ -217,7 +219,7 @@
 	}
 
 	/** Chooses the target with the lowest score among those that have a free slot. */
-	choose({service, nowMs, excluded, random, preferIdle = false, slotShare = 1, entriesPerSlot}: ChoiceInput): Choice {
+	choose({service, nowMs, excluded, random, preferIdle = false, slotShare = 1, reserve = 0, entriesPerSlot}: ChoiceInput): Choice {
 		let best: TargetView | undefined;
 		let bestScore = Number.POSITIVE_INFINITY;
 		let hasUsableTarget = false;
@@ -256,7 +258,7 @@
 			const slotPenalty = ownsFreeSlot ? random() * scoreJitter : unownedSlotPenalty + (random() * unownedSlotJitter);
 			const rank = preferIdle ? view.busy + random() : record.pendingPrefillPasses + excessLoad + this.#penalty(record, nowMs, groupPaces) + slotPenalty;
 			const mayUseSlot = entriesPerSlot === undefined || ownedSlotsLeft(record, nowMs, {position: place, limit: view.limit, entriesPerSlot}) > 0;
-			const hasFreeSlot = !view.isBackingOff && view.busy < view.limit * slotShare && mayUseSlot;
+			const hasFreeSlot = !view.isBackingOff && view.busy < Math.min(view.limit * slotShare, view.limit - reservedSlots(record, view.limit, reserve)) && mayUseSlot;
 			if (hasFreeSlot && rank < bestScore) {
 				best = view;
 				bestScore = rank;
