rattanspring report shares: what client accounts asked for, were admitted and were owed

Cause: shares could not be audited. Change: the command reads the metrics of all entries twice and compares; table, JSON and an HTML page. Accounts beyond a hundred an entry are counted together.

--- a/packages/cli/src/commands/report/index.ts
+++ b/packages/cli/src/commands/report/index.ts
@@ -2,11 +2,12 @@
 
 import type {Command} from '../../command.js';
 import {serviceLevelCommand} from './service-level.js';
+import {sharesCommand} from './shares.js';
 
 export const reportCommand: Command = {
 	command: 'report',
 	describe: 'report on how callers are served',
-	builder: builder => builder.command([serviceLevelCommand as unknown as Command]).demandCommand(1, 'Specify a report; see --help.'),
+	builder: builder => builder.command([serviceLevelCommand as unknown as Command, sharesCommand as unknown as Command]).demandCommand(1, 'Specify a report; see --help.'),
 	handler() {
 		// Handled by the subcommands.
 	},
--- a/packages/service-level/src/html-report.ts
+++ b/packages/service-level/src/html-report.ts
@@ -93,6 +93,7 @@
 	return view.toSVG();
 }
 
-function escapeHtml(text: string): string {
+/** Escapes text for use in an HTML page. */
+export function escapeHtml(text: string): string {
 	return text.replaceAll('&', '&amp;').replaceAll('<', '&lt;').replaceAll('>', '&gt;').replaceAll('"', '&quot;');
 }
--- a/packages/service-level/src/index.ts
+++ b/packages/service-level/src/index.ts
@@ -4,3 +4,5 @@
 export * from './objectives.js';
 export * from './recorder.js';
 export * from './report.js';
+export * from './shares-html.js';
+export * from './shares-report.js';
