Refuse at once what gets no slot in time

Cause: a request that found no slot waited an eighth of its objective also where the entry's rate of slots left it no chance to be on time. Change: ExpectedRoom keeps the admissions from the queue and the ends of the last second by service. At arrival, and while queued, a request behind n others whose expected wait exceeds its on-time wait is refused; not a last try, a failover, or anything while half of the slots of usable targets are free (such a request waits as a late one instead of a refusal). ReturnTimes gets two abstract calls, roomFound and placeFreed (a caller left the queue).

--- a/packages/placement/src/admission.ts
+++ b/packages/placement/src/admission.ts
@@ -3,6 +3,7 @@
 Requests that can still meet their latency objective are served first; late requests share the remaining capacity.
 */
 
+import {ExpectedRoom} from './expected-room.js';
 import {InProgressOrder, type QueueOrder} from './queue-order.js';
 import {FixedReturnTimes, type RefusalReason, type ReturnTimes} from './return-times.js';
 import type {Choice, TargetSelector, TargetView} from './target-selector.js';
@@ -29,6 +30,9 @@
 */
 const ownedSlotsOnlyMs = 150;
 
+/** Share of free slots from which on a request is not refused for want of one. */
+const roomyShare = 0.5;
+
 /** Maximum number of queued requests at one entry. */
 const maxQueueLength = 64;
 
@@ -88,6 +92,8 @@
 	readonly selector: TargetSelector;
 	/** Random numbers in [0, 1). */
 	readonly random: () => number;
+	/** Rate of slots from which the expected wait follows; by default one that this queue has for itself. */
+	readonly room?: ExpectedRoom;
 	/** By default without regard to accounts. */
 	readonly order?: QueueOrder;
 	/** By default fixed for each reason. */
@@ -104,6 +110,7 @@
 	constructor(options: AdmissionOptions) {
 		const {selector, random} = options;
 		this.#options = {
+			room: new ExpectedRoom(),
 			order: new InProgressOrder(() => 0),
 			returnTimes: new FixedReturnTimes({random, permitWaitMs: (waitingCount, nowMs) => selector.permits.expectedWaitMs(waitingCount, nowMs)}),
 			...options,
@@ -126,51 +133,95 @@
 		const isFirst = !this.#queue.some(other => other.request.service === request.service && (isLate || !other.isLate));
 		const choice = isFirst ? this.#choose(request, isLate ? 'lateOwnedSlots' : 'onTime', nowMs) : {kind: 'full' as const};
 		if (choice.kind === 'target') {
+			this.#noteRoom(request.service, choice.view);
 			settle({kind: 'admitted', view: choice.view, isLate});
 			return notQueued;
 		}
 
-		const reason = refusalReasonOf(choice) ?? (this.#queue.length >= maxQueueLength ? 'queueFull' : undefined);
+		this.#options.room.recordBlocked(request.service, nowMs);
+		const queued: QueuedRequest = {
+			request, isLate, queuedAtMs: nowMs, refuseAtMs: refuseAtMs(request, isLate, nowMs), settle,
+		};
+		const reason = refusalReasonOf(choice)
+			?? (this.#queue.length >= maxQueueLength ? 'queueFull' : undefined)
+			?? (choice.kind === 'full' && this.#isHopeless(queued, this.#countAhead(queued, nowMs), nowMs) ? 'full' : undefined);
 		if (reason) {
 			settle(this.#refusal(reason, {request, choice, nowMs}));
 			return notQueued;
 		}
 
-		const queued: QueuedRequest = {
-			request, isLate, queuedAtMs: nowMs, refuseAtMs: refuseAtMs(request, isLate, nowMs), settle,
-		};
 		this.#queue.push(queued);
 		this.#options.onWaiting();
 		return {
 			cancel: () => {
+				const count = this.#queue.length;
 				this.#queue = this.#queue.filter(other => other.request !== request);
+				if (this.#queue.length < count) {
+					this.#options.returnTimes.placeFreed(request.service, nowMs);
+				}
 			},
 		};
 	}
 
+	/** Records that a request ended and left its slot free. */
+	recordEnded(service: string, nowMs: number): void {
+		this.#options.room.recordEnded(service, nowMs);
+	}
+
 	/** Tries to admit the queued requests: call it when a target gets a free slot, when load figures arrive, and every few milliseconds while requests are queued. */
 	processQueue(nowMs: number): void {
 		const order = this.#queue.toSorted((left, right) => this.#options.order.compare(left, right, nowMs));
 		const full = new Set<string>();
+		const stillAhead = new Map<string, number>();
 		for (const queued of order) {
 			const {service} = queued.request;
 			const lane = laneOf(queued, nowMs);
 			const isFull = lanes.slice(0, lanes.indexOf(lane) + 1).some(wider => full.has(`${service} ${wider}`));
 			const choice = isFull ? {kind: 'full' as const} : this.#choose(queued.request, lane, nowMs);
 			if (choice.kind === 'target') {
+				this.#options.room.recordAdmitted(service, nowMs);
 				this.#end(queued, {kind: 'admitted', view: choice.view, isLate: queued.isLate});
 			} else if (choice.kind === 'paused' || choice.kind === 'drained') {
 				this.#end(queued, this.#refusal(choice.kind, {request: queued.request, choice, nowMs}));
-			} else if (nowMs >= queued.refuseAtMs && !queued.isLate && queued.request.mayBeRetry) {
+			} else if (nowMs >= queued.refuseAtMs && !queued.isLate && (queued.request.mayBeRetry === true || this.#isRoomy(service, nowMs))) {
 				this.#demoteToLate(queued, nowMs);
 			} else if (nowMs >= queued.refuseAtMs) {
 				this.#end(queued, this.#refusal(choice.kind === 'limited' ? 'limited' : 'full', {request: queued.request, choice, nowMs}));
+			} else if (choice.kind === 'full' && this.#isHopeless(queued, stillAhead.get(service) ?? 0, nowMs)) {
+				this.#end(queued, this.#refusal('full', {request: queued.request, choice, nowMs}));
 			} else {
 				full.add(`${service} ${lane}`);
+				stillAhead.set(service, (stillAhead.get(service) ?? 0) + 1);
 			}
 		}
 	}
 
+	/** Whether no slot is expected within the wait that leaves the request on time. A request whose caller makes no further try may wait as long as a late one. */
+	#isHopeless({request, isLate}: QueuedRequest, aheadCount: number, nowMs: number): boolean {
+		const {service, arrivedAtMs, objectiveMs, sinceFirstTryMs = 0, mayBeRetry, isFailover} = request;
+		if (isLate || mayBeRetry === true || isFailover === true) {
+			return false;
+		}
+
+		const onTimeLeftMs = (objectiveMs * retryOnTimeShare) - sinceFirstTryMs - (nowMs - arrivedAtMs);
+		return this.#options.room.waitMs(service, aheadCount, nowMs) > onTimeLeftMs && !this.#isRoomy(service, nowMs);
+	}
+
+	/** Queued requests of the same service that go before this one. */
+	#countAhead(queued: QueuedRequest, nowMs: number): number {
+		return this.#queue.filter(other => other.request.service === queued.request.service && this.#options.order.compare(other, queued, nowMs) <= 0).length;
+	}
+
+	#isRoomy(service: string, nowMs: number): boolean {
+		return this.#options.selector.freeShare(service, nowMs) >= roomyShare;
+	}
+
+	#noteRoom(service: string, {busy, limit}: TargetView): void {
+		if (busy <= limit * (1 - roomyShare) && !this.#queue.some(({request}) => request.service === service)) {
+			this.#options.returnTimes.roomFound(service);
+		}
+	}
+
 	/** The caller of a retry makes no further try, so a request that is a retry, or may be one, stays in the queue as a late request. */
 	#demoteToLate(queued: QueuedRequest, nowMs: number): void {
 		const late: QueuedRequest = {
--- a/packages/placement/src/return-times.ts
+++ b/packages/placement/src/return-times.ts
@@ -23,6 +23,12 @@
 export abstract class ReturnTimes {
 	/** Milliseconds from now. */
 	abstract retryAfterMs(refusal: Refusal): number;
+
+	/** Called when a request of the service found much free room. */
+	abstract roomFound(service: string): void;
+
+	/** Called when a queued request of the service left the queue without a slot, since its caller left. */
+	abstract placeFreed(service: string, nowMs: number): void;
 }
 
 /** Minimum of the retry delay given to a refused caller, and its random part. */
@@ -77,4 +83,12 @@
 			}
 		}
 	}
+
+	roomFound(): void {
+		// The times do not depend on the room.
+	}
+
+	placeFreed(): void {
+		// Refusals take no places.
+	}
 }
--- a/packages/placement/src/target-selector.ts
+++ b/packages/placement/src/target-selector.ts
@@ -216,6 +216,22 @@
 		recordHealth(record, outcome, nowMs);
 	}
 
+	/** Share of the slots of a service's usable targets that are free, as this entry sees it, without targets whose limit leaves no request for now; 0 without targets. */
+	freeShare(service: string, nowMs: number): number {
+		let slots = 0;
+		let free = 0;
+		const writers = this.#writersByGroup(service, nowMs);
+		for (const record of this.#entries.values()) {
+			if (isUsable(record, service, nowMs) && this.#exclusionOf(record, nowMs) === undefined && this.#mayBeSent(record, nowMs)) {
+				const {busy, limit} = this.#view(record, nowMs, limitOf(record, writers));
+				slots += limit;
+				free += Math.max(0, limit - busy);
+			}
+		}
+
+		return slots === 0 ? 0 : free / slots;
+	}
+
 	/** Chooses the target with the lowest score among those that have a free slot. */
 	choose({service, nowMs, excluded, random, preferIdle = false, slotShare = 1, entriesPerSlot}: ChoiceInput): Choice {
 		let best: TargetView | undefined;
