Return times from expected room, and order by the first attempt

Cause: all refused callers were told 80 to 200 ms, whatever room there was; under lasting overload they came back to the same lack of room, and stood in the queue as late requests. Change: RoomReturnTimes, a virtual clock a service over half of the expected slots, for callers who are on time at their place. The others are told a time in the last half of the longest that they wait: late is worth the same whenever it comes. FirstAttemptOrder: on time, priority (late ones gain up to two levels by waiting), requests in progress, first attempt. Told delays and what became of returns are metrics; retryAfterMs is a log field. A stream that its caller resumes counts as a possible retry.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -7,7 +7,7 @@
 import type {Logger} from '@rattanspring/logger';
 import type {DaemonMetrics} from '@rattanspring/metrics';
 import {
-	AdmissionQueue, type EntryPosition, InProgressOrder, type RetryAllowance, RetryBudget, TargetSelector, writersWithin,
+	AdmissionQueue, type EntryPosition, ExpectedRoom, FirstAttemptOrder, type RetryAllowance, RetryBudget, RoomReturnTimes, TargetSelector, writersWithin,
 } from '@rattanspring/placement';
 import {isReachable, type TargetTransport} from '@rattanspring/target-connection';
 import type {TargetLimit} from '@rattanspring/target-limits';
@@ -97,6 +97,7 @@
 			metrics,
 		});
 		const inProgress = new Map<string, number>();
+		const room = new ExpectedRoom();
 		this.#context = {
 			headerCodec,
 			exchange,
@@ -104,7 +105,12 @@
 			metrics,
 			selector: this.#selector,
 			admission: new AdmissionQueue({
-				selector: this.#selector, random, order: new InProgressOrder(name => inProgress.get(name) ?? 0), onWaiting: () => {
+				selector: this.#selector,
+				random,
+				room,
+				order: new FirstAttemptOrder(name => inProgress.get(name) ?? 0),
+				returnTimes: new RoomReturnTimes({random, room, permitWaitMs: (waitingCount, atMs) => this.#selector.permits.expectedWaitMs(waitingCount, atMs)}),
+				onWaiting: () => {
 					this.#scheduleQueueProcessing();
 				},
 			}),
--- a/packages/gateway/src/request-forwarder.ts
+++ b/packages/gateway/src/request-forwarder.ts
@@ -70,6 +70,8 @@
 	#suspectedComponents: readonly string[] = [];
 	/** When the current target started its response. */
 	#attemptBegunAtMs: number | undefined;
+	/** Time that the refusal tells the caller, if it is refused. */
+	#retryAfterMs: number | undefined;
 	#isFinished = false;
 
 	constructor(context: GatewayContext, answer: CallerResponse, request: RoutedRequest) {
@@ -176,7 +178,7 @@
 			objectiveMs: route.objectiveMs,
 			deadlineAtMs,
 			sinceFirstTryMs: this.#timeSinceFirstAttempt.atLeastMs,
-			mayBeRetry: this.#mayBeRetry,
+			mayBeRetry: this.#mayBeRetry || this.#lastEventId !== undefined,
 			isFailover: this.#sentCount > 0,
 			isTrial: this.#trialOf !== undefined,
 			excluded: this.#triedTargets,
@@ -389,6 +391,7 @@
 	}
 
 	#refuse(reason: string, retryAfterMs: number): void {
+		this.#retryAfterMs = retryAfterMs;
 		this.#answer.refuse(reason, retryAfterMs);
 		this.#end('refused', 503, reason);
 	}
@@ -432,6 +435,10 @@
 		this.#recordResponseStart();
 		if (this.#running) {
 			this.#context.selector.ended(this.#running.targetId, outcome, this.#nowMs);
+			if (outcome === 'answered' || outcome === 'abandoned') {
+				this.#context.admission.recordEnded(this.#request.service, this.#nowMs);
+			}
+
 			this.#running = undefined;
 			if (this.#context.admission.waitingCount > 0) {
 				setImmediate(() => {
@@ -455,6 +462,7 @@
 		const {metadata, route, service, arrivedAtMs} = this.#request;
 		inProgress.set(this.#accountName, inProgress.get(this.#accountName)! - 1);
 		metrics.requests.inc({service, outcome});
+		this.#recordReturn(outcome);
 		const {firstByteAtMs, longestEventGapMs} = this.#progress;
 		if (firstByteAtMs !== undefined) {
 			metrics.firstByteSeconds.observe({service}, (firstByteAtMs - arrivedAtMs) / 1000);
@@ -473,6 +481,7 @@
 			limit: this.#lastView?.limit,
 			loadAgeMs: sinceMs(0, this.#lastView?.loadAgeMs),
 			sent: this.#sentCount,
+			retryAfterMs: sinceMs(0, this.#retryAfterMs),
 			sinceFirstTryMs: this.#mayBeRetry ? Math.round(this.#timeSinceFirstAttempt.atLeastMs) : undefined,
 			waitedMs: sinceMs(arrivedAtMs, this.#admittedAtMs),
 			firstByteMs: sinceMs(arrivedAtMs, firstByteAtMs),
@@ -480,6 +489,19 @@
 			tookMs: sinceMs(arrivedAtMs, this.#nowMs),
 		});
 	}
+
+	/** Counts what refused callers are told, and what becomes of callers who are known to have tried before. */
+	#recordReturn(outcome: string): void {
+		const {returnDelaySeconds, returns} = this.#context.metrics;
+		const {service} = this.#request;
+		if (this.#retryAfterMs !== undefined) {
+			returnDelaySeconds.observe({service}, this.#retryAfterMs / 1000);
+		}
+
+		if (this.#timeSinceFirstAttempt.atLeastMs > 0) {
+			returns.inc({service, outcome});
+		}
+	}
 }
 
 /** `Retry-After` for requests that no target executed. */
--- a/packages/metrics/src/index.ts
+++ b/packages/metrics/src/index.ts
@@ -36,6 +36,21 @@
 		registers: [this.registry],
 	});
 
+	readonly returnDelaySeconds = new Histogram({
+		name: 'rattanspring_return_delay_seconds',
+		help: 'Time after which refused callers were told to come back.',
+		labelNames: ['service'] as const,
+		buckets: latencyBucketsSeconds,
+		registers: [this.registry],
+	});
+
+	readonly returns = new Counter({
+		name: 'rattanspring_returns_total',
+		help: 'Requests ended at this entry whose callers had tried before, by service and outcome.',
+		labelNames: ['service', 'outcome'] as const,
+		registers: [this.registry],
+	});
+
 	readonly revisionInForce = new Gauge({
 		name: 'rattanspring_configuration_revision',
 		help: 'Configuration revision in force on this daemon.',
--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -1,9 +1,11 @@
 /** Selects targets for requests, limits how long a request waits for one, and refuses it otherwise. */
 export * from './admission.js';
 export * from './expected-room.js';
+export * from './first-attempt-order.js';
 export * from './queue-order.js';
 export * from './retry-budget.js';
 export * from './return-times.js';
+export * from './room-return-times.js';
 export * from './slot-shares.js';
 export * from './target-exclusion.js';
 export * from './target-pause.js';
