--- a/packages/placement/src/admission.ts
+++ b/packages/placement/src/admission.ts
@@ -79,14 +79,22 @@
 type QueuedRequest = {readonly request: AdmissionRequest; readonly isLate: boolean; readonly queuedAtMs: number; readonly refuseAtMs: number; readonly settle: (admission: Admission) => void};
 
 /**
-Lanes of queued requests, from most to fewest usable slots: all slots; the share for late requests; within that share, only slots assigned
-to this entry, if each slot is assigned to two entries or to one.
+Lanes of queued requests: any slot for requests that continue at another target; for on-time requests, slots assigned to this entry, if each slot is assigned to two
+entries; the share for late requests, at the end of their wait; within it, only slots assigned to this entry, if each slot is assigned to two entries or to one.
 */
-const lanes = ['onTime', 'lateLastTry', 'late', 'lateOwnedSlots'] as const;
+const lanes = ['failover', 'onTime', 'lateLastTry', 'late', 'lateOwnedSlots'] as const;
 type Lane = typeof lanes[number];
 
-/** Number of entries to which each free slot is assigned, in the lanes in which not all entries may use it. */
-const entriesPerSlot: Readonly<Partial<Record<Lane, number>>> = {late: 2, lateOwnedSlots: 1};
+/**
+Number of entries to which each free slot is assigned, in the lanes in which not all entries may use it. An on-time request that another entry's request precedes at
+its target waits there until a whole answer ends, and is late.
+*/
+const entriesPerSlot: Readonly<Partial<Record<Lane, number>>> = {onTime: 2, late: 2, lateOwnedSlots: 1};
+
+/** For each lane, the lanes whose lack of a slot leaves it none, since it may use no other slots or comes after them. */
+const isFullWith: Readonly<Record<Lane, readonly Lane[]>> = {
+	failover: ['failover'], onTime: ['failover', 'onTime'], lateLastTry: ['failover', 'lateLastTry'], late: ['failover', 'onTime', 'lateLastTry', 'late'], lateOwnedSlots: lanes,
+};
 
 export type AdmissionOptions = {
 	readonly selector: TargetSelector;
@@ -131,7 +139,7 @@
 	admit(request: AdmissionRequest, nowMs: number, settle: (admission: Admission) => void): PendingAdmission {
 		const isLate = !request.isFailover && !mayBeOnTime(request, nowMs);
 		const isFirst = !this.#queue.some(other => other.request.service === request.service && (isLate || !other.isLate));
-		const choice = isFirst ? this.#choose(request, isLate ? 'lateOwnedSlots' : 'onTime', nowMs) : {kind: 'full' as const};
+		const choice = isFirst ? this.#choose(request, firstLaneOf(request, isLate), nowMs) : {kind: 'full' as const};
 		if (choice.kind === 'target') {
 			this.#noteRoom(request.service, choice.view);
 			settle({kind: 'admitted', view: choice.view, isLate});
@@ -176,7 +184,7 @@
 		for (const queued of order) {
 			const {service} = queued.request;
 			const lane = laneOf(queued, nowMs);
-			const isFull = lanes.slice(0, lanes.indexOf(lane) + 1).some(wider => full.has(`${service} ${wider}`));
+			const isFull = isFullWith[lane].some(wider => full.has(`${service} ${wider}`));
 			const choice = isFull ? {kind: 'full' as const} : this.#choose(queued.request, lane, nowMs);
 			if (choice.kind === 'target') {
 				this.#options.room.recordAdmitted(service, nowMs);
@@ -232,7 +240,7 @@
 
 	#choose({service, excluded, isTrial}: AdmissionRequest, lane: Lane, nowMs: number): Choice {
 		return this.#options.selector.choose({
-			service, nowMs, excluded, preferIdle: isTrial, slotShare: lane === 'onTime' ? 1 : lateSlotShare, entriesPerSlot: entriesPerSlot[lane], random: this.#options.random,
+			service, nowMs, excluded, preferIdle: isTrial, slotShare: lane === 'failover' || lane === 'onTime' ? 1 : lateSlotShare, entriesPerSlot: entriesPerSlot[lane], random: this.#options.random,
 		});
 	}
 
@@ -263,9 +271,17 @@
 	return sinceFirstTryMs < objectiveMs * retryOnTimeShare && nowMs - arrivedAtMs <= objectiveMs * onTimeWaitShare;
 }
 
-function laneOf({isLate, queuedAtMs, refuseAtMs}: QueuedRequest, nowMs: number): Lane {
+function firstLaneOf({isFailover}: AdmissionRequest, isLate: boolean): Lane {
+	if (isFailover) {
+		return 'failover';
+	}
+
+	return isLate ? 'lateOwnedSlots' : 'onTime';
+}
+
+function laneOf({request, isLate, queuedAtMs, refuseAtMs}: QueuedRequest, nowMs: number): Lane {
 	if (!isLate) {
-		return 'onTime';
+		return firstLaneOf(request, false);
 	}
 
 	if (nowMs >= refuseAtMs) {
