Send no request to a target without memory for it

Cause: a target that runs out of memory interrupts its newest request or crashes; entries chose by slots alone, and Length-Hint was not read. Change: target-memory.ts estimates what a target holds (last share x capacity, this entry's sends since, and as many from each other entry on average) and what a request takes (prompt and hint, at least the mean, at most the maximum). No request goes over the capacity less two standard deviations of the answers' lengths; one whose prompt and mean answer exceed the capacity is refused at once (tooLarge). Hints outside 1 to a million are absent. Measured: 24 prompts of 3000 to 6000 tokens between two figures exceeded 20,000 tokens at a target without the check, and stay below with it (target-memory.test).

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,6 +1,6 @@
 /** An entry process: follows the control processes, serves callers, and lists the entries that callers may use. */
 
-import type {DocumentCodec} from '@rattanspring/desired-state';
+import type {DocumentCodec, EngineProfile} from '@rattanspring/desired-state';
 import {
 	ControlLinks, type DownMessage, followedControls, linkService, type NodeCard,
 } from '@rattanspring/fleet-link';
@@ -83,7 +83,7 @@
 		const nowMs = () => options.clock.monotonicMs();
 		const {random, logger, metrics, headerCodec, exchange, failureDomain} = options;
 		this.#selector = new TargetSelector({
-			failureDomain, entryPosition: () => this.#entryPosition, writersWithin: (service, skew) => this.#writersWithin(service, skew),
+			failureDomain, entryPosition: () => this.#entryPosition, writersWithin: (service, skew) => this.#writersWithin(service, skew), engineOf: service => this.#engineOf(service),
 		});
 		this.#authorityCalls = new AuthorityCalls({controls: () => [...this.#links.nodes.values()], nowMs});
 		const crashWatch = new CrashWatch({
@@ -282,11 +282,15 @@
 	/** Writers that keep the pauses of the service's strictest route within its objective; undefined if it has none or no engine. */
 	#writersWithin(service: string, skew: number): number | undefined {
 		const {state} = this.#documents.table ?? {};
-		const engine = state?.services.find(({name}) => name === service)?.engine;
+		const engine = this.#engineOf(service);
 		const limits = this.#pauseObjectives.of(state, service);
 		return engine && limits !== undefined && engine.expertSets > 0 ? writersWithin(engine, limits, skew) : undefined;
 	}
 
+	#engineOf(service: string): EngineProfile | undefined {
+		return this.#documents.table?.state.services.find(({name}) => name === service)?.engine;
+	}
+
 	#card(): NodeCard {
 		const {nodeId, failureDomain, callerHost, callerPort} = this.#options;
 		return {
--- a/packages/gateway/src/header-codec.ts
+++ b/packages/gateway/src/header-codec.ts
@@ -15,6 +15,8 @@
 	readonly lastEventId?: string;
 	readonly promptTokens?: number;
 	readonly maxAnswerTokens?: number;
+	/** The caller's estimate, which is often far off. */
+	readonly expectedAnswerTokens?: number;
 	/** Ids of the parts of the prompt that other requests may have too: all but the last. */
 	readonly sharedParts?: readonly string[];
 };
--- a/packages/gateway/src/request-forwarder.ts
+++ b/packages/gateway/src/request-forwarder.ts
@@ -168,7 +168,7 @@
 
 	#admit(): void {
 		this.#context.permitRequests.ask(this.#request.service);
-		const {service, route, arrivedAtMs, deadlineAtMs, account} = this.#request;
+		const {service, route, arrivedAtMs, deadlineAtMs, account, metadata} = this.#request;
 		let isSettled = false;
 		const pendingAdmission = this.#context.admission.admit({
 			service,
@@ -182,6 +182,7 @@
 			isFailover: this.#sentCount > 0,
 			isTrial: this.#trialOf !== undefined,
 			excluded: this.#triedTargets,
+			requestLength: metadata,
 		}, this.#nowMs, admission => {
 			isSettled = true;
 			this.#pendingAdmission = undefined;
@@ -200,7 +201,7 @@
 
 		const {report} = admission.view;
 		this.#admittedAtMs ??= this.#nowMs;
-		this.#context.selector.sent(report.targetId, this.#nowMs, this.#request.metadata.promptTokens);
+		this.#context.selector.sent(report.targetId, this.#nowMs, this.#request.metadata.promptTokens, this.#request.metadata);
 		this.#isAwaitingResponse = true;
 		this.#attemptBegunAtMs = undefined;
 		this.#lastView = admission.view;
--- a/packages/placement/src/admission.ts
+++ b/packages/placement/src/admission.ts
@@ -6,6 +6,7 @@
 import {ExpectedRoom} from './expected-room.js';
 import {InProgressOrder, type QueueOrder} from './queue-order.js';
 import {FixedReturnTimes, type RefusalReason, type ReturnTimes} from './return-times.js';
+import type {RequestLength} from './target-memory.js';
 import type {Choice, TargetSelector, TargetView} from './target-selector.js';
 
 /** Share of the objective after which a queued on-time request is refused: early enough for its caller to retry in time. */
@@ -55,6 +56,8 @@
 	/** Whether the request may crash its target, so that it goes where the fewest others are. */
 	readonly isTrial?: boolean;
 	readonly excluded?: ReadonlySet<string>;
+	/** Length of the request; without it, the memory of targets is not regarded. */
+	readonly requestLength?: RequestLength;
 };
 
 /** A target, or a refusal with the time after which the caller may retry. */
@@ -189,7 +192,7 @@
 			if (choice.kind === 'target') {
 				this.#options.room.recordAdmitted(service, nowMs);
 				this.#end(queued, {kind: 'admitted', view: choice.view, isLate: queued.isLate});
-			} else if (choice.kind === 'paused' || choice.kind === 'drained') {
+			} else if (choice.kind === 'paused' || choice.kind === 'drained' || choice.kind === 'tooLarge') {
 				this.#end(queued, this.#refusal(choice.kind, {request: queued.request, choice, nowMs}));
 			} else if (nowMs >= queued.refuseAtMs && !queued.isLate && (queued.request.mayBeRetry === true || this.#isRoomy(service, nowMs))) {
 				this.#demoteToLate(queued, nowMs);
@@ -238,9 +241,9 @@
 		this.#queue = this.#queue.map(other => other === queued ? late : other);
 	}
 
-	#choose({service, excluded, isTrial}: AdmissionRequest, lane: Lane, nowMs: number): Choice {
+	#choose({service, excluded, isTrial, requestLength}: AdmissionRequest, lane: Lane, nowMs: number): Choice {
 		return this.#options.selector.choose({
-			service, nowMs, excluded, preferIdle: isTrial, slotShare: lane === 'failover' || lane === 'onTime' ? 1 : lateSlotShare, entriesPerSlot: entriesPerSlot[lane], random: this.#options.random,
+			service, nowMs, excluded, preferIdle: isTrial, slotShare: lane === 'failover' || lane === 'onTime' ? 1 : lateSlotShare, entriesPerSlot: entriesPerSlot[lane], random: this.#options.random, requestLength,
 		});
 	}
 
@@ -263,7 +266,7 @@
 		return 'noTarget';
 	}
 
-	return kind === 'paused' || kind === 'drained' ? kind : undefined;
+	return kind === 'paused' || kind === 'drained' || kind === 'tooLarge' ? kind : undefined;
 }
 
 /** Whether a request that is admitted within the on-time wait can be answered on time. */
--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -8,6 +8,7 @@
 export * from './room-return-times.js';
 export * from './slot-shares.js';
 export * from './target-exclusion.js';
+export * from './target-memory.js';
 export * from './target-pause.js';
 export type {ExchangeOutcome} from './target-record.js';
 export * from './writer-limit.js';
--- a/packages/placement/src/return-times.ts
+++ b/packages/placement/src/return-times.ts
@@ -4,9 +4,9 @@
 
 /**
 Why a request is refused: no free slot within the wait, no target, too many queued requests, all targets have asked for a pause, all name limits that are
-used up, or all are in failure domains that an operator has drained.
+used up, all are in failure domains that an operator has drained, or the request exceeds the memory of any target.
 */
-export type RefusalReason = 'full' | 'noTarget' | 'queueFull' | 'paused' | 'limited' | 'drained';
+export type RefusalReason = 'full' | 'noTarget' | 'queueFull' | 'paused' | 'limited' | 'drained' | 'tooLarge';
 
 /** A refusal to be given a time. */
 export type Refusal = {
@@ -73,6 +73,7 @@
 			}
 
 			case 'noTarget':
+			case 'tooLarge':
 			case 'drained': {
 				return noTargetRetryAfterMs + (random * noTargetRetryAfterJitterMs);
 			}
--- a/packages/placement/src/target-record.ts
+++ b/packages/placement/src/target-record.ts
@@ -42,6 +42,8 @@
 	pendingPrefillPasses: number;
 	/** Send times of requests that the load figures do not include yet. */
 	sentAtMs: number[];
+	/** Expected lengths of requests that the load figures do not include yet. */
+	sentTokens: Array<{readonly atMs: number; readonly tokens: number}>;
 	backoffUntilMs: number;
 	backoffMs: number;
 	failureRate: number;
--- a/packages/placement/src/target-selector.ts
+++ b/packages/placement/src/target-selector.ts
@@ -7,6 +7,9 @@
 import type {TargetLifetime, TargetLoad, TargetReport} from '@rattanspring/target-table';
 import type {EntryPosition} from './slot-shares.js';
 import type {ExclusionReason, TargetExclusion} from './target-exclusion.js';
+import {
+	expectedTokens, hasMemoryFor, isTooLarge, type MemoryProfile, type RequestLength,
+} from './target-memory.js';
 import {TargetPauses} from './target-pause.js';
 import {
 	busyOf, type ExchangeOutcome, failureRateAt, isOutdated, isUsable, limitOf, maxLoadAgeMs, ownedSlotsLeft, prefillPassesOf, recordHealth, targetNumberOf, type TargetRecord,
@@ -61,6 +64,8 @@
 	readonly preferIdle?: boolean;
 	/** Share of each target's slots that may be used; all by default. */
 	readonly slotShare?: number;
+	/** Length of the request; without it, memory is not regarded. */
+	readonly requestLength?: RequestLength;
 	/** Number of entries to which each free slot is assigned, if only slots assigned to this entry may be used. Without it any free slot may be used. */
 	readonly entriesPerSlot?: number;
 	/** Random numbers in [0, 1). */
@@ -68,12 +73,13 @@
 };
 
 /**
-A target to send to, or why there is none: `full` if no usable target has a free slot, `limited` if all of them name limits that leave no request
-for now, `paused` if all of them have asked for a pause, `drained` if all usable targets are in drained failure domains, `none` if there is no usable target.
+A target to send to, or why there is none: `full` if no usable target has a free slot and memory for the request, `limited` if all of them name limits that leave no
+request for now, `tooLarge` if the request exceeds the memory of any target, `paused` if all of them have asked for a pause, `drained` if all usable targets are in
+drained failure domains, `none` if there is no usable target.
 */
 export type Choice
 	= | {readonly kind: 'target'; readonly view: TargetView}
-		| {readonly kind: 'full' | 'limited' | 'drained' | 'none'}
+		| {readonly kind: 'full' | 'limited' | 'tooLarge' | 'drained' | 'none'}
 		| {readonly kind: 'paused'; readonly untilMs: number};
 
 export type TargetSelectorOptions = {
@@ -82,6 +88,8 @@
 	readonly entryPosition?: () => EntryPosition;
 	/** Requests that a target of a service may process on average, at the given skew of its group's expert load; undefined if only its slots limit them. */
 	readonly writersWithin?: (service: string, skew: number) => number | undefined;
+	/** Engine of a service's targets; without it, their memory is not regarded. */
+	readonly engineOf?: (service: string) => MemoryProfile | undefined;
 	/** Reasons against ready targets; none by default. */
 	readonly exclusions?: readonly TargetExclusion[];
 };
@@ -145,12 +153,13 @@
 				record.load = known.load;
 				record.loadAtMs = known.atMs;
 				record.sentAtMs = record.sentAtMs.filter(sentAtMs => sentAtMs > known.atMs - loadDelayMs);
+				record.sentTokens = record.sentTokens.filter(({atMs}) => atMs > known.atMs - loadDelayMs);
 			}
 		}
 	}
 
 	/** Records that a request was sent. */
-	sent(targetId: string, nowMs: number, promptTokens?: number): void {
+	sent(targetId: string, nowMs: number, promptTokens?: number, requestLength?: RequestLength): void {
 		const record = this.#entries.get(targetId);
 		if (record) {
 			if (this.#limits.perSecondOf(record.report) !== undefined) {
@@ -161,6 +170,7 @@
 			record.pendingPrefillPasses += prefillPassesOf(promptTokens);
 			record.sentAtMs = record.sentAtMs.filter(sentAtMs => sentAtMs > nowMs - maxLoadAgeMs - loadDelayMs);
 			record.sentAtMs.push(nowMs);
+			this.#recordTokens(record, nowMs, requestLength);
 		}
 	}
 
@@ -233,7 +243,12 @@
 	}
 
 	/** Chooses the target with the lowest score among those that have a free slot. */
-	choose({service, nowMs, excluded, random, preferIdle = false, slotShare = 1, entriesPerSlot}: ChoiceInput): Choice {
+	choose({service, nowMs, excluded, random, preferIdle = false, slotShare = 1, entriesPerSlot, requestLength}: ChoiceInput): Choice {
+		const memory = this.#memoryCheck(service, nowMs, requestLength);
+		if (memory === 'tooLarge') {
+			return {kind: 'tooLarge'};
+		}
+
 		let best: TargetView | undefined;
 		let bestScore = Number.POSITIVE_INFINITY;
 		let hasUsableTarget = false;
@@ -272,7 +287,7 @@
 			const slotPenalty = ownsFreeSlot ? random() * scoreJitter : unownedSlotPenalty + (random() * unownedSlotJitter);
 			const rank = preferIdle ? view.busy + random() : record.pendingPrefillPasses + excessLoad + this.#penalty(record, nowMs, groupPaces) + slotPenalty;
 			const mayUseSlot = entriesPerSlot === undefined || ownedSlotsLeft(record, nowMs, {position: place, limit: view.limit, entriesPerSlot}) > 0;
-			const hasFreeSlot = !view.isBackingOff && view.busy < view.limit * slotShare && mayUseSlot;
+			const hasFreeSlot = !view.isBackingOff && view.busy < view.limit * slotShare && mayUseSlot && (memory?.(record) ?? true);
 			if (hasFreeSlot && rank < bestScore) {
 				best = view;
 				bestScore = rank;
@@ -294,6 +309,35 @@
 		return {kind: hasDrainedTarget ? 'drained' : 'none'};
 	}
 
+	/** Whether a target has memory for a request; `tooLarge` if none of the service ever has, undefined if memory is not regarded. */
+	#memoryCheck(service: string, nowMs: number, length: RequestLength | undefined): ((record: TargetRecord) => boolean) | 'tooLarge' | undefined {
+		const engine = length && this.#options.engineOf?.(service);
+		if (!engine) {
+			return undefined;
+		}
+
+		if (isTooLarge(length, engine)) {
+			return 'tooLarge';
+		}
+
+		const requestTokens = expectedTokens(length, engine);
+
+		const sentTo = ({sentTokens}: TargetRecord) => sentTokens.reduce((sum, {tokens}) => sum + tokens, 0);
+		const records = [...this.#entries.values()].filter(record => isUsable(record, service, nowMs));
+		const sentToAllTokens = records.reduce((sum, record) => sum + sentTo(record), 0);
+		const entryCount = this.#entryPosition.count;
+		return record => !record.load || nowMs - record.loadAtMs > maxLoadAgeMs || hasMemoryFor(requestTokens, {
+			memoryShare: record.load.memoryShare, sentTokens: sentTo(record), sentToAllTokens, targetCount: records.length, entryCount,
+		}, engine);
+	}
+
+	#recordTokens(record: TargetRecord, nowMs: number, length: RequestLength | undefined): void {
+		const engine = length && this.#options.engineOf?.(record.report.service);
+		if (engine) {
+			record.sentTokens = [...record.sentTokens.filter(({atMs}) => atMs > nowMs - maxLoadAgeMs - loadDelayMs), {atMs: nowMs, tokens: expectedTokens(length, engine)}];
+		}
+	}
+
 	#exclusionOf({report}: TargetRecord, nowMs: number): ExclusionReason | undefined {
 		for (const exclusion of this.#options.exclusions ?? []) {
 			const reason = exclusion.reasonAgainst(report, nowMs);
@@ -328,6 +372,7 @@
 			inFlight: 0,
 			pendingPrefillPasses: 0,
 			sentAtMs: [],
+			sentTokens: [],
 			backoffUntilMs: 0,
 			backoffMs: 0,
 			failureRate: 0,
