A waiting request whose key is revoked leaves the queue with 401

Cause: a request queued at an entry was sent to a target although a newer desired state had taken its key or account away meanwhile. Change: when a desired state comes into force, requests that wait (queued, or for a decision) and whose key no longer identifies their account are rejected; a request that may have run, or a document older than the newest announced, ends as before for these cases. Measured: gateway.test, the revoked one of two waiting requests gets 401 and is sent nowhere.

--- a/packages/gateway/src/crash-watch.ts
+++ b/packages/gateway/src/crash-watch.ts
@@ -5,10 +5,11 @@
 import type {DaemonMetrics} from '@rattanspring/metrics';
 import type {TargetLifetime} from '@rattanspring/target-table';
 import {type BrokenRequest, CrashDetector} from './crash-detector.js';
+import type {Revocable} from './key-revocation.js';
 import {TrialGate} from './trial-gate.js';
 
 /** A request in progress that can be ended for what it contains. */
-export type Withdrawable = {readonly withdrawIfSuspected: () => void};
+export type Withdrawable = Revocable & {readonly withdrawIfSuspected: () => void};
 
 /** Options of a watch. */
 export type CrashWatchOptions = {
--- a/packages/gateway/src/gateway.test.ts
+++ b/packages/gateway/src/gateway.test.ts
@@ -13,13 +13,14 @@
 } from '@rattanspring/placement';
 import {ConnectionPool, type ResponseHead} from '@rattanspring/target-connection';
 import type {TargetReport} from '@rattanspring/target-table';
-import {freePorts} from '@rattanspring/test-kit';
+import {freePorts, waitUntil} from '@rattanspring/test-kit';
 import {expect} from 'earl';
 import {ByteBudget} from './byte-budget.js';
 import type {BrokenRequest} from './crash-detector.js';
 import {CrashWatch} from './crash-watch.js';
 import {FirstAttemptEstimator} from './first-attempt-estimator.js';
 import type {GatewayContext} from './gateway-context.js';
+import {rejectRevoked} from './key-revocation.js';
 import {serveRequest} from './request-flow.js';
 import {
 	CallerServer, type ForwardingMetadata, HeaderCodec, type RequestMetadata, type ResponseMetadata,
@@ -345,6 +346,28 @@
 			expect(sent()).toEqual(0);
 		});
 
+		it('rejects a request that waits for a slot once its key is revoked, and sends it to no target', async () => {
+			for (const targetId of ['t0', 't0', 't0', 't0', 't1', 't1', 't1', 't1']) {
+				context.selector.sent(targetId, performance.now());
+			}
+
+			table = new RouteTable({...state, clientAccounts: [{name: 'nadi', keys: ['secret']}, {name: 'open', keys: ['other']}]});
+			const results = [call('/lookup/a'), call('/lookup/b', {'x-key': 'other'})];
+			await waitUntil(() => context.admission.waitingCount === 2);
+			rejectRevoked(context.crashWatch.forwarding, new RouteTable({...state, version: 2, clientAccounts: [{name: 'nadi', keys: ['new']}, {name: 'open', keys: ['other']}]}));
+			const revoked = await results[0];
+			expect(revoked.status).toEqual(401);
+			expect(context.admission.waitingCount).toEqual(1);
+			for (const targetId of ['t0', 't1']) {
+				context.selector.ended(targetId, 'answered', performance.now());
+			}
+
+			context.admission.processQueue(performance.now());
+			const allowed = await results[1];
+			expect(allowed.status).toEqual(200);
+			expect(sent()).toEqual(1);
+		});
+
 		it('does not reject by a desired state while a newer one is announced, but tells the caller when to retry', async () => {
 			newestVersion = state.version + 1;
 			const results = [await call('/other/x'), await call('/plain/x', {'x-key': 'other'}), await call('/plain/x', {'x-pad': 'p'.repeat(5000)}), await call('/plain/x', {}, 'x'.repeat(2000))];
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -21,6 +21,7 @@
 import {FirstAttemptEstimator} from './first-attempt-estimator.js';
 import type {GatewayContext} from './gateway-context.js';
 import type {HeaderCodec} from './header-codec.js';
+import {rejectRevoked} from './key-revocation.js';
 import {PauseObjectives} from './pause-objectives.js';
 import {PermitRequests} from './permit-requests.js';
 import {serveRequest} from './request-flow.js';
@@ -154,6 +155,7 @@
 			sources: () => this.#links.connectedAddresses(failureDomain),
 			onState: state => {
 				this.#server.setLimits(state.limits);
+				rejectRevoked(this.#context.crashWatch.forwarding, this.#documents.table!);
 				metrics.revisionInForce.set(state.version);
 				this.#updateInformed();
 			},
--- a/packages/gateway/src/request-forwarder.ts
+++ b/packages/gateway/src/request-forwarder.ts
@@ -9,11 +9,13 @@
 import {
 	type Admission, type AttemptOutcome, type ExchangeOutcome, isRetryable, nextStep, type TargetView, type PendingAdmission,
 } from '@rattanspring/placement';
+import type {RouteTable} from '@rattanspring/desired-state';
 import type {ResponseHead} from '@rattanspring/target-connection';
 import {Attempt, type CompleteResponse, isBrokenConnection} from './attempt.js';
 import type {CallerResponse} from './caller-response.js';
 import type {TimeSinceFirstAttempt} from './first-attempt-estimator.js';
 import type {GatewayContext} from './gateway-context.js';
+import {isRevoked} from './key-revocation.js';
 import {ResponseProgress} from './response-progress.js';
 import type {RoutedRequest} from './routed-request.js';
 import {recordNotices} from './target-notices.js';
@@ -116,6 +118,21 @@
 		this.#giveUp(refusal.reason, refusal.retryAfterMs);
 	}
 
+	/** Ends the request if it waits to be sent and its key was revoked. One that may have run before is not called unauthorized, since that would say it did not run. */
+	rejectIfRevoked(table: RouteTable): void {
+		if (this.#isFinished || this.#running !== undefined || !isRevoked(this.#request, table)) {
+			return;
+		}
+
+		const isOutdated = this.#context.newestVersion() > table.state.version;
+		if (isOutdated || this.#mayHaveRun || this.#answer.isStarted) {
+			this.#giveUp('keyRevoked', undefined);
+		} else {
+			this.#answer.reject(401, 'unknownKey');
+			this.#end('rejected', 401, 'keyRevoked');
+		}
+	}
+
 	#passGate(): void {
 		const {gate} = this.#context.crashWatch;
 		const {components} = this.#request;
