Budget of unsent bytes over all callers of an entry

Cause: one stream may hold 1 MB that its caller has not read; many slow callers together fill the memory of a small VM. Change: UnsentBudget counts the unsent bytes of all streams (32 MB at most); past it, those with the most are ended first, each with its requestEnded line (callerDoesNotRead). Streams that are complete but not yet read are not counted.

--- a/packages/gateway/src/gateway-context.ts
+++ b/packages/gateway/src/gateway-context.ts
@@ -14,6 +14,7 @@
 import type {FirstAttemptEstimator} from './first-attempt-estimator.js';
 import type {HeaderCodec} from './header-codec.js';
 import type {PermitRequests} from './permit-requests.js';
+import type {UnsentBudget} from './unsent-budget.js';
 
 export type GatewayContext = {
 	readonly headerCodec: HeaderCodec;
@@ -24,6 +25,8 @@
 	readonly crashWatch: CrashWatch;
 	/** Bytes that responses may take until they are complete and are forwarded. */
 	readonly responseBytes: ByteBudget;
+	/** Bytes of streams that wait for their callers. */
+	readonly unsentBytes: UnsentBudget;
 	readonly logger: Logger;
 	readonly metrics: DaemonMetrics;
 	readonly firstAttempts: FirstAttemptEstimator;
--- a/packages/gateway/src/gateway.test.ts
+++ b/packages/gateway/src/gateway.test.ts
@@ -20,6 +20,7 @@
 import {CrashWatch} from './crash-watch.js';
 import {FirstAttemptEstimator} from './first-attempt-estimator.js';
 import type {GatewayContext} from './gateway-context.js';
+import {UnsentBudget} from './unsent-budget.js';
 import {rejectRevoked} from './key-revocation.js';
 import {serveRequest} from './request-flow.js';
 import {
@@ -203,6 +204,7 @@
 				metrics: new DaemonMetrics(),
 			}),
 			responseBytes: new ByteBudget(50_000_000),
+			unsentBytes: new UnsentBudget(50_000_000),
 			firstAttempts: new FirstAttemptEstimator(),
 			logger: new SilentLogger(),
 			metrics: new DaemonMetrics(),
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -25,6 +25,7 @@
 import {PauseObjectives} from './pause-objectives.js';
 import {PermitRequests} from './permit-requests.js';
 import {serveRequest} from './request-flow.js';
+import {UnsentBudget} from './unsent-budget.js';
 
 /** Interval at which targets are checked for missing reports. */
 const targetRefreshIntervalMs = 500;
@@ -38,6 +39,9 @@
 /** Bytes of all responses that are not complete yet: a part of the memory that is left beside the program. */
 const maxResponseBytes = 50_331_648;
 
+/** Bytes of all streams that wait for their callers to read them: a part of the same memory. */
+const maxUnsentBytes = 33_554_432;
+
 /** With at least this many entries in the caller's failure domain, only those are returned. */
 const minLocalEntries = 2;
 
@@ -118,6 +122,7 @@
 			retryBudget: new RetryBudget(options.allowance),
 			crashWatch,
 			responseBytes: new ByteBudget(maxResponseBytes),
+			unsentBytes: new UnsentBudget(maxUnsentBytes),
 			firstAttempts: new FirstAttemptEstimator(),
 			inProgress,
 			nowMs,
--- a/packages/gateway/src/request-forwarder.ts
+++ b/packages/gateway/src/request-forwarder.ts
@@ -84,6 +84,11 @@
 		this.#timeSinceFirstAttempt = context.firstAttempts.estimate(request.route, request.metadata.timeLeftMs);
 	}
 
+	/** Bytes that the caller has not read yet. */
+	get unsentBytes(): number {
+		return this.#answer.unsentBytes;
+	}
+
 	/** Starts forwarding. Cleans up when the response ends or the caller disconnects. */
 	start(response: ServerResponse): void {
 		const {inProgress, retryBudget} = this.#context;
@@ -118,6 +123,14 @@
 		this.#giveUp(refusal.reason, refusal.retryAfterMs);
 	}
 
+	/** A caller that does not read its stream is disconnected before the stream fills the memory. */
+	endUnread(): void {
+		this.#running?.attempt.abandon();
+		this.#endAttempt('abandoned');
+		this.#answer.closeConnection();
+		this.#end('callerDoesNotRead', 0);
+	}
+
 	/** Ends the request if it waits to be sent and its key was revoked. One that may have run before is not called unauthorized, since that would say it did not run. */
 	rejectIfRevoked(table: RouteTable): void {
 		if (this.#isFinished || this.#running !== undefined || !isRevoked(this.#request, table)) {
@@ -303,8 +316,13 @@
 		this.#progress.recordEvents(this.#nowMs);
 		this.#lastEventId = lastId ?? this.#lastEventId;
 		this.#answer.write(bytes);
-		if (this.#answer.unsentBytes > maxUnsentBytes) {
-			this.#endUnreadStream();
+		if (this.unsentBytes > maxUnsentBytes) {
+			this.endUnread();
+		} else {
+			this.#context.unsentBytes.recordWrite(this);
+		}
+
+		if (this.#isFinished) {
 			return;
 		}
 
@@ -313,14 +331,6 @@
 		}
 	}
 
-	/** A caller that does not read its stream is disconnected before the stream fills the memory. */
-	#endUnreadStream(): void {
-		this.#running?.attempt.abandon();
-		this.#endAttempt('abandoned');
-		this.#answer.closeConnection();
-		this.#end('callerDoesNotRead', 0);
-	}
-
 	#recordResponseStart(): void {
 		if (this.#isAwaitingResponse && this.#running) {
 			this.#isAwaitingResponse = false;
@@ -473,6 +483,7 @@
 
 		this.#isFinished = true;
 		this.#context.crashWatch.forwarding.delete(this);
+		this.#context.unsentBytes.remove(this);
 		this.#pendingAdmission?.cancel();
 		clearTimeout(this.#deadline);
 		clearTimeout(this.#silenceTimer);
