--- a/packages/placement/src/admission.ts
+++ b/packages/placement/src/admission.ts
@@ -3,10 +3,10 @@
 Requests that can still meet their latency objective are served first; late requests share the remaining capacity.
 */
 
+import type {AdmissionRequest} from './admission-request.js';
 import {ExpectedRoom} from './expected-room.js';
 import {InProgressOrder, type QueueOrder} from './queue-order.js';
 import {FixedReturnTimes, type RefusalReason, type ReturnTimes} from './return-times.js';
-import type {RequestLength} from './target-memory.js';
 import type {Choice, TargetSelector, TargetView} from './target-selector.js';
 
 /** Share of the objective after which a queued on-time request is refused: early enough for its caller to retry in time. */
@@ -37,29 +37,6 @@
 /** Maximum number of queued requests at one entry. */
 const maxQueueLength = 64;
 
-/** A request to be admitted. */
-export type AdmissionRequest = {
-	readonly service: string;
-	/** Lower values go first. */
-	readonly priority: number;
-	readonly accountName: string;
-	readonly arrivedAtMs: number;
-	readonly objectiveMs: number;
-	/** Time until which the caller waits. */
-	readonly deadlineAtMs: number;
-	/** Minimum time since the caller's first try, if it retries after a refusal; 0 by default. */
-	readonly sinceFirstTryMs?: number;
-	/** Whether the request may be a retry, whose caller makes no further try. */
-	readonly mayBeRetry?: boolean;
-	/** Whether the request continues at another target: its caller has a part of the answer, or makes no further try. */
-	readonly isFailover?: boolean;
-	/** Whether the request may crash its target, so that it goes where the fewest others are. */
-	readonly isTrial?: boolean;
-	readonly excluded?: ReadonlySet<string>;
-	/** Length of the request; without it, the memory of targets is not regarded. */
-	readonly requestLength?: RequestLength;
-};
-
 /** A target, or a refusal with the time after which the caller may retry. */
 export type Admission
 	= | {readonly kind: 'admitted'; readonly view: TargetView; readonly isLate: boolean}
--- a/packages/placement/src/first-attempt-order.ts
+++ b/packages/placement/src/first-attempt-order.ts
@@ -4,7 +4,7 @@
 Load that this answers: a burst of one kind of request beside others that are more urgent, and callers who come back early or often.
 */
 
-import type {AdmissionRequest} from './admission.js';
+import type {AdmissionRequest} from './admission-request.js';
 import {type QueuedCandidate, QueueOrder} from './queue-order.js';
 
 /** Time since the first attempt that counts as one level of priority, and the most levels that a request gains. On-time requests do not wait that long. */
--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -1,5 +1,6 @@
 /** Selects targets for requests, limits how long a request waits for one, and refuses it otherwise. */
 export * from './admission.js';
+export type * from './admission-request.js';
 export * from './expected-room.js';
 export * from './first-attempt-order.js';
 export * from './queue-order.js';
--- a/packages/placement/src/queue-order.ts
+++ b/packages/placement/src/queue-order.ts
@@ -1,6 +1,6 @@
 /** Which of the queued requests of an entry is served first. */
 
-import type {AdmissionRequest} from './admission.js';
+import type {AdmissionRequest} from './admission-request.js';
 
 /** A queued request as far as its turn depends on it. */
 export type QueuedCandidate = {
--- a/packages/placement/src/return-times.ts
+++ b/packages/placement/src/return-times.ts
@@ -1,6 +1,6 @@
 /** When refused callers may come back. */
 
-import type {AdmissionRequest} from './admission.js';
+import type {AdmissionRequest} from './admission-request.js';
 
 /**
 Why a request is refused: no free slot within the wait, no target, too many queued requests, all targets have asked for a pause, all name limits that are
--- a/packages/placement/src/room-return-times.ts
+++ b/packages/placement/src/room-return-times.ts
@@ -9,7 +9,7 @@
 answer is worth the same whenever it comes, and an early return would meet the same lack of room, so it is told a time near the longest that it waits, spread.
 */
 
-import type {AdmissionRequest} from './admission.js';
+import type {AdmissionRequest} from './admission-request.js';
 import type {ExpectedRoom} from './expected-room.js';
 import {
 	FixedReturnTimes, type FixedReturnTimesOptions, type Refusal, ReturnTimes,
--- a/packages/placement/src/test-fixtures.ts
+++ b/packages/placement/src/test-fixtures.ts
@@ -1,7 +1,8 @@
 /** Selectors, queues and requests for the tests of this package. */
 
 import type {TargetReport} from '@rattanspring/target-table';
-import {AdmissionQueue, type AdmissionRequest} from './admission.js';
+import {AdmissionQueue} from './admission.js';
+import type {AdmissionRequest} from './admission-request.js';
 import {InProgressOrder} from './queue-order.js';
 import {TargetSelector} from './target-selector.js';
 
