--- a/packages/placement/src/too-little-room.test.ts
+++ b/packages/placement/src/too-little-room.test.ts
@@ -57,7 +57,7 @@
 			kinds, forMs: 12_000, lostAtMs: 5000, isFixed: true,
 		}), play({kinds, forMs: 12_000, lostAtMs: 5000})];
 		expect(mean(after)).toBeGreaterThan(mean(before) * gain);
-		expect(returnPeak(after, 8000, 12_000)).toBeLessThan(2);
+		expect(returnPeak(after, 5000, 12_000)).toBeLessThan(2);
 	});
 
 	it('get more beside callers who leave while they wait', () => {
