--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,14 +1,14 @@
 /** An entry process: follows the control processes, serves callers, and lists the entries that callers may use. */
 
 import {ShareOrder} from '@rattanspring/account-shares';
-import type {DocumentCodec} from '@rattanspring/desired-state';
+import type {DocumentCodec, EngineProfile} from '@rattanspring/desired-state';
 import {
 	ControlLinks, type DownMessage, followedControls, linkService, type NodeCard,
 } from '@rattanspring/fleet-link';
 import type {Logger} from '@rattanspring/logger';
 import type {DaemonMetrics} from '@rattanspring/metrics';
 import {
-	AdmissionQueue, type EntryPosition, type RetryAllowance, RetryBudget, StreamSilence, TargetSelector, writersWithin,
+	AdmissionQueue, type EntryPosition, ExpectedRoom, type RetryAllowance, RetryBudget, RoomReturnTimes, StreamSilence, TargetSelector, writersWithin,
 } from '@rattanspring/placement';
 import {isReachable, type TargetTransport} from '@rattanspring/target-connection';
 import type {TargetLimit} from '@rattanspring/target-limits';
@@ -23,9 +23,11 @@
 import {FirstAttemptEstimator} from './first-attempt-estimator.js';
 import type {GatewayContext} from './gateway-context.js';
 import type {HeaderCodec} from './header-codec.js';
+import {rejectRevoked} from './key-revocation.js';
 import {PauseObjectives} from './pause-objectives.js';
 import {PermitRequests} from './permit-requests.js';
 import {serveRequest} from './request-flow.js';
+import {UnsentBudget} from './unsent-budget.js';
 
 /** Interval at which targets are checked for missing reports. */
 const targetRefreshIntervalMs = 500;
@@ -42,6 +44,9 @@
 /** Bytes of all responses that are not complete yet: a part of the memory that is left beside the program. */
 const maxResponseBytes = 50_331_648;
 
+/** Bytes of all streams that wait for their callers to read them: a part of the same memory. */
+const maxUnsentBytes = 33_554_432;
+
 /** With at least this many entries in the caller's failure domain, only those are returned. */
 const minLocalEntries = 2;
 
@@ -89,7 +94,7 @@
 		const nowMs = () => options.clock.monotonicMs();
 		const {random, logger, metrics, headerCodec, exchange, failureDomain} = options;
 		this.#selector = new TargetSelector({
-			failureDomain, entryPosition: () => this.#entryPosition, writersWithin: (service, skew) => this.#writersWithin(service, skew),
+			failureDomain, entryPosition: () => this.#entryPosition, writersWithin: (service, skew) => this.#writersWithin(service, skew), engineOf: service => this.#engineOf(service),
 		});
 		this.#authorityCalls = new AuthorityCalls({controls: () => [...this.#links.nodes.values()], nowMs});
 		const crashWatch = new CrashWatch({
@@ -103,6 +108,7 @@
 			metrics,
 		});
 		this.#accountUsage = new AccountUsage({failureDomain, metrics, nowMs});
+		const room = new ExpectedRoom();
 		this.#context = {
 			headerCodec,
 			exchange,
@@ -110,7 +116,12 @@
 			metrics,
 			selector: this.#selector,
 			admission: new AdmissionQueue({
-				selector: this.#selector, random, order: new ShareOrder(this.#accountUsage.shares), onWaiting: () => {
+				selector: this.#selector,
+				random,
+				room,
+				order: new ShareOrder(this.#accountUsage.shares),
+				returnTimes: new RoomReturnTimes({random, room, permitWaitMs: (waitingCount, atMs) => this.#selector.permits.expectedWaitMs(waitingCount, atMs)}),
+				onWaiting: () => {
 					this.#scheduleQueueProcessing();
 				},
 			}),
@@ -118,6 +129,7 @@
 			streamSilence: new StreamSilence(),
 			crashWatch,
 			responseBytes: new ByteBudget(maxResponseBytes),
+			unsentBytes: new UnsentBudget(maxUnsentBytes),
 			firstAttempts: new FirstAttemptEstimator(),
 			accountUsage: this.#accountUsage,
 			nowMs,
@@ -155,6 +167,7 @@
 			sources: () => this.#links.connectedAddresses(failureDomain),
 			onState: state => {
 				this.#server.setLimits(state.limits);
+				rejectRevoked(this.#context.crashWatch.forwarding, this.#documents.table!);
 				metrics.revisionInForce.set(state.version);
 				this.#updateInformed();
 			},
@@ -286,11 +299,15 @@
 	/** Writers that keep the pauses of the service's strictest route within its objective; undefined if it has none or no engine. */
 	#writersWithin(service: string, skew: number): number | undefined {
 		const {state} = this.#documents.table ?? {};
-		const engine = state?.services.find(({name}) => name === service)?.engine;
+		const engine = this.#engineOf(service);
 		const limits = this.#pauseObjectives.of(state, service);
 		return engine && limits !== undefined && engine.expertSets > 0 ? writersWithin(engine, limits, skew) : undefined;
 	}
 
+	#engineOf(service: string): EngineProfile | undefined {
+		return this.#documents.table?.state.services.find(({name}) => name === service)?.engine;
+	}
+
 	#card(): NodeCard {
 		const {nodeId, failureDomain, callerHost, callerPort} = this.#options;
 		return {
--- a/packages/gateway/src/request-forwarder.ts
+++ b/packages/gateway/src/request-forwarder.ts
@@ -10,11 +10,13 @@
 import {
 	type Admission, type AttemptOutcome, type ExchangeOutcome, isRetryable, nextStep, type TargetView, type PendingAdmission,
 } from '@rattanspring/placement';
+import type {RouteTable} from '@rattanspring/desired-state';
 import type {ResponseHead} from '@rattanspring/target-connection';
 import {Attempt, type CompleteResponse, isBrokenConnection} from './attempt.js';
 import type {CallerResponse} from './caller-response.js';
 import type {TimeSinceFirstAttempt} from './first-attempt-estimator.js';
 import type {GatewayContext} from './gateway-context.js';
+import {isRevoked} from './key-revocation.js';
 import {ResponseProgress} from './response-progress.js';
 import type {RoutedRequest} from './routed-request.js';
 import {SilenceTimer} from './silence-timer.js';
@@ -69,6 +71,8 @@
 	#suspectedComponents: readonly string[] = [];
 	/** When the current target started its response. */
 	#attemptBegunAtMs: number | undefined;
+	/** Time that the refusal tells the caller, if it is refused. */
+	#retryAfterMs: number | undefined;
 	#isFinished = false;
 
 	constructor(context: GatewayContext, answer: CallerResponse, request: RoutedRequest) {
@@ -88,6 +92,11 @@
 		}
 	}
 
+	/** Bytes that the caller has not read yet. */
+	get unsentBytes(): number {
+		return this.#answer.unsentBytes;
+	}
+
 	/** Starts forwarding. Cleans up when the response ends or the caller disconnects. */
 	start(response: ServerResponse): void {
 		const {accountUsage, retryBudget} = this.#context;
@@ -122,6 +131,29 @@
 		this.#giveUp(refusal.reason, refusal.retryAfterMs);
 	}
 
+	/** A caller that does not read its stream is disconnected before the stream fills the memory. */
+	endUnread(): void {
+		this.#running?.attempt.abandon();
+		this.#endAttempt('abandoned');
+		this.#answer.closeConnection();
+		this.#end('callerDoesNotRead', 0);
+	}
+
+	/** Ends the request if it waits to be sent and its key was revoked. One that may have run before is not called unauthorized, since that would say it did not run. */
+	rejectIfRevoked(table: RouteTable): void {
+		if (this.#isFinished || this.#running !== undefined || !isRevoked(this.#request, table)) {
+			return;
+		}
+
+		const isOutdated = this.#context.newestVersion() > table.state.version;
+		if (isOutdated || this.#mayHaveRun || this.#answer.isStarted) {
+			this.#giveUp('keyRevoked', undefined);
+		} else {
+			this.#answer.reject(401, 'unknownKey');
+			this.#end('rejected', 401, 'keyRevoked');
+		}
+	}
+
 	#passGate(): void {
 		const {gate} = this.#context.crashWatch;
 		const {components} = this.#request;
@@ -180,7 +212,7 @@
 
 	#admit(): void {
 		this.#context.permitRequests.ask(this.#request.service);
-		const {service, route, arrivedAtMs, deadlineAtMs, account} = this.#request;
+		const {service, route, arrivedAtMs, deadlineAtMs, account, metadata} = this.#request;
 		let isSettled = false;
 		const pendingAdmission = this.#context.admission.admit({
 			service,
@@ -190,10 +222,11 @@
 			objectiveMs: route.objectiveMs,
 			deadlineAtMs,
 			sinceFirstTryMs: this.#timeSinceFirstAttempt.atLeastMs,
-			mayBeRetry: this.#mayBeRetry,
+			mayBeRetry: this.#mayBeRetry || this.#lastEventId !== undefined,
 			isFailover: this.#sentCount > 0,
 			isTrial: this.#trialOf !== undefined,
 			excluded: this.#triedTargets,
+			requestLength: metadata,
 		}, this.#nowMs, admission => {
 			isSettled = true;
 			this.#pendingAdmission = undefined;
@@ -216,7 +249,7 @@
 			this.#context.accountUsage.admitted(this.#work, this.#nowMs - this.#request.arrivedAtMs);
 		}
 
-		this.#context.selector.sent(report.targetId, this.#nowMs, this.#request.metadata.promptTokens);
+		this.#context.selector.sent(report.targetId, this.#nowMs, this.#request.metadata.promptTokens, this.#request.metadata);
 		this.#isAwaitingResponse = true;
 		this.#attemptBegunAtMs = undefined;
 		this.#lastView = admission.view;
@@ -300,19 +333,13 @@
 		this.#silenceTimer?.recordEvent();
 		this.#lastEventId = lastId ?? this.#lastEventId;
 		this.#answer.write(bytes);
-		if (this.#answer.unsentBytes > maxUnsentBytes) {
-			this.#endUnreadStream();
+		if (this.unsentBytes > maxUnsentBytes) {
+			this.endUnread();
+		} else {
+			this.#context.unsentBytes.recordWrite(this);
 		}
 	}
 
-	/** A caller that does not read its stream is disconnected before the stream fills the memory. */
-	#endUnreadStream(): void {
-		this.#running?.attempt.abandon();
-		this.#endAttempt('abandoned');
-		this.#answer.closeConnection();
-		this.#end('callerDoesNotRead', 0);
-	}
-
 	#recordResponseStart(): void {
 		if (this.#isAwaitingResponse && this.#running) {
 			this.#isAwaitingResponse = false;
@@ -402,6 +429,7 @@
 
 	#refuse(reason: string, retryAfterMs: number): void {
 		this.#context.accountUsage.refused(this.#work);
+		this.#retryAfterMs = retryAfterMs;
 		this.#answer.refuse(reason, retryAfterMs);
 		this.#end('refused', 503, reason);
 	}
@@ -437,6 +465,10 @@
 		this.#recordResponseStart();
 		if (this.#running) {
 			this.#context.selector.ended(this.#running.targetId, outcome, this.#nowMs);
+			if (outcome === 'answered' || outcome === 'abandoned') {
+				this.#context.admission.recordEnded(this.#request.service, this.#nowMs);
+			}
+
 			this.#running = undefined;
 			if (this.#context.admission.waitingCount > 0) {
 				setImmediate(() => {
@@ -453,12 +485,14 @@
 
 		this.#isFinished = true;
 		this.#context.crashWatch.forwarding.delete(this);
+		this.#context.unsentBytes.remove(this);
 		this.#pendingAdmission?.cancel();
 		clearTimeout(this.#deadline);
 		this.#silenceTimer?.stop();
 		const {logger, metrics} = this.#context;
 		const {metadata, route, service, arrivedAtMs} = this.#request;
 		metrics.requests.inc({service, outcome});
+		this.#recordReturn(outcome);
 		const {firstByteAtMs, longestEventGapMs} = this.#progress;
 		if (firstByteAtMs !== undefined) {
 			metrics.firstByteSeconds.observe({service}, (firstByteAtMs - arrivedAtMs) / 1000);
@@ -477,6 +511,7 @@
 			limit: this.#lastView?.limit,
 			loadAgeMs: sinceMs(0, this.#lastView?.loadAgeMs),
 			sent: this.#sentCount,
+			retryAfterMs: sinceMs(0, this.#retryAfterMs),
 			sinceFirstTryMs: this.#mayBeRetry ? Math.round(this.#timeSinceFirstAttempt.atLeastMs) : undefined,
 			waitedMs: sinceMs(arrivedAtMs, this.#admittedAtMs),
 			firstByteMs: sinceMs(arrivedAtMs, firstByteAtMs),
@@ -484,6 +519,19 @@
 			tookMs: sinceMs(arrivedAtMs, this.#nowMs),
 		});
 	}
+
+	/** Counts what refused callers are told, and what becomes of callers who are known to have tried before. */
+	#recordReturn(outcome: string): void {
+		const {returnDelaySeconds, returns} = this.#context.metrics;
+		const {service} = this.#request;
+		if (this.#retryAfterMs !== undefined) {
+			returnDelaySeconds.observe({service}, this.#retryAfterMs / 1000);
+		}
+
+		if (this.#timeSinceFirstAttempt.atLeastMs > 0) {
+			returns.inc({service, outcome});
+		}
+	}
 }
 
 /** `Retry-After` for requests that no target executed. */
--- a/packages/placement/src/admission-request.ts
+++ b/packages/placement/src/admission-request.ts
@@ -1,4 +1,6 @@
-/** What admission needs to know of a request. */
+/** What admission control knows of a request. */
+
+import type {RequestLength} from './target-memory.js';
 
 /** A request to be admitted. */
 export type AdmissionRequest = {
@@ -19,4 +21,6 @@
 	/** Whether the request may crash its target, so that it goes where the fewest others are. */
 	readonly isTrial?: boolean;
 	readonly excluded?: ReadonlySet<string>;
+	/** Length of the request; without it, the memory of targets is not regarded. */
+	readonly requestLength?: RequestLength;
 };
--- a/packages/placement/src/return-times.ts
+++ b/packages/placement/src/return-times.ts
@@ -4,9 +4,9 @@
 
 /**
 Why a request is refused: no free slot within the wait, no target, too many queued requests, all targets have asked for a pause, all name limits that are
-used up, or all are in failure domains that an operator has drained.
+used up, all are in failure domains that an operator has drained, or the request exceeds the memory of any target.
 */
-export type RefusalReason = 'full' | 'noTarget' | 'queueFull' | 'paused' | 'limited' | 'drained';
+export type RefusalReason = 'full' | 'noTarget' | 'queueFull' | 'paused' | 'limited' | 'drained' | 'tooLarge';
 
 /** A refusal to be given a time. */
 export type Refusal = {
@@ -23,6 +23,12 @@
 export abstract class ReturnTimes {
 	/** Milliseconds from now. */
 	abstract retryAfterMs(refusal: Refusal): number;
+
+	/** Called when a request of the service found much free room. */
+	abstract roomFound(service: string): void;
+
+	/** Called when a queued request of the service left the queue without a slot, since its caller left. */
+	abstract placeFreed(service: string, nowMs: number): void;
 }
 
 /** Minimum of the retry delay given to a refused caller, and its random part. */
@@ -67,6 +73,7 @@
 			}
 
 			case 'noTarget':
+			case 'tooLarge':
 			case 'drained': {
 				return noTargetRetryAfterMs + (random * noTargetRetryAfterJitterMs);
 			}
@@ -77,4 +84,12 @@
 			}
 		}
 	}
+
+	roomFound(): void {
+		// The times do not depend on the room.
+	}
+
+	placeFreed(): void {
+		// Refusals take no places.
+	}
 }
