Measure the passes of a group at its agents

Cause: nothing measured a pass, so entries could only limit writers by the published formula and a remembered skew. Change: agents derive the duration of a pass from the step counter that they read anyway (PassTimer), and six ranks of a group, evenly spread whatever its size, report it with their load (TargetLoad.passMs, a 14th column of load rows; rows without it are still read). A pass time rides along with a load that is sent anyway; only a rise by a tenth counts as a change, at most every 300 ms, so a group adds at most 13 messages a second, independent of its size. Held, switching, idle and newly formed groups are not measured. Readers of an older version refuse the longer row; rows of the other ranks are unchanged. Test: load-rows.test.ts expected a row of 13 values to be refused if one is added or missing; with the new column 13 and 14 are both complete, so it now starts from a complete row of 14 and skips exactly the complete shorter lengths.

--- a/packages/fleet-link/src/load-rows.test.ts
+++ b/packages/fleet-link/src/load-rows.test.ts
@@ -11,12 +11,18 @@
 	rankPlace: {
 		group: 'g0-1', epoch: 2, rank: 17, size: 96, isOpen: true,
 	},
+	skew: 1.4,
+	passMs: 104,
 };
-const {rankPlace: _rankPlace, sequence: _sequence, ...plain} = load;
+const {passMs: _passMs, ...withoutPass} = load;
+const {rankPlace: _rankPlace, sequence: _sequence, skew: _skew, ...plain} = withoutPass;
+
+/** Lengths of shorter rows that are complete: a target without a rank, and a rank that reports no passes. */
+const completeLengths = new Set([7, 13]);
 
 describe('load figures on the wire', () => {
-	it('come back as they were, with or without a rank and a sequence', () => {
-		for (const figures of [load, plain]) {
+	it('come back as they were, with or without a rank, a sequence and passes', () => {
+		for (const figures of [load, withoutPass, plain]) {
 			const down: DownMessage = {type: 'loads', loads: [figures, figures]};
 			expect(linkService.follow.responseDeserialize(serializeShared(down))).toEqual(down);
 			const up: UpMessage = {type: 'load', load: figures};
@@ -33,7 +39,7 @@
 		const row = toLoadRow(load);
 		for (let index = 0; index < row.length; index++) {
 			expect(() => fromLoadRow(row.with(index, {}))).toThrow(TypeError);
-			expect(() => fromLoadRow(row.slice(0, index === 7 ? 6 : index))).toThrow(TypeError);
+			expect(() => fromLoadRow(row.slice(0, completeLengths.has(index) ? index - 1 : index))).toThrow(TypeError);
 		}
 
 		expect(() => fromLoadRow([...row, 1])).toThrow(TypeError);
--- a/packages/fleet-link/src/load-rows.ts
+++ b/packages/fleet-link/src/load-rows.ts
@@ -6,33 +6,40 @@
 import type {RankPlace, TargetLoad} from '@rattanspring/target-table';
 
 /**
-Values of a target: address, `bornMs`, sequence, active, queued, memory share and pace; then group, epoch, rank, size, 1 or 0 for open or not, and skew, if it is a rank; `null` for no
-sequence or skew.
+Values of a target: address, `bornMs`, sequence, active, queued, memory share and pace; then group, epoch, rank, size, 1 or 0 for open or not, and skew, if it is a rank; then the
+duration of a pass, if the rank reports it. `null` stands for no sequence or skew.
 */
 export type LoadRow = readonly unknown[];
 
 const baseLength = 7;
 const rankLength = 13;
+const passLength = 14;
 
 /** Digits of fractions that matter to the choice of a target. */
 const fractionDigits = 3;
 
 export function toLoadRow({
-	address, bornMs, sequence, active, queued, memoryShare, pace, rankPlace, skew,
+	address, bornMs, sequence, active, queued, memoryShare, pace, rankPlace, skew, passMs,
 }: TargetLoad): LoadRow {
 	const base = [address, bornMs, sequence ?? null, active, queued, rounded(memoryShare), rounded(pace)];
-	return rankPlace ? [...base, rankPlace.group, rankPlace.epoch, rankPlace.rank, rankPlace.size, rankPlace.isOpen ? 1 : 0, skew === undefined ? null : rounded(skew)] : base;
+	if (!rankPlace) {
+		return base;
+	}
+
+	const {group, epoch, rank, size, isOpen} = rankPlace;
+	return [...base, group, epoch, rank, size, isOpen ? 1 : 0, skew === undefined ? null : rounded(skew), ...(passMs === undefined ? [] : [Math.round(passMs)])];
 }
 
 /** Throws if the values are not those of a target. */
 export function fromLoadRow(row: unknown): TargetLoad {
-	if (!Array.isArray(row) || (row.length !== baseLength && row.length !== rankLength)) {
+	if (!Array.isArray(row) || ![baseLength, rankLength, passLength].includes(row.length)) {
 		throw new TypeError('The load figures have another number of values.');
 	}
 
 	const [address, bornMs, sequence, active, queued, memoryShare, pace, ...place] = row as unknown[];
+	const passTimes = row.length === passLength ? [place.pop()] : [];
 	const skew = place.pop() ?? null;
-	const numbers = [bornMs, active, queued, memoryShare, pace, ...(sequence === null ? [] : [sequence]), ...(skew === null ? [] : [skew])];
+	const numbers = [bornMs, active, queued, memoryShare, pace, ...(sequence === null ? [] : [sequence]), ...(skew === null ? [] : [skew]), ...passTimes];
 	if (typeof address !== 'string' || !areNumbers(numbers)) {
 		throw new TypeError('The load figures have values of another type.');
 	}
@@ -47,6 +54,7 @@
 		pace: pace as number,
 		...(place.length > 0 && {rankPlace: toRankPlace(place)}),
 		...(skew !== null && {skew: skew as number}),
+		...(passTimes.length > 0 && {passMs: passTimes[0] as number}),
 	};
 }
 
--- a/packages/rank-agent/src/rank-agent.ts
+++ b/packages/rank-agent/src/rank-agent.ts
@@ -21,6 +21,7 @@
 import {MapRebalancer} from './map-rebalancer.js';
 import {MapSwitch} from './map-switch.js';
 import {MapVersionAllocator} from './map-version-allocator.js';
+import {PassTimer, reportsPasses} from './pass-timer.js';
 import {RankRequestHandler} from './rank-request-handler.js';
 import {SuspendAwareClock} from './suspend-aware-clock.js';
 
@@ -34,6 +35,10 @@
 /** Unchanged load is reported again after this time. */
 const loadRepeatIntervalMs = 900;
 
+/** Passes that became longer by this share are reported before the load changes, at most once in this time. */
+const reportedPassRise = 0.1;
+const passReportIntervalMs = 300;
+
 /** Number of control processes that receive load reports in turn, because one of them may be paused. */
 const reportedControls = 2;
 
@@ -85,6 +90,7 @@
 	readonly #mapChange: ExclusiveTask;
 	#heldSinceMs: number | undefined;
 	#isEngineReachable = true;
+	readonly #passTimer = new PassTimer();
 	#lastReportedLoad: TargetLoad | undefined;
 	#lastReportAtMs = Number.NEGATIVE_INFINITY;
 	#reportCount = 0;
@@ -168,6 +174,7 @@
 		}
 
 		if (state) {
+			this.#passTimer.observe(state, this.#options.clock.monotonicMs());
 			this.#reportLoad(state);
 			void this.#releaseIfAbandoned(state);
 		}
@@ -266,10 +273,16 @@
 		this.#updateRankPlace(state.rankPlace);
 		this.#versions.observe(Math.max(state.mapVersion ?? 0, state.preparedVersion ?? 0));
 		const skew = state.rankPlace?.rank === coordinatorRank ? this.#rebalancer?.recentPeakSkew : undefined;
-		const load = {...toTargetLoad(this.#options.targetAddress, state, this.#reportCount), ...(skew !== undefined && {skew: roundedSkew(skew)})};
 		const nowMs = this.#options.clock.monotonicMs();
-		if (nowMs - this.#lastReportAtMs < loadRepeatIntervalMs && this.#lastReportedLoad && isSameLoad(load, this.#lastReportedLoad)) {
-			return;
+		const passMs = state.rankPlace && reportsPasses(state.rankPlace) ? this.#passTimer.passMs(nowMs) : undefined;
+		const load = {
+			...toTargetLoad(this.#options.targetAddress, state, this.#reportCount), ...(skew !== undefined && {skew: roundedSkew(skew)}), ...(passMs !== undefined && {passMs: Math.round(passMs)}),
+		};
+		if (this.#lastReportedLoad && isSameLoad(load, this.#lastReportedLoad)) {
+			const isPassLonger = passMs !== undefined && passMs > (this.#lastReportedLoad.passMs ?? 0) * (1 + reportedPassRise);
+			if (nowMs - this.#lastReportAtMs < (isPassLonger ? passReportIntervalMs : loadRepeatIntervalMs)) {
+				return;
+			}
 		}
 
 		const addresses = this.controlAddresses.slice(0, reportedControls);
--- a/packages/target-table/src/target-report.ts
+++ b/packages/target-table/src/target-report.ts
@@ -52,4 +52,6 @@
 	readonly rankPlace?: RankPlace;
 	/** Skew of the group's expert map, at most over the last seconds: time of the slowest rank divided by the time under an even distribution. Only the coordinating rank reports it. */
 	readonly skew?: number;
+	/** Duration of the group's last passes, as measured at this rank. Only some ranks report it, and only while passes run. */
+	readonly passMs?: number;
 };
