Limit the requests of a group by its measured passes

Cause: writers were limited by the published formula and a skew that the coordinator remembers, which leave out prompts, copies and slow ranks and learn of a move of the demand late. Change: PassLimit takes the weighted median of the pass times of a group, the requests active in the group during them and the published fixed part (times the slowest rank's pace), works out the time that each writer adds, and limits by the slowest of the last 5 s. It falls at once, rises by at most 0.3 of the even limit a second, reserves room while passes are unsteady, and leaves a rank one writer. Without recent measurements the formula with the skew stands in. The seam changes to writersWithin?: (service, figures, nowMs); groupFigures collects the figures from the load of the ranks.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -7,7 +7,7 @@
 import type {Logger} from '@rattanspring/logger';
 import type {DaemonMetrics} from '@rattanspring/metrics';
 import {
-	AdmissionQueue, type EntryPosition, InProgressOrder, type RetryAllowance, RetryBudget, TargetSelector, writersWithin,
+	AdmissionQueue, type EntryPosition, type GroupFigures, InProgressOrder, PassLimit, type RetryAllowance, RetryBudget, TargetSelector,
 } from '@rattanspring/placement';
 import {isReachable, type TargetTransport} from '@rattanspring/target-connection';
 import type {TargetLimit} from '@rattanspring/target-limits';
@@ -74,6 +74,7 @@
 	#entries: readonly NodeCard[] = [];
 	#entryPosition: EntryPosition = {index: 0, count: 1};
 	readonly #pauseObjectives = new PauseObjectives();
+	readonly #passLimit = new PassLimit();
 	#hasNodeList = false;
 	#isInformed = false;
 	#isLeaving = false;
@@ -83,7 +84,7 @@
 		const nowMs = () => options.clock.monotonicMs();
 		const {random, logger, metrics, headerCodec, exchange, failureDomain} = options;
 		this.#selector = new TargetSelector({
-			failureDomain, entryPosition: () => this.#entryPosition, writersWithin: (service, skew) => this.#writersWithin(service, skew),
+			failureDomain, entryPosition: () => this.#entryPosition, writersWithin: (service, figures, atMs) => this.#writersWithin(service, figures, atMs),
 		});
 		this.#authorityCalls = new AuthorityCalls({controls: () => [...this.#links.nodes.values()], nowMs});
 		const crashWatch = new CrashWatch({
@@ -274,11 +275,11 @@
 	}
 
 	/** Writers that keep the pauses of the service's strictest route within its objective; undefined if it has none or no engine. */
-	#writersWithin(service: string, skew: number): number | undefined {
+	#writersWithin(service: string, figures: GroupFigures, nowMs: number): number | undefined {
 		const {state} = this.#documents.table ?? {};
 		const engine = state?.services.find(({name}) => name === service)?.engine;
 		const limits = this.#pauseObjectives.of(state, service);
-		return engine && limits !== undefined && engine.expertSets > 0 ? writersWithin(engine, limits, skew) : undefined;
+		return engine && limits !== undefined && engine.expertSets > 0 ? this.#passLimit.writers(engine, limits, figures, nowMs) : undefined;
 	}
 
 	#card(): NodeCard {
--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -7,6 +7,7 @@
 export * from './target-exclusion.js';
 export * from './target-pause.js';
 export type {ExchangeOutcome} from './target-record.js';
+export * from './pass-limit.js';
 export * from './writer-limit.js';
 export * from './target-selector.js';
 export * from './retry-policy.js';
--- a/packages/placement/src/target-selector.ts
+++ b/packages/placement/src/target-selector.ts
@@ -5,6 +5,8 @@
 
 import {LimitTable, PermitHolder, type TargetLimit} from '@rattanspring/target-limits';
 import type {TargetLifetime, TargetLoad, TargetReport} from '@rattanspring/target-table';
+import {groupFigures} from './group-figures.js';
+import type {GroupFigures} from './pass-limit.js';
 import type {EntryPosition} from './slot-shares.js';
 import type {ExclusionReason, TargetExclusion} from './target-exclusion.js';
 import {TargetPauses} from './target-pause.js';
@@ -80,8 +82,8 @@
 	readonly failureDomain: string;
 	/** Position of this entry among those that send to the same targets; by default it is the only one. */
 	readonly entryPosition?: () => EntryPosition;
-	/** Requests that a target of a service may process on average, at the given skew of its group's expert load; undefined if only its slots limit them. */
-	readonly writersWithin?: (service: string, skew: number) => number | undefined;
+	/** Requests that a target of a service may process on average, from what is known of its group; undefined if only its slots limit them. */
+	readonly writersWithin?: (service: string, figures: GroupFigures, nowMs: number) => number | undefined;
 	/** Reasons against ready targets; none by default. */
 	readonly exclusions?: readonly TargetExclusion[];
 };
@@ -333,15 +335,14 @@
 		};
 	}
 
-	/** Requests that the ranks of each group may process on average, where the skew of its expert load is known. */
+	/** Requests that the ranks of each group may process on average, where something limits them. */
 	#writersByGroup(service: string, nowMs: number): Map<string, number> {
+		const {writersWithin} = this.#options;
 		const writers = new Map<string, number>();
-		for (const {load, loadAtMs, report} of this.#entries.values()) {
-			if (report.service === service && load?.rankPlace && load.skew !== undefined && nowMs - loadAtMs < maxLoadAgeMs) {
-				const count = this.#options.writersWithin?.(service, load.skew);
-				if (count !== undefined) {
-					writers.set(load.rankPlace.group, count);
-				}
+		for (const figures of writersWithin ? groupFigures(this.#entries.values(), service, nowMs) : []) {
+			const count = writersWithin?.(service, figures, nowMs);
+			if (count !== undefined) {
+				writers.set(figures.group, count);
 			}
 		}
 
--- a/packages/placement/src/writer-limit.test.ts
+++ b/packages/placement/src/writer-limit.test.ts
@@ -4,7 +4,7 @@
 import {seededRandom} from '@rattanspring/test-kit';
 import {expect} from 'earl';
 import {targets} from './test-fixtures.js';
-import {TargetSelector, writersWithin} from './index.js';
+import {PassLimit, TargetSelector, writersWithin} from './index.js';
 
 const slots = 7;
 const pauseObjectiveMs = 120;
@@ -112,7 +112,8 @@
 
 describe('a selector whose group reports an uneven load', () => {
 	function placesOf(skew: number | undefined): number {
-		const selector = new TargetSelector({failureDomain: 'a', writersWithin: (_service, value) => writersWithin(engine, pauseObjectiveMs, value)});
+		const limit = new PassLimit();
+		const selector = new TargetSelector({failureDomain: 'a', writersWithin: (_service, figures, nowMs) => limit.writers(engine, pauseObjectiveMs, figures, nowMs)});
 		selector.setTargets(targets(24, slots), 0);
 		selector.setLoads(Array.from({length: 24}, (_, index) => loadOf(index, index === 0 ? skew : undefined)), 0);
 		let places = 0;
--- a/packages/rank-agent/src/pass-timer.test.ts
+++ b/packages/rank-agent/src/pass-timer.test.ts
@@ -12,9 +12,9 @@
 
 describe('PassTimer', () => {
 	/** Reads at intervals of 100 ms a group whose passes last as given. */
-	function read(timer: PassTimer, fromMs: number, toMs: number, passMs: number, state: Partial<EngineState> = {}): void {
+	function read(timer: PassTimer, fromMs: number, toMs: number, passMs: number): void {
 		for (let nowMs = fromMs; nowMs <= toMs; nowMs += 100) {
-			timer.observe({...running, step: Math.floor(nowMs / passMs), ...state}, nowMs);
+			timer.observe({...running, step: Math.floor(nowMs / passMs)}, nowMs);
 		}
 	}
 
