Tell coordinators the pace of a slow rank, and keep the pace of counts up to date

Cause: two faults. The coordinator of a group larger than its sample panel polled six ranks a sample, so it saw a slow one among 63 seconds late. And answers to count requests carry the pace of the last state read through the fenced client, but the agent read states past it: with a panel of all ranks (up to 16), where no state is polled, a slow rank was not seen until a switch read all states. Change: an agent whose pace changed by a tenth tells it on its card, at most once a second (ToldPace); coordinating agents see the cards of their group already (NodeCard.pace, GroupRanks.paces). A changed pace makes the next round due, and is planned with the known demand if the sample is too small. The agent reads states through the fenced client. The polls stay for lost cards. Cost: a pace change sends one card to each coordinating agent and control process; nothing while paces stay. The fake group has no link delays.

--- a/packages/fleet-link/src/messages.ts
+++ b/packages/fleet-link/src/messages.ts
@@ -30,6 +30,8 @@
 	readonly targetAddress?: string;
 	/** That target's position among the ranks of its group; agents only. */
 	readonly rankPlace?: RankPlace;
+	/** Slowdown of that target, as a multiple of the published time, if it is slow; agents only. */
+	readonly pace?: number;
 	/** Whether it may send orders to the ranks of its group, so that it is told about the other agents; agents only. */
 	readonly isCoordinating?: boolean;
 	/** Whether it is shutting down. */
--- a/packages/rank-agent/src/demand-tracker.ts
+++ b/packages/rank-agent/src/demand-tracker.ts
@@ -42,6 +42,8 @@
 	#formation = '';
 	#previous: Array<RankCounts | undefined> = [];
 	#paces: number[] = [];
+	/** Paces as the agents of the ranks have told them. */
+	#toldPaces: readonly number[] = [];
 	/** Moving average of the samples, by set and expert. */
 	#average: Float64Array[] = [];
 	/** Share of the selections of a sample that chance moves to other experts. */
@@ -86,6 +88,20 @@
 		this.#paces[rank] = pace;
 	}
 
+	/** Records the paces that the agents of the ranks have told; returns whether any has changed. One that has not changed does not replace what was read since. */
+	tellPaces(paces: readonly number[]): boolean {
+		let isChanged = false;
+		for (const [rank, pace] of paces.entries()) {
+			if (pace !== (this.#toldPaces[rank] ?? 1)) {
+				this.#paces[rank] = pace;
+				isChanged = true;
+			}
+		}
+
+		this.#toldPaces = paces;
+		return isChanged;
+	}
+
 	/** Adds the answers of the ranks that were asked, in the order of all ranks; returns the reason if they make no sample. */
 	observe(formation: string, sets: number, answers: ReadonlyArray<ExpertCounts | undefined>, nowMs: number, askedCount = answers.length): UnusableSample | undefined {
 		const known = answers.flatMap(answer => answer ? [answer] : []);
@@ -119,7 +135,7 @@
 		const isNew = answers.every(answer => answer === undefined || answer.step < newFormationMaxSteps);
 		this.#formation = formation;
 		this.#previous = answers.map(answer => isNew ? answer?.counts.map(() => 0) : answer?.counts);
-		this.#paces = answers.map(() => 1);
+		this.#paces = answers.map((_, rank) => this.#toldPaces[rank] ?? 1);
 		this.#average = [];
 	}
 
--- a/packages/rank-agent/src/fake-rank-group.ts
+++ b/packages/rank-agent/src/fake-rank-group.ts
@@ -16,6 +16,7 @@
 	newestVersion: number;
 	armed?: {version: number; step: number};
 	heldStep?: number;
+	pace: number;
 	counts: number[];
 };
 
@@ -54,7 +55,7 @@
 	constructor(options: FakeRankGroupOptions) {
 		this.#options = options;
 		this.#states = Array.from({length: options.ranks}, (_, rank) => ({
-			map: {version: 0, experts: options.lists.map(ranks => ranks[rank])}, newestVersion: 0, counts: [],
+			map: {version: 0, experts: options.lists.map(ranks => ranks[rank])}, newestVersion: 0, pace: 1, counts: [],
 		}));
 		this.unfencedEngines = this.#states.map((_, rank) => new FakeEngineClient(this, rank));
 		this.engines = this.unfencedEngines.map(engine => new FencedEngineClient(engine));
@@ -99,6 +100,21 @@
 		this.#states[rank].counts = counts;
 	}
 
+	/** Sets how much longer than published a rank takes. */
+	setPace(rank: number, pace: number): void {
+		this.#states[rank].pace = pace;
+	}
+
+	/** Paces of all ranks. */
+	get paces(): number[] {
+		return this.#states.map(({pace}) => pace);
+	}
+
+	/** Experts of the ranks in the maps in use, by set. */
+	get lists(): number[][][] {
+		return this.#options.lists.map((_, set) => this.#states.map(({map}) => [...map.experts[set]]));
+	}
+
 	state(rank: number): EngineState {
 		const state = this.#states[rank];
 		const {prepared} = state;
@@ -107,7 +123,7 @@
 			active: this.#options.active ?? 1,
 			queued: 0,
 			memoryShare: 0,
-			pace: 1,
+			pace: state.pace,
 			step: this.step,
 			rankPlace: {
 				group: 'g', epoch: this.epoch, rank, size: this.#states.length, isOpen: true,
@@ -120,7 +136,9 @@
 	}
 
 	counts(rank: number): ExpertCounts {
-		return {step: this.step, epoch: this.epoch, counts: this.#states[rank].counts};
+		return {
+			step: this.step, epoch: this.epoch, counts: this.#states[rank].counts, pace: this.#states[rank].pace,
+		};
 	}
 
 	experts(rank: number): HeldExperts {
--- a/packages/rank-agent/src/fenced-engine-client.ts
+++ b/packages/rank-agent/src/fenced-engine-client.ts
@@ -7,7 +7,7 @@
 	EngineClient, type EngineOrder, type EngineState, type ExpertCounts, type HeldExperts, type OrderOutcome,
 } from './engine-client.js';
 
-/** Refuses orders whose fencing number is lower than the highest one seen. */
+/** Refuses orders whose fencing number is lower than the highest one seen. Counts carry the pace of the last state that was read through this client, as the agent does all the time. */
 export class FencedEngineClient extends EngineClient {
 	readonly #engine: EngineClient;
 	#highest = 0;
--- a/packages/rank-agent/src/group-engine-clients.ts
+++ b/packages/rank-agent/src/group-engine-clients.ts
@@ -16,6 +16,8 @@
 	readonly group: string;
 	readonly epoch: number;
 	readonly engines: readonly EngineClient[];
+	/** Paces that the agents of the ranks have told. */
+	readonly paces?: readonly number[];
 	/** Sends hold orders to the holding rank through an agent outside the group: if that agent's VM is paused, no rank of the group is paused with it. */
 	readonly holdEngine?: EngineClient;
 	/** Reaches all ranks with few messages from this VM. */
@@ -106,7 +108,7 @@
 	const ordered = Array.from({length: size}, (_, rank) => byRank.get(rank));
 	return ordered.every(card => card !== undefined)
 		? {
-			group, epoch, engines: ordered.map(card => clientOf(card)), cards: ordered,
+			group, epoch, engines: ordered.map(card => clientOf(card)), paces: ordered.map(card => card.pace ?? 1), cards: ordered,
 		}
 		: undefined;
 }
--- a/packages/rank-agent/src/map-rebalancer.ts
+++ b/packages/rank-agent/src/map-rebalancer.ts
@@ -66,6 +66,8 @@
 	#skews: Array<{readonly atMs: number; readonly skew: number}> = [];
 	/** Whether the last switch left a peak that a further one can lower. */
 	#isBehind = false;
+	/** Whether a pace was told that no plan has taken into account yet. */
+	#hasNewPace = false;
 	#roundAtMs = Number.NEGATIVE_INFINITY;
 	#switchMs = initialSwitchMs;
 	#panelTurn = 0;
@@ -89,7 +91,14 @@
 
 	/** Whether it is time for the next round: at once while the map is behind the demand, otherwise after a pause. */
 	get isDue(): boolean {
-		return this.#isBehind || this.#demand.unansweredChangeAtMs !== undefined || this.#options.nowMs() - this.#roundAtMs >= calmPauseMs;
+		return this.#isBehind || this.#hasNewPace || this.#demand.unansweredChangeAtMs !== undefined || this.#options.nowMs() - this.#roundAtMs >= calmPauseMs;
+	}
+
+	/** Records the paces that the agents of the ranks have told: a changed one makes the next round due. */
+	tellPaces(paces: readonly number[]): void {
+		if (paces.length > 0 && this.#demand.tellPaces(paces)) {
+			this.#hasNewPace = true;
+		}
 	}
 
 	/** Runs one round: samples the counts, plans a map, and switches to it if the gain is large enough. */
@@ -125,7 +134,8 @@
 		}
 
 		const missing = await this.#sampleOnce(ranks, lists.length);
-		if (missing) {
+		const isPlannable = missing === 'tooFewSelections' && this.#hasNewPace && this.#demand.loads.length === lists.length;
+		if (missing && !isPlannable) {
 			return missing;
 		}
 
@@ -207,6 +217,7 @@
 		const {nowMs, engine, minGainPerCopy} = this.#options;
 		const startedAtMs = nowMs();
 		const costs = this.#stageCosts();
+		this.#hasNewPace = false;
 		const plan = await runInSlices(planStage({
 			current, loads: this.#demand.loads, placesPerRank: engine.placesPerRank, newPerRank: engine.newPlacesPerRank, minGainPerCopy, rankPaces: this.#demand.paces, costs,
 		}));
--- a/packages/rank-agent/src/rank-agent.ts
+++ b/packages/rank-agent/src/rank-agent.ts
@@ -24,6 +24,7 @@
 import {PassTimer, reportsPasses} from './pass-timer.js';
 import {RankRequestHandler} from './rank-request-handler.js';
 import {SuspendAwareClock} from './suspend-aware-clock.js';
+import {ToldPace} from './told-pace.js';
 
 /** Interval of load measurements, normally and while the target is nearly full: entries then need to learn of every slot that becomes free. */
 const measureIntervalMs = 200;
@@ -91,6 +92,7 @@
 	#heldSinceMs: number | undefined;
 	#isEngineReachable = true;
 	readonly #passTimer = new PassTimer();
+	readonly #toldPace = new ToldPace();
 	#lastReportedLoad: TargetLoad | undefined;
 	#lastReportAtMs = Number.NEGATIVE_INFINITY;
 	#reportCount = 0;
@@ -167,7 +169,7 @@
 
 	async #measure(): Promise<void> {
 		const startedAtMs = this.#options.clock.monotonicMs();
-		const state = await this.#options.engineClient.state();
+		const state = await this.#fencedEngine.state();
 		if ((state !== undefined) !== this.#isEngineReachable) {
 			this.#isEngineReachable = state !== undefined;
 			this.#options.logger.log(this.#isEngineReachable ? 'info' : 'warn', this.#isEngineReachable ? 'engineReached' : 'engineLost', {});
@@ -220,6 +222,7 @@
 
 		const {logger} = this.#options;
 		const ranks = this.#ranks();
+		this.#rebalancer?.tellPaces(ranks?.paces ?? []);
 		if (ranks && this.#mapChange.isRunning) {
 			await this.#rebalancer?.sample(ranks);
 		} else if (ranks && (this.#rebalancer?.isDue ?? true)) {
@@ -271,6 +274,10 @@
 
 	#reportLoad(state: EngineState): void {
 		this.#updateRankPlace(state.rankPlace);
+		if (this.#toldPace.observe(state.pace, this.#options.clock.monotonicMs())) {
+			this.#links.sendHello();
+		}
+
 		this.#versions.observe(Math.max(state.mapVersion ?? 0, state.preparedVersion ?? 0));
 		const skew = state.rankPlace?.rank === coordinatorRank ? this.#rebalancer?.recentPeakSkew : undefined;
 		const nowMs = this.#options.clock.monotonicMs();
@@ -297,7 +304,7 @@
 	#card(): NodeCard {
 		const {nodeId, failureDomain, linkAddress, targetAddress} = this.#options;
 		return {
-			nodeId, role: 'agent', failureDomain, linkAddress, targetAddress, ...(this.#place && {rankPlace: this.#place, isCoordinating: this.#place.rank <= holdingRank}), isLeaving: this.#isLeaving,
+			nodeId, role: 'agent', failureDomain, linkAddress, targetAddress, ...(this.#place && {rankPlace: this.#place, isCoordinating: this.#place.rank <= holdingRank}), ...(this.#toldPace.value !== undefined && {pace: this.#toldPace.value}), isLeaving: this.#isLeaving,
 		};
 	}
 }
