Keep one copy of the slowdown of passes during copies

Cause: the factor stood in placement and, as a share, in expert-map. Change: types holds it, on which both depend already.

--- a/packages/expert-map/src/planner/stage-choice.ts
+++ b/packages/expert-map/src/planner/stage-choice.ts
@@ -4,6 +4,8 @@
 the steps over the time for which the demand is expected to last, for a first switch and one that completes the plan.
 */
 
+import {copySlowdown} from '@rattanspring/types';
+
 /** A state that a plan can reach. */
 export type PlanLevel = {
 	/** Longest time of a rank over the mean time, averaged over the sets. */
@@ -28,9 +30,6 @@
 	readonly stepTimePerSkew: number;
 };
 
-/** Share by which steps take longer while weights are copied. */
-const copySlowdown = 0.15;
-
 /** Index of the level that the first switch should reach; 0 if staying at the first level is best. The first level is the present state. A copy has to lower the skew by `skewPerCopy`. */
 export function chooseFirstLevel(levels: readonly PlanLevel[], costs: StageCosts, skewPerCopy: number): number {
 	let best = {index: 0, cost: costOf([levels[0]], costs, skewPerCopy)};
@@ -53,7 +52,7 @@
 		const current = path[index];
 		const copyingMs = Math.min(leftMs, (next.copiesPerRank - current.copiesPerRank) * costs.copyMs);
 		const switchingMs = Math.min(leftMs - copyingMs, costs.switchMs);
-		cost += stepTimeAt(current, costs) * ((copyingMs * (1 + copySlowdown)) + switchingMs);
+		cost += stepTimeAt(current, costs) * ((copyingMs * copySlowdown) + switchingMs);
 		leftMs -= copyingMs + switchingMs;
 	}
 
--- a/packages/placement/src/pass-limit.ts
+++ b/packages/placement/src/pass-limit.ts
@@ -7,8 +7,9 @@
 */
 
 import type {EngineProfile} from '@rattanspring/desired-state';
+import {copySlowdown} from '@rattanspring/types';
 import {
-	copySlowdown, fixedPassMs, passShare, writerMs, writersWithin,
+	fixedPassMs, passShare, writerMs, writersWithin,
 } from './writer-limit.js';
 
 /** A measured pass. */
--- a/packages/placement/src/writer-limit.ts
+++ b/packages/placement/src/writer-limit.ts
@@ -6,17 +6,15 @@
 */
 
 import type {EngineProfile} from '@rattanspring/desired-state';
+import {copySlowdown} from '@rattanspring/types';
 
 /** Share of the objective that a pass may take; the rest is for the way to the caller and for what the formula leaves out. */
 export const passShare = 0.92;
 
-/** Factor by which passes take longer while weights are copied, as they are whenever the load is uneven. */
-export const copySlowdown = 1.15;
-
 /** Fewest writers of a rank: a group that is slower than any limit can compensate still serves. */
 const minWriters = 1;
 
-/** Writers that each rank may have on average, at a peak over mean of the experts' load; not rounded. */
+/** Writers that each rank may have on average, at a peak over mean of the experts' load; not rounded. While the load is uneven, weights are copied. */
 export function writersWithin(engine: EngineProfile, pauseObjectiveMs: number, skew: number): number {
 	return Math.max(minWriters, ((pauseObjectiveMs * passShare / copySlowdown) - fixedPassMs(engine)) / writerMs(engine, skew));
 }
--- a/packages/types/src/index.ts
+++ b/packages/types/src/index.ts
@@ -2,6 +2,7 @@
 export type * from './announcement.js';
 export * from './clock.js';
 export type * from './configuration.js';
+export * from './engine-figures.js';
 export type * from './execution.js';
 export * from './failures.js';
 export type * from './identity.js';
