--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -8,7 +8,7 @@
 import type {Logger} from '@rattanspring/logger';
 import type {DaemonMetrics} from '@rattanspring/metrics';
 import {
-	AdmissionQueue, type EntryPosition, ExpectedRoom, type RetryAllowance, RetryBudget, RoomReturnTimes, StreamSilence, TargetSelector, writersWithin,
+	AdmissionQueue, type EntryPosition, ExpectedRoom, type GroupFigures, PassLimit, type RetryAllowance, RetryBudget, RoomReturnTimes, StreamSilence, TargetSelector,
 } from '@rattanspring/placement';
 import {isReachable, type TargetTransport} from '@rattanspring/target-connection';
 import type {TargetLimit} from '@rattanspring/target-limits';
@@ -85,6 +85,7 @@
 	#entries: readonly NodeCard[] = [];
 	#entryPosition: EntryPosition = {index: 0, count: 1};
 	readonly #pauseObjectives = new PauseObjectives();
+	readonly #passLimit = new PassLimit();
 	#hasNodeList = false;
 	#isInformed = false;
 	#isLeaving = false;
@@ -94,7 +95,10 @@
 		const nowMs = () => options.clock.monotonicMs();
 		const {random, logger, metrics, headerCodec, exchange, failureDomain} = options;
 		this.#selector = new TargetSelector({
-			failureDomain, entryPosition: () => this.#entryPosition, writersWithin: (service, skew) => this.#writersWithin(service, skew), engineOf: service => this.#engineOf(service),
+			failureDomain,
+			entryPosition: () => this.#entryPosition,
+			writersWithin: (service, figures, atMs) => this.#writersWithin(service, figures, atMs),
+			engineOf: service => this.#engineOf(service),
 		});
 		this.#authorityCalls = new AuthorityCalls({controls: () => [...this.#links.nodes.values()], nowMs});
 		const crashWatch = new CrashWatch({
@@ -297,11 +301,11 @@
 	}
 
 	/** Writers that keep the pauses of the service's strictest route within its objective; undefined if it has none or no engine. */
-	#writersWithin(service: string, skew: number): number | undefined {
+	#writersWithin(service: string, figures: GroupFigures, nowMs: number): number | undefined {
 		const {state} = this.#documents.table ?? {};
 		const engine = this.#engineOf(service);
 		const limits = this.#pauseObjectives.of(state, service);
-		return engine && limits !== undefined && engine.expertSets > 0 ? writersWithin(engine, limits, skew) : undefined;
+		return engine && limits !== undefined && engine.expertSets > 0 ? this.#passLimit.writers(engine, limits, figures, nowMs) : undefined;
 	}
 
 	#engineOf(service: string): EngineProfile | undefined {
--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -13,6 +13,7 @@
 export * from './target-memory.js';
 export * from './target-pause.js';
 export type {ExchangeOutcome} from './target-record.js';
+export * from './pass-limit.js';
 export * from './writer-limit.js';
 export * from './target-selector.js';
 export * from './retry-policy.js';
--- a/packages/rank-agent/src/rank-agent.ts
+++ b/packages/rank-agent/src/rank-agent.ts
@@ -21,8 +21,10 @@
 import {MapRebalancer} from './map-rebalancer.js';
 import {MapSwitch} from './map-switch.js';
 import {MapVersionAllocator} from './map-version-allocator.js';
+import {PassTimer, reportsPasses} from './pass-timer.js';
 import {RankRequestHandler} from './rank-request-handler.js';
 import {SuspendAwareClock} from './suspend-aware-clock.js';
+import {ToldPace} from './told-pace.js';
 
 /** Interval of load measurements, normally and while the target is nearly full: entries then need to learn of every slot that becomes free. */
 const measureIntervalMs = 200;
@@ -34,6 +36,10 @@
 /** Unchanged load is reported again after this time. */
 const loadRepeatIntervalMs = 900;
 
+/** Passes that became longer by this share are reported before the load changes, at most once in this time. */
+const reportedPassRise = 0.1;
+const passReportIntervalMs = 300;
+
 /** Number of control processes that receive load reports in turn, because one of them may be paused. */
 const reportedControls = 2;
 
@@ -85,6 +91,8 @@
 	readonly #mapChange: ExclusiveTask;
 	#heldSinceMs: number | undefined;
 	#isEngineReachable = true;
+	readonly #passTimer = new PassTimer();
+	readonly #toldPace = new ToldPace();
 	#lastReportedLoad: TargetLoad | undefined;
 	#lastReportAtMs = Number.NEGATIVE_INFINITY;
 	#reportCount = 0;
@@ -161,13 +169,14 @@
 
 	async #measure(): Promise<void> {
 		const startedAtMs = this.#options.clock.monotonicMs();
-		const state = await this.#options.engineClient.state();
+		const state = await this.#fencedEngine.state();
 		if ((state !== undefined) !== this.#isEngineReachable) {
 			this.#isEngineReachable = state !== undefined;
 			this.#options.logger.log(this.#isEngineReachable ? 'info' : 'warn', this.#isEngineReachable ? 'engineReached' : 'engineLost', {});
 		}
 
 		if (state) {
+			this.#passTimer.observe(state, this.#options.clock.monotonicMs());
 			this.#reportLoad(state);
 			void this.#releaseIfAbandoned(state);
 		}
@@ -213,6 +222,7 @@
 
 		const {logger} = this.#options;
 		const ranks = this.#ranks();
+		this.#rebalancer?.tellPaces(ranks?.paces ?? []);
 		if (ranks && this.#mapChange.isRunning) {
 			await this.#rebalancer?.sample(ranks);
 		} else if (ranks && (this.#rebalancer?.isDue ?? true)) {
@@ -264,12 +274,22 @@
 
 	#reportLoad(state: EngineState): void {
 		this.#updateRankPlace(state.rankPlace);
+		if (this.#toldPace.observe(state.pace, this.#options.clock.monotonicMs())) {
+			this.#links.sendHello();
+		}
+
 		this.#versions.observe(Math.max(state.mapVersion ?? 0, state.preparedVersion ?? 0));
 		const skew = state.rankPlace?.rank === coordinatorRank ? this.#rebalancer?.recentPeakSkew : undefined;
-		const load = {...toTargetLoad(this.#options.targetAddress, state, this.#reportCount), ...(skew !== undefined && {skew: roundedSkew(skew)})};
 		const nowMs = this.#options.clock.monotonicMs();
-		if (nowMs - this.#lastReportAtMs < loadRepeatIntervalMs && this.#lastReportedLoad && isSameLoad(load, this.#lastReportedLoad)) {
-			return;
+		const passMs = state.rankPlace && reportsPasses(state.rankPlace) ? this.#passTimer.passMs(nowMs) : undefined;
+		const load = {
+			...toTargetLoad(this.#options.targetAddress, state, this.#reportCount), ...(skew !== undefined && {skew: roundedSkew(skew)}), ...(passMs !== undefined && {passMs: Math.round(passMs)}),
+		};
+		if (this.#lastReportedLoad && isSameLoad(load, this.#lastReportedLoad)) {
+			const isPassLonger = passMs !== undefined && passMs > (this.#lastReportedLoad.passMs ?? 0) * (1 + reportedPassRise);
+			if (nowMs - this.#lastReportAtMs < (isPassLonger ? passReportIntervalMs : loadRepeatIntervalMs)) {
+				return;
+			}
 		}
 
 		const addresses = this.controlAddresses.slice(0, reportedControls);
@@ -284,7 +304,7 @@
 	#card(): NodeCard {
 		const {nodeId, failureDomain, linkAddress, targetAddress} = this.#options;
 		return {
-			nodeId, role: 'agent', failureDomain, linkAddress, targetAddress, ...(this.#place && {rankPlace: this.#place, isCoordinating: this.#place.rank <= holdingRank}), isLeaving: this.#isLeaving,
+			nodeId, role: 'agent', failureDomain, linkAddress, targetAddress, ...(this.#place && {rankPlace: this.#place, isCoordinating: this.#place.rank <= holdingRank}), ...(this.#toldPace.value !== undefined && {pace: this.#toldPace.value}), isLeaving: this.#isLeaving,
 		};
 	}
 }
