The control group holds the register of drained failure domains, and spreads it

Cause: an acknowledged order about a failure domain has to survive what an acknowledged document survives, and a late resend must not undo a later order. FleetControl.orderDomain reads through a quorum after the order has arrived, then proposes on the revision it has read, and answers within 0.8 s. The new message 'domains' goes to entries and control processes, once for each revision, and before the version to those that connect; a malformed one ends its stream.

--- a/packages/fleet-control/src/diskless-group.ts
+++ b/packages/fleet-control/src/diskless-group.ts
@@ -5,6 +5,7 @@
 
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {ReplaceOutcome, StoredDocument} from '@rattanspring/desired-state';
+import type {DomainOrder, DomainOrderOutcome, DomainRegister} from '@rattanspring/domain-drain';
 import type {JoinReply} from '@rattanspring/fleet-link';
 import type {Logger} from '@rattanspring/logger';
 import {type GrpcService, peerService} from '@rattanspring/voter-group';
@@ -49,6 +50,14 @@
 		return undefined;
 	}
 
+	get register(): undefined {
+		return undefined;
+	}
+
+	get isLeader(): boolean {
+		return false;
+	}
+
 	get isVoter(): boolean {
 		return false;
 	}
@@ -70,6 +79,14 @@
 		return this.#leaderAccess.read();
 	}
 
+	async readRegister(): Promise<DomainRegister | undefined> {
+		return this.#leaderAccess.readRegister();
+	}
+
+	async orderDomain(order: DomainOrder): Promise<DomainOrderOutcome | undefined> {
+		return this.#leaderAccess.orderDomain(order);
+	}
+
 	async join(): Promise<JoinReply> {
 		return {isMember: false, isDiskless: true, leaderAddress: this.#leaderAccess.confirmedLeaderAddress};
 	}
--- a/packages/fleet-control/src/document-group.ts
+++ b/packages/fleet-control/src/document-group.ts
@@ -8,8 +8,8 @@
 import {randomInt, randomUUID} from 'node:crypto';
 import path from 'node:path';
 import {setTimeout as sleep} from 'node:timers/promises';
-import {toJsonBytes} from '@rattanspring/control-client';
 import type {ReplaceOutcome, StoredDocument} from '@rattanspring/desired-state';
+import type {DomainOrder, DomainOrderOutcome, DomainRegister} from '@rattanspring/domain-drain';
 import type {JoinReply, JoinRequest} from '@rattanspring/fleet-link';
 import {type FatalErrorHandler, FileLogStorage, loadOrCreateDiskIdentity} from '@rattanspring/log-storage';
 import type {Logger} from '@rattanspring/logger';
@@ -22,11 +22,12 @@
 } from '@rattanspring/voter-group';
 import {CandidateTable} from './candidate-table.js';
 import {ControlGroup} from './control-group.js';
-import {DocumentStateMachine} from './document-state-machine.js';
+import {documentCommand, DocumentStateMachine, domainCommand} from './document-state-machine.js';
 import {type ConfirmedRead, LeaderAccess, submitTimeoutMs} from './leader-access.js';
 import {
 	groupSizes, type GroupSizes, nextLearner, staleLearner, surplusVoter,
 } from './replacement.js';
+import {withTimeout} from './with-timeout.js';
 
 /** Number of applied entries between snapshots. */
 const snapshotEveryEntries = 64;
@@ -81,6 +82,8 @@
 	readonly fatalErrorHandler: FatalErrorHandler;
 	readonly logger: Logger;
 	readonly clock: Clock;
+	/** Called with the first register that a quorum has confirmed, and with each newer one. */
+	readonly onRegister: (register: DomainRegister) => void;
 	readonly onDocument: (document: StoredDocument) => void;
 };
 
@@ -99,6 +102,7 @@
 	#voterId = '';
 	#timer: NodeJS.Timeout | undefined;
 	#publishedVersion = -1;
+	#publishedRevision = -1;
 	#isConfirmed = false;
 	#isStopped = false;
 
@@ -125,6 +129,10 @@
 		return this.#isConfirmed ? this.#stateMachine.document : undefined;
 	}
 
+	get register(): DomainRegister | undefined {
+		return this.#isConfirmed ? this.#stateMachine.register : undefined;
+	}
+
 	/** Whether this member believes that it is the leader; another leader may have been elected meanwhile. */
 	get isLeader(): boolean {
 		return this.#driver?.state.role === 'leader';
@@ -162,8 +170,7 @@
 		}
 
 		if (driver.state.role === 'leader') {
-			const result = await withTimeout(driver.propose(toJsonBytes(document)), submitTimeoutMs);
-			return result?.ok ? result.value : undefined;
+			return commit(driver, documentCommand(document));
 		}
 
 		return this.#leaderAccess.submit(document, this.#leaderInContact(driver)?.address);
@@ -187,6 +194,28 @@
 		return {isConfirmed, document: isConfirmed ? this.#stateMachine.document : undefined};
 	}
 
+	async readRegister(): Promise<DomainRegister | undefined> {
+		const driver = this.#driver;
+		if (!driver) {
+			return undefined;
+		}
+
+		if (driver.state.role !== 'leader' && !this.#leaderInContact(driver)) {
+			return this.#leaderAccess.readRegister();
+		}
+
+		return await this.#confirmState(driver) ? this.#stateMachine.register : undefined;
+	}
+
+	async orderDomain(order: DomainOrder): Promise<DomainOrderOutcome | undefined> {
+		const driver = this.#driver;
+		if (driver?.state.role === 'leader') {
+			return await commit(driver, domainCommand(order)) as DomainOrderOutcome | undefined;
+		}
+
+		return driver && this.#leaderAccess.orderDomain(order, this.#leaderInContact(driver)?.address);
+	}
+
 	/** The leader records the sender as a candidate and adds it if the group needs it; any other member returns the leader's address. */
 	async join({voterId, address}: JoinRequest): Promise<JoinReply> {
 		const driver = this.#driver;
@@ -299,7 +328,7 @@
 			tickIntervalMs,
 			snapshotEveryEntries,
 			onApplied: () => {
-				this.#publishDocument();
+				this.#publish();
 			},
 			onRoleChanged(role, term) {
 				logger.log('info', 'replicaRoleChanged', {role, term});
@@ -316,11 +345,17 @@
 			}
 		}
 
-		this.#publishDocument();
+		this.#publish();
 	}
 
-	#publishDocument(): void {
-		const {document} = this;
+	/** The register goes first: whoever has the document may begin to send to targets. */
+	#publish(): void {
+		const {document, register} = this;
+		if (register && register.revision > this.#publishedRevision) {
+			this.#publishedRevision = register.revision;
+			this.#options.onRegister(register);
+		}
+
 		if (document && document.version > this.#publishedVersion) {
 			this.#publishedVersion = document.version;
 			this.#options.onDocument(document);
@@ -444,17 +479,13 @@
 	}
 }
 
+/** Returns undefined if the outcome is unknown. */
+async function commit(driver: ReplicaDriver<ReplaceOutcome>, command: Uint8Array): Promise<ReplaceOutcome | undefined> {
+	const result = await withTimeout(driver.propose(command), submitTimeoutMs);
+	return result?.ok ? result.value : undefined;
+}
+
 async function confirmRead(driver: ReplicaDriver<ReplaceOutcome>): Promise<boolean> {
 	const read = await withTimeout(driver.read(), readTimeoutMs);
 	return read?.ok ?? false;
 }
-
-async function withTimeout<Value>(work: Promise<Value>, timeoutMs: number): Promise<Value | undefined> {
-	let timer: NodeJS.Timeout | undefined;
-	const timeout = new Promise<undefined>(resolve => {
-		timer = setTimeout(resolve, timeoutMs, undefined);
-	});
-	const value = await Promise.race([work, timeout]);
-	clearTimeout(timer);
-	return value;
-}
--- a/packages/fleet-control/src/fleet-control.ts
+++ b/packages/fleet-control/src/fleet-control.ts
@@ -7,6 +7,7 @@
 
 import {TrialGrants} from '@rattanspring/crash-evidence';
 import type {ReplaceOutcome, StoredDocument} from '@rattanspring/desired-state';
+import type {DomainOrder, DomainRegister, DomainRequest} from '@rattanspring/domain-drain';
 import {
 	ControlLinks, type DocumentRequest, DocumentSender, type DownMessage, type JoinRequest, LinkServer, linkService, listen, type NodeCard, type NodeRole, type TrialReply, type TrialRequest,
 	type UpMessage,
@@ -26,6 +27,8 @@
 import {ConvictionStore} from './conviction-store.js';
 import {DisklessGroup} from './diskless-group.js';
 import {DocumentGroup} from './document-group.js';
+import {DomainAnnouncements} from './domain-announcements.js';
+import {type DomainOrderResult, DomainOrders} from './domain-orders.js';
 import {FigureBatches} from './figure-batches.js';
 import {RelayedFacts} from './relayed-facts.js';
 
@@ -59,6 +62,8 @@
 	readonly #figures: FigureBatches;
 	readonly #trials = new TrialGrants();
 	readonly #facts: RelayedFacts;
+	readonly #domains: DomainAnnouncements;
+	readonly #domainOrders: DomainOrders;
 	readonly #permits = new PermitAuthority();
 	#isLeaving = false;
 
@@ -97,7 +102,18 @@
 			},
 			logger,
 		});
+		this.#domains = new DomainAnnouncements({
+			broadcast: (message, receivers) => {
+				this.#linkServer.broadcast(message, receivers);
+			},
+			logger,
+		});
 		this.#group = this.#createGroup();
+		this.#domainOrders = new DomainOrders({
+			nowMs,
+			readRegister: async () => this.#group.readRegister(),
+			orderDomain: async order => this.#group.orderDomain(order),
+		});
 	}
 
 	/** Starts the server, then recovers, forms or joins the group. */
@@ -133,6 +149,25 @@
 		return this.#group.read();
 	}
 
+	/** Failure domains of the daemons and targets that this process knows, and those that were ever ordered about. */
+	get failureDomains(): Set<string> {
+		const known = [this.#card(), ...this.#controlLinks.nodes.values(), ...this.#targets.all()].map(({failureDomain}) => failureDomain);
+		return new Set([...known, ...this.#group.register?.domains.map(({domain}) => domain) ?? []]);
+	}
+
+	/** Linearizable read of the register of drained failure domains; undefined if no quorum confirmed it. */
+	async readDomains(): Promise<DomainRegister | undefined> {
+		return this.#group.readRegister();
+	}
+
+	/**
+	Drains or restores a failure domain. It is committed on the ground of a read that is confirmed now, and only if the caller is still connected after this read.
+	Returns undefined if the outcome is unknown: the order may still take effect.
+	*/
+	async orderDomain(request: DomainRequest, isCallerConnected: () => boolean): Promise<DomainOrderResult | undefined> {
+		return this.#domainOrders.order(request, isCallerConnected);
+	}
+
 	/** Records a target's report of its own state and broadcasts it. */
 	report(report: TargetReport): void {
 		const previous = this.#targets.get(report.targetId);
@@ -194,6 +229,9 @@
 			seeds,
 			otherAddresses: () => this.#controlLinks.addresses,
 			failureDomainOf: address => this.#failureDomainOf(address),
+			onRegister: register => {
+				this.#domains.applied(register);
+			},
 			onDocument: document => {
 				logger.log('info', 'documentInForce', {version: document.version, bytes: document.text.length});
 				this.#documentSender.publish(document);
@@ -218,6 +256,8 @@
 			},
 			document: this.#unary('document', async (request: DocumentRequest) => this.#documentSender.reply(request)),
 			submit: this.#unary('submit', async (document: StoredDocument) => ({outcome: await this.#group.submit(document)})),
+			readDomains: this.#unary('readDomains', async () => this.#group.isLeader ? {register: await this.#group.readRegister()} : {}),
+			orderDomain: this.#unary('orderDomain', async (order: DomainOrder) => this.#group.isLeader ? {outcome: await this.#group.orderDomain(order)} : {}),
 			trial: this.#unary('trial', async (request: TrialRequest) => this.#grantTrial(request)),
 			permit: this.#unary('permit', async (limit: TargetLimit) => this.#permits.take(limit, this.#options.clock.monotonicMs())),
 			join: this.#unary('join', async (request: JoinRequest) => this.#group.join(request)),
@@ -313,6 +353,11 @@
 				break;
 			}
 
+			case 'domains': {
+				this.#domains.received(message.register);
+				break;
+			}
+
 			case 'beat':
 			case 'nodes':
 			case 'nodesChanged':
@@ -336,7 +381,7 @@
 		const messages: DownMessage[] = role === 'agent' ? [] : [{type: 'targets', reports: this.#targets.all()}];
 		if (role !== 'agent') {
 			// Before the version: an entry begins to serve once it has the document.
-			messages.push(...this.#facts.messages);
+			messages.push(...this.#facts.messages, ...this.#domains.messages);
 		}
 
 		if (document) {
--- a/packages/fleet-control/src/leader-access.ts
+++ b/packages/fleet-control/src/leader-access.ts
@@ -4,6 +4,7 @@
 */
 
 import type {ReplaceOutcome, StoredDocument} from '@rattanspring/desired-state';
+import type {DomainOrder, DomainOrderOutcome, DomainRegister} from '@rattanspring/domain-drain';
 import {
 	DocumentReceiver, type JoinReply, type JoinRequest, LinkCalls, linkService,
 } from '@rattanspring/fleet-link';
@@ -15,6 +16,9 @@
 const joinTimeoutMs = 500;
 const partTimeoutMs = 800;
 
+/** Timeout of a call about failure domains; their caller waits for less than a second. */
+const domainCallTimeoutMs = 800;
+
 /** Number of parts of a document after which a read is given up. */
 const maxParts = 2048;
 
@@ -88,6 +92,20 @@
 		return index === undefined ? {isConfirmed: false} : this.#fetch(address!);
 	}
 
+	/** Linearizable read of the leader's register; undefined if it was not confirmed. */
+	async readRegister(): Promise<DomainRegister | undefined> {
+		const address = await this.#findLeader();
+		const reply = address === undefined ? undefined : await this.#linkCalls.call(address, linkService.readDomains, {}, domainCallTimeoutMs);
+		return reply?.register;
+	}
+
+	/** Commits an order about a failure domain through the leader at an address, by default the one found. Returns undefined if the outcome is unknown. */
+	async orderDomain(order: DomainOrder, memberAddress?: string): Promise<DomainOrderOutcome | undefined> {
+		const address = memberAddress ?? await this.#findLeader();
+		const reply = address === undefined ? undefined : await this.#linkCalls.call(address, linkService.orderDomain, order, domainCallTimeoutMs);
+		return reply?.outcome as DomainOrderOutcome | undefined;
+	}
+
 	close(): void {
 		this.#linkCalls.close();
 		this.#peerCalls.close();
--- a/packages/fleet-link/src/link-service.ts
+++ b/packages/fleet-link/src/link-service.ts
@@ -6,6 +6,9 @@
 import {Buffer} from 'node:buffer';
 import type {MethodDefinition} from '@grpc/grpc-js';
 import {readEvidenceRecords} from '@rattanspring/crash-evidence';
+import {
+	type DomainOrder, type DomainRegister, readDomainOrder, readDomainRegister,
+} from '@rattanspring/domain-drain';
 import {type PermitDecision, readTargetLimit, type TargetLimit} from '@rattanspring/target-limits';
 import {fromLoadRow, toLoadRow} from './load-rows.js';
 import type {DownMessage, UpMessage} from './messages.js';
@@ -42,6 +45,9 @@
 /** The outcome of a command; without `outcome` it is unknown whether the command was accepted. */
 export type SubmitReply = {readonly outcome?: string};
 
+/** The leader's register of failure domains, confirmed by a quorum; absent if it was not confirmed or the answering process does not lead. */
+export type ReadDomainsReply = {readonly register?: DomainRegister};
+
 /** A request by a process to join the control group; without a voter ID it only asks for the leader. */
 export type JoinRequest = {readonly voterId?: string; readonly address: string};
 
@@ -87,6 +93,8 @@
 	},
 	document: {...method<DocumentRequest, DocumentReply>('Document', false), responseSerialize: serializeWithAttachment, responseDeserialize: parseDocumentReply},
 	submit: method<SubmitRequest, SubmitReply>('Submit', false),
+	readDomains: {...method<Readonly<Record<string, never>>, ReadDomainsReply>('ReadDomains', false), responseDeserialize: parseReadDomainsReply},
+	orderDomain: {...method<DomainOrder, SubmitReply>('OrderDomain', false), requestDeserialize: (bytes: Buffer) => readDomainOrder(parseJson(bytes))},
 	join: method<JoinRequest, JoinReply>('Join', false),
 	trial: {...method<TrialRequest, TrialReply>('Trial', false), requestDeserialize: parseTrialRequest},
 	permit: {...method<TargetLimit, PermitDecision>('Permit', false), requestDeserialize: (bytes: Buffer) => readTargetLimit(parseJson(bytes))},
@@ -156,9 +164,18 @@
 		return {...message, records: readEvidenceRecords(message.records)};
 	}
 
+	if (message.type === 'domains') {
+		return {...message, register: readDomainRegister(message.register)};
+	}
+
 	return message.type === 'limits' ? {...message, limits: message.limits.map(limit => readTargetLimit(limit))} : message;
 }
 
+function parseReadDomainsReply(bytes: Buffer): ReadDomainsReply {
+	const {register} = parseObject(bytes) as ReadDomainsReply;
+	return register === undefined ? {} : {register: readDomainRegister(register)};
+}
+
 function parseTrialRequest(bytes: Buffer): TrialRequest {
 	const {component} = parseObject(bytes) as Partial<TrialRequest>;
 	if (typeof component !== 'string') {
--- a/packages/fleet-link/src/messages.ts
+++ b/packages/fleet-link/src/messages.ts
@@ -1,6 +1,7 @@
 /** Messages on the streams between control processes and the other daemons. They carry soft state only; any of them may be lost. */
 
 import type {ComponentEvidence} from '@rattanspring/crash-evidence';
+import type {DomainRegister} from '@rattanspring/domain-drain';
 import type {TargetLimit} from '@rattanspring/target-limits';
 import type {
 	RankPlace, TargetLifetime, TargetLoad, TargetReport, TargetHeartbeat,
@@ -63,6 +64,9 @@
 /** Limits that targets have named, or name no more, in answers to some entry. */
 export type LimitsMessage = {readonly type: 'limits'; readonly limits: readonly TargetLimit[]};
 
+/** The whole register of drained failure domains. */
+export type DomainsMessage = {readonly type: 'domains'; readonly register: DomainRegister};
+
 /** Messages from a daemon to a control process. */
 export type UpMessage
 	/** `isPrimary` is whether the daemon takes load figures and heartbeats of the targets from this stream; it takes them from one of its streams. */
@@ -89,5 +93,7 @@
 		| {readonly type: 'leaving'; readonly targets: readonly TargetLifetime[]}
 		| EvidenceMessage
 		| LimitsMessage
+		/** Sent on each change, and to each daemon that connects before the version of the document. */
+		| DomainsMessage
 		/** The latest document version that the control group accepted. */
 		| {readonly type: 'version'; readonly version: number};
