Entries send nothing to targets in drained failure domains

Cause: an entry has to stop at once, and one that has restarted must know what is drained before it serves. Change: DomainFollower applies the register with the highest revision, logs domainDrained and domainRestored, sets two metrics and places queued requests again; it is the first exclusion of the selector. An entry serves once a control process that holds the document has sent a register; beside a control process of an older build, which sends none, it waits a second at most. The control process of entry-listing.test now sends its register before the version, as the real one does; its checks are unchanged.

--- a/packages/gateway/src/entry-listing.test.ts
+++ b/packages/gateway/src/entry-listing.test.ts
@@ -4,6 +4,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {type sendUnaryData, Server, type ServerUnaryCall} from '@grpc/grpc-js';
 import {type DesiredState, DocumentCodec, type DocumentFailure} from '@rattanspring/desired-state';
+import {emptyRegister} from '@rattanspring/domain-drain';
 import {
 	type DocumentReply, type DocumentRequest, DocumentSender, LinkServer, linkService, listen,
 } from '@rattanspring/fleet-link';
@@ -60,6 +61,8 @@
 	}
 }
 
+const domains = {type: 'domains', register: emptyRegister} as const;
+
 /** A control process whose document can be withheld. */
 class TestControl {
 	hasDocument = true;
@@ -73,7 +76,7 @@
 			ownCard: () => ({
 				nodeId: 'control', role: 'control', failureDomain: 'a', linkAddress: address, isLeaving: false,
 			}),
-			initialMessages: () => this.hasDocument ? [{type: 'version', version: 1}] : [],
+			initialMessages: () => this.hasDocument ? [domains, {type: 'version', version: 1}] : [],
 			onMessage: () => undefined,
 		});
 	}
@@ -97,6 +100,7 @@
 
 	publishDocument(): void {
 		this.hasDocument = true;
+		this.links.broadcast(domains, {roles: ['entry']});
 		this.links.broadcast({type: 'version', version: 1}, {roles: ['entry']});
 	}
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -18,6 +18,7 @@
 import {CallerServer} from './caller-server.js';
 import {CrashWatch} from './crash-watch.js';
 import {DocumentFollower} from './document-follower.js';
+import {DomainFollower} from './domain-follower.js';
 import {FirstAttemptEstimator} from './first-attempt-estimator.js';
 import type {GatewayContext} from './gateway-context.js';
 import type {HeaderCodec} from './header-codec.js';
@@ -64,6 +65,7 @@
 	readonly #server: CallerServer;
 	readonly #links: ControlLinks;
 	readonly #documents: DocumentFollower;
+	readonly #domains: DomainFollower;
 	readonly #authorityCalls: AuthorityCalls;
 	readonly #targets = new TargetTable();
 	readonly #selector: TargetSelector;
@@ -82,8 +84,18 @@
 		this.#options = options;
 		const nowMs = () => options.clock.monotonicMs();
 		const {random, logger, metrics, headerCodec, exchange, failureDomain} = options;
+		this.#domains = new DomainFollower({
+			logger,
+			metrics,
+			onSwitched: () => {
+				this.#context.admission.processQueue(nowMs());
+			},
+			onKnown: () => {
+				this.#updateInformed();
+			},
+		});
 		this.#selector = new TargetSelector({
-			failureDomain, entryPosition: () => this.#entryPosition, writersWithin: (service, skew) => this.#writersWithin(service, skew),
+			failureDomain, entryPosition: () => this.#entryPosition, writersWithin: (service, skew) => this.#writersWithin(service, skew), exclusions: [this.#domains.drained],
 		});
 		this.#authorityCalls = new AuthorityCalls({controls: () => [...this.#links.nodes.values()], nowMs});
 		const crashWatch = new CrashWatch({
@@ -115,7 +127,7 @@
 			inProgress,
 			nowMs,
 			random,
-			table: () => this.#documents.table,
+			table: () => this.#domains.isKnown ? this.#documents.table : undefined,
 			newestVersion: () => this.#documents.newestVersion,
 			entryCount: () => Math.max(1, this.#entries.length),
 			onTargetLeaving: target => this.#onTargetLeaving(target),
@@ -174,12 +186,13 @@
 					this.#sendKnownFacts(linkAddress);
 				} else {
 					this.#documents.dropConnection(linkAddress);
+					this.#domains.dropConnection(linkAddress);
 				}
 			},
 		});
 	}
 
-	/** Whether this entry may receive callers: it has a desired state, knows the other entries, and is not draining. */
+	/** Whether this entry may receive callers: it has a desired state, knows the drained failure domains and the other entries, and is not draining. */
 	get isReady(): boolean {
 		return this.#isInformed && !this.#isLeaving;
 	}
@@ -230,6 +243,7 @@
 		this.#links.close();
 		this.#authorityCalls.close();
 		this.#documents.close();
+		this.#domains.close();
 		this.#server.close();
 		this.#options.exchange.close();
 	}
@@ -265,9 +279,9 @@
 		this.#entryPosition = {index: ids.indexOf(nodeId), count: ids.length};
 	}
 
-	/** Announces this entry as ready once it has a desired state and a node list. It keeps both when it loses its control processes. */
+	/** Announces this entry as ready once it has a desired state, a register of failure domains and a node list. It keeps all of them when it loses its control processes. */
 	#updateInformed(): void {
-		if (!this.#isInformed && this.#hasNodeList && this.#documents.table !== undefined) {
+		if (!this.#isInformed && this.#hasNodeList && this.#context.table() !== undefined) {
 			this.#isInformed = true;
 			this.#links.sendHello();
 		}
@@ -325,10 +339,16 @@
 			}
 
 			case 'version': {
+				this.#domains.recordDocument(address);
 				this.#documents.recordVersion(address, message.version);
 				break;
 			}
 
+			case 'domains': {
+				this.#domains.receive(message.register, address);
+				break;
+			}
+
 			case 'limits': {
 				for (const limit of message.limits) {
 					this.#selector.setLimit(limit);
--- a/packages/metrics/src/index.ts
+++ b/packages/metrics/src/index.ts
@@ -54,6 +54,18 @@
 		registers: [this.registry],
 	});
 
+	readonly domainsDrained = new Gauge({
+		name: 'rattanspring_failure_domains_drained',
+		help: 'Failure domains that this daemon sends no requests to, by order of an operator.',
+		registers: [this.registry],
+	});
+
+	readonly domainRegisterRevision = new Gauge({
+		name: 'rattanspring_failure_domain_register_revision',
+		help: 'Revision of the register of drained failure domains in force on this daemon.',
+		registers: [this.registry],
+	});
+
 	readonly targetCrashes = new Counter({
 		name: 'rattanspring_requests_on_crashed_targets_total',
 		help: 'Requests of this entry that were running on a target when it crashed.',
