--- a/packages/gateway/src/entry-listing.test.ts
+++ b/packages/gateway/src/entry-listing.test.ts
@@ -66,6 +66,8 @@
 /** A control process whose document can be withheld. */
 class TestControl {
 	hasDocument = true;
+	/** Control processes of older builds send no register. */
+	hasRegister = true;
 	readonly links: LinkServer;
 	readonly #sender = new DocumentSender();
 	readonly #server = new Server();
@@ -76,7 +78,7 @@
 			ownCard: () => ({
 				nodeId: 'control', role: 'control', failureDomain: 'a', linkAddress: address, isLeaving: false,
 			}),
-			initialMessages: () => this.hasDocument ? [domains, {type: 'version', version: 1}] : [],
+			initialMessages: () => this.hasDocument ? [...(this.hasRegister ? [domains] : []), {type: 'version', version: 1}] : [],
 			onMessage: () => undefined,
 		});
 	}
@@ -162,6 +164,17 @@
 		expect(entry.entryAddressesFor('a')).toEqual([addressOf(1)]);
 	});
 
+	it('has an entry after a limited time if control processes of an older build send no register of failure domains', async () => {
+		control.hasRegister = false;
+		await control.start();
+		const entry = await startEntry(1);
+		await eventually(() => control.links.cards.length === 2);
+		await sleep(300);
+		expect(entry.entryAddressesFor('a')).toEqual(undefined);
+		await eventually(() => entry.isReady);
+		expect(entry.entryAddressesFor('a')).toEqual([addressOf(1)]);
+	});
+
 	it('has an entry only once that entry is ready, and keeps it while no control process runs', async () => {
 		await control.start();
 		const first = await startEntry(1);
