--- a/packages/fleet-control/src/document-group.ts
+++ b/packages/fleet-control/src/document-group.ts
@@ -14,19 +14,16 @@
 import {type FatalErrorHandler, FileLogStorage, loadOrCreateDiskIdentity} from '@rattanspring/log-storage';
 import type {Logger} from '@rattanspring/logger';
 import {
-	currentMembership, findMember, initialLog, isVoter, type Learner, type Membership, type RecoveredLog, type Voter,
+	currentMembership, findMember, initialLog, isVoter, type Membership, type RecoveredLog, type Voter,
 } from '@rattanspring/replicated-log';
 import {type Clock, FailureError} from '@rattanspring/types';
 import {
 	formGroup, GrpcPeerTransport, type GrpcService, PeerCalls, peerService, ReplicaDriver,
 } from '@rattanspring/voter-group';
-import {CandidateTable} from './candidate-table.js';
 import {ControlGroup} from './control-group.js';
 import {documentCommand, DocumentStateMachine, domainCommand} from './document-state-machine.js';
 import {type ConfirmedRead, LeaderAccess, submitTimeoutMs} from './leader-access.js';
-import {
-	groupSizes, type GroupSizes, nextLearner, staleLearner, surplusVoter,
-} from './replacement.js';
+import {MembershipMaintenance} from './membership-maintenance.js';
 import {withTimeout} from './with-timeout.js';
 
 /** Number of applied entries between snapshots. */
@@ -42,13 +39,6 @@
 const longJoinPauseMs = 1000;
 const quickJoinCount = 30;
 
-/** Time after its election during which a leader only replaces voters, so that all candidates are known when it adds some. */
-const growthDelayMs = 400;
-
-/** Attempts to add a learner while an earlier membership change is in progress. */
-const maxAddAttempts = 10;
-const addRetryPauseMs = 50;
-
 const formationPauseMs = 100;
 
 /** Pause between attempts to confirm the recovered state. */
@@ -96,8 +86,7 @@
 	readonly #transport = new GrpcPeerTransport({});
 	readonly #peerCalls = new PeerCalls(undefined);
 	readonly #leaderAccess: LeaderAccess;
-	readonly #candidates = new CandidateTable();
-	#isAdding = false;
+	readonly #membership: MembershipMaintenance;
 	#driver: ReplicaDriver<ReplaceOutcome> | undefined;
 	#voterId = '';
 	#timer: NodeJS.Timeout | undefined;
@@ -109,6 +98,7 @@
 	constructor(options: DocumentGroupOptions) {
 		super();
 		this.#options = options;
+		this.#membership = new MembershipMaintenance(options);
 		this.#leaderAccess = new LeaderAccess({linkAddress: options.linkAddress, addresses: () => this.#otherAddresses});
 		this.#storage = new FileLogStorage({folder: path.join(options.dataFolder, 'log'), fatalErrorHandler: options.fatalErrorHandler});
 		this.service = peerService({
@@ -158,7 +148,9 @@
 		this.#driver.start();
 		void this.#confirmFirstState(this.#driver);
 		this.#timer = setInterval(() => {
-			void this.#maintainMembership();
+			if (this.#driver) {
+				void this.#membership.maintain(this.#driver);
+			}
 		}, maintenanceIntervalMs);
 		void this.#keepMembership();
 	}
@@ -229,8 +221,7 @@
 		}
 
 		if (voterId !== undefined && !isMember) {
-			this.#candidates.add({voterId, address}, this.#options.clock.monotonicMs());
-			void this.#addLearners(driver);
+			this.#membership.addCandidate(driver, {voterId, address});
 		}
 
 		return {isMember, leaderAddress: this.#options.linkAddress};
@@ -404,79 +395,6 @@
 		const {linkAddress, seeds, otherAddresses} = this.#options;
 		return [...new Set([...seeds(), ...otherAddresses()])].filter(address => address !== linkAddress);
 	}
-
-	get #sizes(): GroupSizes {
-		const {faultTolerance, seeds} = this.#options;
-		return groupSizes({faultTolerance, seedCount: seeds().length});
-	}
-
-	/** As the leader, adds the candidates that the group needs, one after another. */
-	async #addLearners(driver: ReplicaDriver<ReplaceOutcome>): Promise<void> {
-		if (this.#isAdding) {
-			return;
-		}
-
-		this.#isAdding = true;
-		for (let attempt = 0; attempt < maxAddAttempts; attempt++) {
-			const learner = this.#nextLearner(driver);
-			if (!learner) {
-				break;
-			}
-
-			const result = await driver.changeMembership({kind: 'add', learner});
-			if (result.ok || result.failure.type !== 'changeInProgress') {
-				this.#options.logger.log('info', 'memberJoins', {...learner, outcome: result.ok ? 'accepted' : result.failure.type});
-			}
-
-			await sleep(result.ok ? 0 : addRetryPauseMs);
-		}
-
-		this.#isAdding = false;
-	}
-
-	#nextLearner(driver: ReplicaDriver<ReplaceOutcome>): Learner | undefined {
-		const {leader} = driver.state;
-		if (!leader) {
-			return undefined;
-		}
-
-		const nowMs = this.#options.clock.monotonicMs();
-		return nextLearner({
-			membership: currentMembership(driver.state),
-			candidates: this.#candidates.current(nowMs),
-			size: nowMs - leader.termStart.nowMs < growthDelayMs ? 0 : this.#sizes.desired,
-			silentMsOf: voterId => this.#silentMsOf(driver, voterId),
-			failureDomainOf: this.#options.failureDomainOf,
-		});
-	}
-
-	/** As the leader, adds the candidates that the group needs, and removes unreachable voters in excess of its size and stale learners. */
-	async #maintainMembership(): Promise<void> {
-		const driver = this.#driver;
-		if (driver?.state.role !== 'leader') {
-			return;
-		}
-
-		await this.#addLearners(driver);
-		const membership = currentMembership(driver.state);
-		const surplus = surplusVoter(membership, this.#sizes.kept, voterId => this.#silentMsOf(driver, voterId))
-			?? staleLearner(membership, voterId => this.#silentMsOf(driver, voterId));
-		if (surplus !== undefined) {
-			const result = await driver.changeMembership({kind: 'remove', voterId: surplus});
-			this.#options.logger.log('info', 'memberRemoved', {voterId: surplus, outcome: result.ok ? 'accepted' : result.failure.type});
-		}
-	}
-
-	#silentMsOf(driver: ReplicaDriver<ReplaceOutcome>, voterId: string): number {
-		const {leader} = driver.state;
-		const nowMs = this.#options.clock.monotonicMs();
-		if (voterId === this.#voterId || this.#candidates.has(voterId, nowMs)) {
-			return 0;
-		}
-
-		const heardAtMs = leader?.progress.get(voterId)?.acknowledgedSentAtMs ?? Number.NEGATIVE_INFINITY;
-		return nowMs - Math.max(heardAtMs, leader?.termStart.nowMs ?? nowMs);
-	}
 }
 
 /** Returns undefined if the outcome is unknown. */
