Command line: domains drain, restore and list

Cause: the product's own fleets could drain single targets by name only, though exceptions for failure domains exist. Change: one folder of commands that add, remove and list the exception target.admitsWork=false for a failure domain.

--- a/packages/cli/src/commands/index.ts
+++ b/packages/cli/src/commands/index.ts
@@ -4,6 +4,7 @@
 import {callerKeysCommand} from './caller-keys/index.js';
 import {configCommand} from './config/index.js';
 import {defaultsCommand} from './defaults/index.js';
+import {domainsCommand} from './domains/index.js';
 import {exceptionsCommand} from './exceptions/index.js';
 import {groupsCommand} from './groups/index.js';
 import {keysCommand} from './keys/index.js';
@@ -23,6 +24,7 @@
 	operatorKeysCommand,
 	votersCommand,
 	targetsCommand,
+	domainsCommand,
 	groupsCommand,
 	requestsCommand,
 	suspectsCommand,
