Test a drained failure domain on a whole fleet of the product

It covers the exception that 'domains drain' adds, through the control API and not through the command itself.

--- a/packages/daemon/src/drained-target.test.ts
+++ b/packages/daemon/src/drained-target.test.ts
@@ -9,6 +9,9 @@
 	startTestFleet, testCallerSecret, type TestFleet, waitUntil,
 } from './test-fleet.js';
 
+/** The failure domain of the test fleet. */
+const fleetDomain = 'test-a';
+
 describe('a target drained by configuration', () => {
 	const orders = new PlainService({host: '127.0.0.1', port: 0});
 	let fleet: TestFleet;
@@ -55,4 +58,17 @@
 		await change(2, {kind: 'removeException', exceptionId: 'drain-orders-1'});
 		await waitUntil(async () => await lookUp() === 200);
 	});
+
+	it('receives none while its failure domain is drained, and goes on while another one is', async () => {
+		const drain = (domain: string): ConfigurationEdit => ({
+			kind: 'addException', exception: {
+				exceptionId: `drain-domain-${domain}`, scope: {kind: 'failureDomain', name: domain}, key: 'target.admitsWork', value: false, reason: 'power work', operator: 'op',
+			},
+		});
+		await change(3, drain('another'));
+		await change(4, drain(fleetDomain));
+		await waitUntil(async () => await lookUp() === 503);
+		await change(5, {kind: 'removeException', exceptionId: `drain-domain-${fleetDomain}`});
+		await waitUntil(async () => await lookUp() === 200);
+	});
 });
