--- a/packages/fleet-control/src/document-group.ts
+++ b/packages/fleet-control/src/document-group.ts
@@ -8,25 +8,23 @@
 import {randomInt, randomUUID} from 'node:crypto';
 import path from 'node:path';
 import {setTimeout as sleep} from 'node:timers/promises';
-import {toJsonBytes} from '@rattanspring/control-client';
 import type {ReplaceOutcome, StoredDocument} from '@rattanspring/desired-state';
+import type {DomainOrder, DomainOrderOutcome, DomainRegister} from '@rattanspring/domain-drain';
 import type {JoinReply, JoinRequest} from '@rattanspring/fleet-link';
 import {type FatalErrorHandler, FileLogStorage, loadOrCreateDiskIdentity} from '@rattanspring/log-storage';
 import type {Logger} from '@rattanspring/logger';
 import {
-	currentMembership, findMember, initialLog, isVoter, type Learner, type Membership, type RecoveredLog, type Voter,
+	currentMembership, findMember, initialLog, isVoter, type Membership, type RecoveredLog, type Voter,
 } from '@rattanspring/replicated-log';
 import {type Clock, FailureError} from '@rattanspring/types';
 import {
 	formGroup, GrpcPeerTransport, type GrpcService, PeerCalls, peerService, ReplicaDriver,
 } from '@rattanspring/voter-group';
-import {CandidateTable} from './candidate-table.js';
 import {ControlGroup} from './control-group.js';
-import {DocumentStateMachine} from './document-state-machine.js';
+import {documentCommand, DocumentStateMachine, domainCommand} from './document-state-machine.js';
 import {type ConfirmedRead, LeaderAccess, submitTimeoutMs} from './leader-access.js';
-import {
-	groupSizes, type GroupSizes, nextLearner, staleLearner, surplusVoter,
-} from './replacement.js';
+import {MembershipMaintenance} from './membership-maintenance.js';
+import {withTimeout} from './with-timeout.js';
 
 /** Number of applied entries between snapshots. */
 const snapshotEveryEntries = 64;
@@ -41,13 +39,6 @@
 const longJoinPauseMs = 1000;
 const quickJoinCount = 30;
 
-/** Time after its election during which a leader only replaces voters, so that all candidates are known when it adds some. */
-const growthDelayMs = 400;
-
-/** Attempts to add a learner while an earlier membership change is in progress. */
-const maxAddAttempts = 10;
-const addRetryPauseMs = 50;
-
 const formationPauseMs = 100;
 
 /** Pause between attempts to confirm the recovered state. */
@@ -81,6 +72,8 @@
 	readonly fatalErrorHandler: FatalErrorHandler;
 	readonly logger: Logger;
 	readonly clock: Clock;
+	/** Called with the first register that a quorum has confirmed, and with each newer one. */
+	readonly onRegister: (register: DomainRegister) => void;
 	readonly onDocument: (document: StoredDocument) => void;
 };
 
@@ -93,18 +86,19 @@
 	readonly #transport = new GrpcPeerTransport({});
 	readonly #peerCalls = new PeerCalls(undefined);
 	readonly #leaderAccess: LeaderAccess;
-	readonly #candidates = new CandidateTable();
-	#isAdding = false;
+	readonly #membership: MembershipMaintenance;
 	#driver: ReplicaDriver<ReplaceOutcome> | undefined;
 	#voterId = '';
 	#timer: NodeJS.Timeout | undefined;
 	#publishedVersion = -1;
+	#publishedRevision = -1;
 	#isConfirmed = false;
 	#isStopped = false;
 
 	constructor(options: DocumentGroupOptions) {
 		super();
 		this.#options = options;
+		this.#membership = new MembershipMaintenance(options);
 		this.#leaderAccess = new LeaderAccess({linkAddress: options.linkAddress, addresses: () => this.#otherAddresses});
 		this.#storage = new FileLogStorage({folder: path.join(options.dataFolder, 'log'), fatalErrorHandler: options.fatalErrorHandler});
 		this.service = peerService({
@@ -125,6 +119,10 @@
 		return this.#isConfirmed ? this.#stateMachine.document : undefined;
 	}
 
+	get register(): DomainRegister | undefined {
+		return this.#isConfirmed ? this.#stateMachine.register : undefined;
+	}
+
 	/** Whether this member believes that it is the leader; another leader may have been elected meanwhile. */
 	get isLeader(): boolean {
 		return this.#driver?.state.role === 'leader';
@@ -150,7 +148,9 @@
 		this.#driver.start();
 		void this.#confirmFirstState(this.#driver);
 		this.#timer = setInterval(() => {
-			void this.#maintainMembership();
+			if (this.#driver) {
+				void this.#membership.maintain(this.#driver);
+			}
 		}, maintenanceIntervalMs);
 		void this.#keepMembership();
 	}
@@ -162,8 +162,7 @@
 		}
 
 		if (driver.state.role === 'leader') {
-			const result = await withTimeout(driver.propose(toJsonBytes(document)), submitTimeoutMs);
-			return result?.ok ? result.value : undefined;
+			return commit(driver, documentCommand(document));
 		}
 
 		return this.#leaderAccess.submit(document, this.#leaderInContact(driver)?.address);
@@ -187,6 +186,28 @@
 		return {isConfirmed, document: isConfirmed ? this.#stateMachine.document : undefined};
 	}
 
+	async readRegister(): Promise<DomainRegister | undefined> {
+		const driver = this.#driver;
+		if (!driver) {
+			return undefined;
+		}
+
+		if (driver.state.role !== 'leader' && !this.#leaderInContact(driver)) {
+			return this.#leaderAccess.readRegister();
+		}
+
+		return await this.#confirmState(driver) ? this.#stateMachine.register : undefined;
+	}
+
+	async orderDomain(order: DomainOrder): Promise<DomainOrderOutcome | undefined> {
+		const driver = this.#driver;
+		if (driver?.state.role === 'leader') {
+			return await commit(driver, domainCommand(order)) as DomainOrderOutcome | undefined;
+		}
+
+		return driver && this.#leaderAccess.orderDomain(order, this.#leaderInContact(driver)?.address);
+	}
+
 	/** The leader records the sender as a candidate and adds it if the group needs it; any other member returns the leader's address. */
 	async join({voterId, address}: JoinRequest): Promise<JoinReply> {
 		const driver = this.#driver;
@@ -200,8 +221,7 @@
 		}
 
 		if (voterId !== undefined && !isMember) {
-			this.#candidates.add({voterId, address}, this.#options.clock.monotonicMs());
-			void this.#addLearners(driver);
+			this.#membership.addCandidate(driver, {voterId, address});
 		}
 
 		return {isMember, leaderAddress: this.#options.linkAddress};
@@ -299,7 +319,7 @@
 			tickIntervalMs,
 			snapshotEveryEntries,
 			onApplied: () => {
-				this.#publishDocument();
+				this.#publish();
 			},
 			onRoleChanged(role, term) {
 				logger.log('info', 'replicaRoleChanged', {role, term});
@@ -316,11 +336,17 @@
 			}
 		}
 
-		this.#publishDocument();
+		this.#publish();
 	}
 
-	#publishDocument(): void {
-		const {document} = this;
+	/** The register goes first: whoever has the document may begin to send to targets. */
+	#publish(): void {
+		const {document, register} = this;
+		if (register && register.revision > this.#publishedRevision) {
+			this.#publishedRevision = register.revision;
+			this.#options.onRegister(register);
+		}
+
 		if (document && document.version > this.#publishedVersion) {
 			this.#publishedVersion = document.version;
 			this.#options.onDocument(document);
@@ -369,92 +395,15 @@
 		const {linkAddress, seeds, otherAddresses} = this.#options;
 		return [...new Set([...seeds(), ...otherAddresses()])].filter(address => address !== linkAddress);
 	}
+}
 
-	get #sizes(): GroupSizes {
-		const {faultTolerance, seeds} = this.#options;
-		return groupSizes({faultTolerance, seedCount: seeds().length});
-	}
-
-	/** As the leader, adds the candidates that the group needs, one after another. */
-	async #addLearners(driver: ReplicaDriver<ReplaceOutcome>): Promise<void> {
-		if (this.#isAdding) {
-			return;
-		}
-
-		this.#isAdding = true;
-		for (let attempt = 0; attempt < maxAddAttempts; attempt++) {
-			const learner = this.#nextLearner(driver);
-			if (!learner) {
-				break;
-			}
-
-			const result = await driver.changeMembership({kind: 'add', learner});
-			if (result.ok || result.failure.type !== 'changeInProgress') {
-				this.#options.logger.log('info', 'memberJoins', {...learner, outcome: result.ok ? 'accepted' : result.failure.type});
-			}
-
-			await sleep(result.ok ? 0 : addRetryPauseMs);
-		}
-
-		this.#isAdding = false;
-	}
-
-	#nextLearner(driver: ReplicaDriver<ReplaceOutcome>): Learner | undefined {
-		const {leader} = driver.state;
-		if (!leader) {
-			return undefined;
-		}
-
-		const nowMs = this.#options.clock.monotonicMs();
-		return nextLearner({
-			membership: currentMembership(driver.state),
-			candidates: this.#candidates.current(nowMs),
-			size: nowMs - leader.termStart.nowMs < growthDelayMs ? 0 : this.#sizes.desired,
-			silentMsOf: voterId => this.#silentMsOf(driver, voterId),
-			failureDomainOf: this.#options.failureDomainOf,
-		});
-	}
-
-	/** As the leader, adds the candidates that the group needs, and removes unreachable voters in excess of its size and stale learners. */
-	async #maintainMembership(): Promise<void> {
-		const driver = this.#driver;
-		if (driver?.state.role !== 'leader') {
-			return;
-		}
-
-		await this.#addLearners(driver);
-		const membership = currentMembership(driver.state);
-		const surplus = surplusVoter(membership, this.#sizes.kept, voterId => this.#silentMsOf(driver, voterId))
-			?? staleLearner(membership, voterId => this.#silentMsOf(driver, voterId));
-		if (surplus !== undefined) {
-			const result = await driver.changeMembership({kind: 'remove', voterId: surplus});
-			this.#options.logger.log('info', 'memberRemoved', {voterId: surplus, outcome: result.ok ? 'accepted' : result.failure.type});
-		}
-	}
-
-	#silentMsOf(driver: ReplicaDriver<ReplaceOutcome>, voterId: string): number {
-		const {leader} = driver.state;
-		const nowMs = this.#options.clock.monotonicMs();
-		if (voterId === this.#voterId || this.#candidates.has(voterId, nowMs)) {
-			return 0;
-		}
-
-		const heardAtMs = leader?.progress.get(voterId)?.acknowledgedSentAtMs ?? Number.NEGATIVE_INFINITY;
-		return nowMs - Math.max(heardAtMs, leader?.termStart.nowMs ?? nowMs);
-	}
+/** Returns undefined if the outcome is unknown. */
+async function commit(driver: ReplicaDriver<ReplaceOutcome>, command: Uint8Array): Promise<ReplaceOutcome | undefined> {
+	const result = await withTimeout(driver.propose(command), submitTimeoutMs);
+	return result?.ok ? result.value : undefined;
 }
 
 async function confirmRead(driver: ReplicaDriver<ReplaceOutcome>): Promise<boolean> {
 	const read = await withTimeout(driver.read(), readTimeoutMs);
 	return read?.ok ?? false;
 }
-
-async function withTimeout<Value>(work: Promise<Value>, timeoutMs: number): Promise<Value | undefined> {
-	let timer: NodeJS.Timeout | undefined;
-	const timeout = new Promise<undefined>(resolve => {
-		timer = setTimeout(resolve, timeoutMs, undefined);
-	});
-	const value = await Promise.race([work, timeout]);
-	clearTimeout(timer);
-	return value;
-}
--- a/packages/fleet-link/src/messages.ts
+++ b/packages/fleet-link/src/messages.ts
@@ -2,6 +2,7 @@
 
 import type {AccountUse} from '@rattanspring/account-shares';
 import type {ComponentEvidence} from '@rattanspring/crash-evidence';
+import type {DomainRegister} from '@rattanspring/domain-drain';
 import type {TargetLimit} from '@rattanspring/target-limits';
 import type {
 	RankPlace, TargetLifetime, TargetLoad, TargetReport, TargetHeartbeat,
@@ -69,6 +70,9 @@
 /** What client accounts used over the last seconds: at the entry that sends it, or at all entries that told the control process that sends it. */
 export type UseMessage = {readonly type: 'use'; readonly nodeId: string; readonly uses: readonly AccountUse[]};
 
+/** The whole register of drained failure domains. */
+export type DomainsMessage = {readonly type: 'domains'; readonly register: DomainRegister};
+
 /** Messages from a daemon to a control process. */
 export type UpMessage
 	/** `isPrimary` is whether the daemon takes load figures and heartbeats of the targets from this stream; it takes them from one of its streams. */
@@ -99,5 +103,7 @@
 		| UseMessage
 		/** What client accounts used at all entries. */
 		| {readonly type: 'useTotals'; readonly uses: readonly AccountUse[]}
+		/** Sent on each change, and to each daemon that connects before the version of the document. */
+		| DomainsMessage
 		/** The latest document version that the control group accepted. */
 		| {readonly type: 'version'; readonly version: number};
