--- a/packages/desired-state/src/desired-state.ts
+++ b/packages/desired-state/src/desired-state.ts
@@ -64,6 +64,10 @@
 	readonly healthPath: string;
 	/** Maximum number of connections of one target, over all callers. */
 	readonly maxConnections: number;
+	/** Requests a second that a cold target takes from all entries together; absent if cold targets have no limit. */
+	readonly coldPerSecond?: number;
+	/** Time for which a target is cold after its start, if it says nothing else. */
+	readonly coldMs?: number;
 	readonly engine?: EngineProfile;
 };
 
--- a/packages/desired-state/src/validate-desired-state.ts
+++ b/packages/desired-state/src/validate-desired-state.ts
@@ -1,12 +1,13 @@
 /** Validation of a desired state before it is accepted. */
 
-import type {DesiredState, Route} from './desired-state.js';
+import type {DesiredState, Route, Service} from './desired-state.js';
 
 /** Returns a description of each problem of a document; empty if it is valid. */
 export function validateDesiredState(state: DesiredState): string[] {
 	const services = new Set(state.services.map(service => service.name));
 	return [
 		...state.routes.flatMap(route => validateRoute(route, services)),
+		...state.services.flatMap(service => validateService(service)),
 		...findDuplicates(state.routes.map(route => `${route.host} ${route.pathPrefix}`)).map(place => `Two routes share ${place}.`),
 		...findDuplicates(state.services.map(service => service.name)).map(name => `Two services are named ${name}.`),
 		...findDuplicates((state.clientAccounts ?? []).flatMap(account => [...new Set(account.keys)])).map(() => 'Two client accounts share a key.'),
@@ -33,6 +34,10 @@
 	return problems;
 }
 
+function validateService({name, coldPerSecond = 0, coldMs = 0}: Service): string[] {
+	return coldPerSecond < 0 || coldMs < 0 ? [`Service ${name} has a negative limit or time for cold targets.`] : [];
+}
+
 function findDuplicates(values: readonly string[]): string[] {
 	const seen = new Set<string>();
 	return values.filter(value => {
--- a/packages/fleet-control/src/fleet-control.ts
+++ b/packages/fleet-control/src/fleet-control.ts
@@ -15,9 +15,8 @@
 import {describeError, type Logger} from '@rattanspring/logger';
 import {serverOptions} from '@rattanspring/protocol';
 import {
-	type TargetReport, type TargetHeartbeat, TargetTable,
+	isSameState, type TargetReport, type TargetHeartbeat, TargetTable,
 } from '@rattanspring/target-table';
-import {PermitAuthority, type TargetLimit} from '@rattanspring/target-limits';
 import type {Clock} from '@rattanspring/types';
 import {
 	type handleUnaryCall, type sendUnaryData, Server, type ServerDuplexStream, status, type UntypedServiceImplementation,
@@ -27,6 +26,7 @@
 import {DisklessGroup} from './diskless-group.js';
 import {DocumentGroup} from './document-group.js';
 import {FigureBatches} from './figure-batches.js';
+import {Permits} from './permits.js';
 import {RelayedFacts} from './relayed-facts.js';
 
 const expireIntervalMs = 10_000;
@@ -59,7 +59,7 @@
 	readonly #figures: FigureBatches;
 	readonly #trials = new TrialGrants();
 	readonly #facts: RelayedFacts;
-	readonly #permits = new PermitAuthority();
+	readonly #permits: Permits;
 	#isLeaving = false;
 
 	constructor(options: FleetControlOptions) {
@@ -85,12 +85,17 @@
 				this.#onControlMessage(message);
 			},
 			onNodes: () => {
+				this.#permits.refreshRank();
 				this.#linkServer.scheduleNodesUpdate();
 			},
 		});
 		const {dataFolder, logger} = options;
+		this.#permits = new Permits({
+			nowMs, ownAddress: options.linkAddress, seeds: options.seeds, nodes: () => this.#controlLinks.nodes.values(),
+		});
 		this.#facts = new RelayedFacts({
 			targets: this.#targets,
+			nowMs,
 			...(dataFolder !== undefined && {convictions: new ConvictionStore({folder: dataFolder, logger})}),
 			broadcast: (message, receivers) => {
 				this.#linkServer.broadcast(message, receivers);
@@ -109,6 +114,7 @@
 		this.#figures.start();
 		this.#addInterval(expireIntervalMs, () => {
 			this.#targets.expire(this.#options.clock.monotonicMs());
+			this.#permits.refreshRank();
 		});
 		await this.#group.start();
 	}
@@ -135,8 +141,9 @@
 
 	/** Records a target's report of its own state and broadcasts it. */
 	report(report: TargetReport): void {
-		const previous = this.#targets.get(report.targetId);
-		if (!this.#targets.add(report, this.#options.clock.monotonicMs())) {
+		const nowMs = this.#options.clock.monotonicMs();
+		const previous = this.#targets.current(report.targetId, nowMs);
+		if (!this.#targets.add(report, nowMs)) {
 			return;
 		}
 
@@ -219,7 +226,7 @@
 			document: this.#unary('document', async (request: DocumentRequest) => this.#documentSender.reply(request)),
 			submit: this.#unary('submit', async (document: StoredDocument) => ({outcome: await this.#group.submit(document)})),
 			trial: this.#unary('trial', async (request: TrialRequest) => this.#grantTrial(request)),
-			permit: this.#unary('permit', async (limit: TargetLimit) => this.#permits.take(limit, this.#options.clock.monotonicMs())),
+			permit: this.#unary('permit', async (request: unknown) => this.#permits.take(request)),
 			join: this.#unary('join', async (request: JoinRequest) => this.#group.join(request)),
 		};
 	}
@@ -253,7 +260,7 @@
 			}
 
 			case 'limits': {
-				this.#facts.recordLimits(message.limits, ['entry', 'control']);
+				this.#facts.recordLimits(message, ['entry', 'control']);
 				break;
 			}
 
@@ -304,7 +311,7 @@
 			}
 
 			case 'limits': {
-				this.#facts.recordLimits(message.limits, ['entry']);
+				this.#facts.recordLimits(message, ['entry']);
 				break;
 			}
 
@@ -333,7 +340,7 @@
 
 	#initialMessages(role: NodeRole): DownMessage[] {
 		const {document} = this.#group;
-		const messages: DownMessage[] = role === 'agent' ? [] : [{type: 'targets', reports: this.#targets.all()}];
+		const messages: DownMessage[] = role === 'agent' ? [] : [{type: 'targets', reports: this.#targets.allCurrent(this.#options.clock.monotonicMs())}];
 		if (role !== 'agent') {
 			// Before the version: an entry begins to serve once it has the document.
 			messages.push(...this.#facts.messages);
@@ -356,11 +363,6 @@
 
 const {rank: _rank, ...controlMethods} = linkService;
 
-/** Whether two reports of a target differ in nothing but their sequence. */
-function isSameState(previous: TargetReport, current: TargetReport): boolean {
-	return JSON.stringify({...previous, sequence: 0}) === JSON.stringify({...current, sequence: 0});
-}
-
 function heartbeatOf({targetId, bornMs, sequence}: TargetReport): TargetHeartbeat {
 	return {targetId, bornMs, sequence};
 }
--- a/packages/fleet-control/src/relayed-facts.ts
+++ b/packages/fleet-control/src/relayed-facts.ts
@@ -4,9 +4,11 @@
 */
 
 import {type ComponentEvidence, CrashEvidence} from '@rattanspring/crash-evidence';
-import type {DownMessage, NodeRole, Receivers} from '@rattanspring/fleet-link';
+import type {
+	DownMessage, LimitsMessage, NodeRole, Receivers,
+} from '@rattanspring/fleet-link';
 import type {Logger} from '@rattanspring/logger';
-import {LimitTable, type TargetLimit} from '@rattanspring/target-limits';
+import {ColdTargets, LimitTable} from '@rattanspring/target-limits';
 import type {TargetLifetime, TargetTable} from '@rattanspring/target-table';
 import type {ConvictionStore} from './conviction-store.js';
 
@@ -15,6 +17,7 @@
 	readonly targets: TargetTable;
 	/** Where convictions outlast a loss of power; absent without a disk. */
 	readonly convictions?: ConvictionStore;
+	readonly nowMs: () => number;
 	readonly broadcast: (message: DownMessage, receivers: Receivers) => void;
 	readonly logger: Logger;
 };
@@ -23,6 +26,7 @@
 export class RelayedFacts {
 	readonly #options: RelayedFactsOptions;
 	readonly #limits = new LimitTable();
+	readonly #coldTargets = new ColdTargets();
 	readonly #crashEvidence = new CrashEvidence();
 
 	constructor(options: RelayedFactsOptions) {
@@ -43,11 +47,13 @@
 		}
 	}
 
-	/** Records which limits targets name. */
-	recordLimits(limits: readonly TargetLimit[], receivers: readonly NodeRole[]): void {
+	/** Records which limits targets name, and how much longer they are cold. */
+	recordLimits({limits, cold = []}: LimitsMessage, receivers: readonly NodeRole[]): void {
+		const nowMs = this.#options.nowMs();
 		const changed = limits.filter(limit => this.#limits.set(limit));
-		if (changed.length > 0) {
-			this.#options.broadcast({type: 'limits', limits: changed}, {roles: receivers});
+		const changedCold = cold.filter(word => this.#coldTargets.record(word, {leftMs: word.coldLeftMs, source: 'relayed'}, nowMs));
+		if (changed.length > 0 || changedCold.length > 0) {
+			this.#options.broadcast({type: 'limits', limits: changed, ...(changedCold.length > 0 && {cold: changedCold})}, {roles: receivers});
 		}
 	}
 
@@ -69,10 +75,11 @@
 		const {targets} = this.#options;
 		const leaving = targets.leaving();
 		const limits = this.#limits.all.filter(({targetId, bornMs}) => targets.get(targetId)?.bornMs === bornMs);
+		const cold = this.#coldTargets.words(this.#options.nowMs());
 		const records = this.#crashEvidence.withVerdict('unsuspected', 'suspected', 'convicted');
 		return [
 			...(leaving.length > 0 ? [{type: 'leaving', targets: leaving} as const] : []),
-			...(limits.length > 0 ? [{type: 'limits', limits} as const] : []),
+			...(limits.length + cold.length > 0 ? [{type: 'limits', limits, cold} as const] : []),
 			...(records.length > 0 ? [{type: 'evidence', records} as const] : []),
 		];
 	}
--- a/packages/fleet-control/src/target-limits-spread.test.ts
+++ b/packages/fleet-control/src/target-limits-spread.test.ts
@@ -66,6 +66,6 @@
 		const second = await take();
 		const third = await take();
 		calls.close();
-		expect([first?.isGranted, second?.isGranted, third?.isGranted]).toEqual([false, true, false]);
+		expect([first?.granted, second?.granted, third?.granted]).toEqual([0, 1, 0]);
 	});
 });
--- a/packages/fleet-link/src/link-service.ts
+++ b/packages/fleet-link/src/link-service.ts
@@ -6,7 +6,9 @@
 import {Buffer} from 'node:buffer';
 import type {MethodDefinition} from '@grpc/grpc-js';
 import {readEvidenceRecords} from '@rattanspring/crash-evidence';
-import {type PermitDecision, readTargetLimit, type TargetLimit} from '@rattanspring/target-limits';
+import {
+	type PermitDecision, type PermitRequest, readColdWord, readPermitDecision, readTargetLimit,
+} from '@rattanspring/target-limits';
 import {fromLoadRow, toLoadRow} from './load-rows.js';
 import type {DownMessage, UpMessage} from './messages.js';
 
@@ -89,7 +91,8 @@
 	submit: method<SubmitRequest, SubmitReply>('Submit', false),
 	join: method<JoinRequest, JoinReply>('Join', false),
 	trial: {...method<TrialRequest, TrialReply>('Trial', false), requestDeserialize: parseTrialRequest},
-	permit: {...method<TargetLimit, PermitDecision>('Permit', false), requestDeserialize: (bytes: Buffer) => readTargetLimit(parseJson(bytes))},
+	/** The request is checked where it is handled, so that a malformed one is logged. */
+	permit: {...method<PermitRequest, PermitDecision>('Permit', false), responseDeserialize: (bytes: Buffer) => readPermitDecision(parseJson(bytes))},
 	rank: rankMethod(),
 };
 
@@ -156,7 +159,9 @@
 		return {...message, records: readEvidenceRecords(message.records)};
 	}
 
-	return message.type === 'limits' ? {...message, limits: message.limits.map(limit => readTargetLimit(limit))} : message;
+	return message.type === 'limits'
+		? {...message, limits: message.limits.map(limit => readTargetLimit(limit)), ...(message.cold && {cold: message.cold.map(word => readColdWord(word))})}
+		: message;
 }
 
 function parseTrialRequest(bytes: Buffer): TrialRequest {
--- a/packages/fleet-link/src/messages.ts
+++ b/packages/fleet-link/src/messages.ts
@@ -1,7 +1,7 @@
 /** Messages on the streams between control processes and the other daemons. They carry soft state only; any of them may be lost. */
 
 import type {ComponentEvidence} from '@rattanspring/crash-evidence';
-import type {TargetLimit} from '@rattanspring/target-limits';
+import type {ColdWord, TargetLimit} from '@rattanspring/target-limits';
 import type {
 	RankPlace, TargetLifetime, TargetLoad, TargetReport, TargetHeartbeat,
 } from '@rattanspring/target-table';
@@ -60,8 +60,8 @@
 /** Evidence about components of requests that crash targets. */
 export type EvidenceMessage = {readonly type: 'evidence'; readonly records: readonly ComponentEvidence[]};
 
-/** Limits that targets have named, or name no more, in answers to some entry. */
-export type LimitsMessage = {readonly type: 'limits'; readonly limits: readonly TargetLimit[]};
+/** Limits that targets have named, or name no more, and how much longer they are cold, in answers to some entry. */
+export type LimitsMessage = {readonly type: 'limits'; readonly limits: readonly TargetLimit[]; readonly cold?: readonly ColdWord[]};
 
 /** Messages from a daemon to a control process. */
 export type UpMessage
--- a/packages/gateway/src/gateway-context.ts
+++ b/packages/gateway/src/gateway-context.ts
@@ -7,7 +7,7 @@
 	AdmissionQueue, RetryBudget, TargetSelector,
 } from '@rattanspring/placement';
 import type {TargetTransport} from '@rattanspring/target-connection';
-import type {TargetLimit} from '@rattanspring/target-limits';
+import type {ColdWord, TargetLimit} from '@rattanspring/target-limits';
 import type {TargetLifetime} from '@rattanspring/target-table';
 import type {ByteBudget} from './byte-budget.js';
 import type {CrashWatch} from './crash-watch.js';
@@ -41,5 +41,7 @@
 	readonly onTargetLeaving: (target: TargetLifetime) => boolean;
 	/** Called with a limit that a target named, or names no more; returns whether that is new. */
 	readonly onTargetLimit: (limit: TargetLimit) => boolean;
+	/** Called with how much longer a target is cold, as an answer says. */
+	readonly onTargetCold: (word: ColdWord, requestId: string | undefined) => void;
 	readonly permitRequests: Pick<PermitRequests, 'ask'>;
 };
--- a/packages/gateway/src/gateway.test.ts
+++ b/packages/gateway/src/gateway.test.ts
@@ -212,6 +212,7 @@
 			newestVersion: () => newestVersion,
 			entryCount: () => 1,
 			onTargetLimit: limit => selector.setLimit(limit),
+			onTargetCold: () => undefined,
 			permitRequests: {ask: () => undefined},
 			onTargetLeaving({targetId}) {
 				leaving.push(targetId);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -10,18 +10,20 @@
 	AdmissionQueue, type EntryPosition, InProgressOrder, type RetryAllowance, RetryBudget, TargetSelector, writersWithin,
 } from '@rattanspring/placement';
 import {isReachable, type TargetTransport} from '@rattanspring/target-connection';
-import type {TargetLimit} from '@rattanspring/target-limits';
+import type {ColdWord, TargetLimit} from '@rattanspring/target-limits';
 import {type TargetLifetime, TargetTable} from '@rattanspring/target-table';
-import type {Clock} from '@rattanspring/types';
+import {type Clock, SuspendAwareClock} from '@rattanspring/types';
 import {AuthorityCalls} from './authority-calls.js';
 import {ByteBudget} from './byte-budget.js';
 import {CallerServer} from './caller-server.js';
+import {ColdWatch} from './cold-watch.js';
 import {CrashWatch} from './crash-watch.js';
 import {DocumentFollower} from './document-follower.js';
 import {FirstAttemptEstimator} from './first-attempt-estimator.js';
 import type {GatewayContext} from './gateway-context.js';
 import type {HeaderCodec} from './header-codec.js';
 import {PauseObjectives} from './pause-objectives.js';
+import {PermitReport} from './permit-report.js';
 import {PermitRequests} from './permit-requests.js';
 import {serveRequest} from './request-flow.js';
 
@@ -68,6 +70,9 @@
 	readonly #targets = new TargetTable();
 	readonly #selector: TargetSelector;
 	readonly #context: GatewayContext;
+	readonly #coldWatch: ColdWatch;
+	readonly #permitRequests: PermitRequests;
+	readonly #permitReport: PermitReport;
 	readonly #timers: NodeJS.Timeout[] = [];
 	#active = 0;
 	#isQueueProcessingScheduled = false;
@@ -82,8 +87,30 @@
 		this.#options = options;
 		const nowMs = () => options.clock.monotonicMs();
 		const {random, logger, metrics, headerCodec, exchange, failureDomain} = options;
+		const suspendAwareClock = new SuspendAwareClock(options.clock);
+		const permitNowMs = () => suspendAwareClock.nowMs();
+		this.#coldWatch = new ColdWatch({
+			clock: options.clock, services: () => this.#documents.table?.state.services ?? [], isInService: () => this.isReady, logger, metrics,
+		});
 		this.#selector = new TargetSelector({
-			failureDomain, entryPosition: () => this.#entryPosition, writersWithin: (service, skew) => this.#writersWithin(service, skew),
+			failureDomain,
+			entryPosition: () => this.#entryPosition,
+			writersWithin: (service, skew) => this.#writersWithin(service, skew),
+			coldLimitOf: report => this.#coldWatch.limitOf(report),
+			hasSeenStart: target => this.#coldWatch.hasSeenStart(target),
+			permitNowMs,
+		});
+		this.#permitReport = new PermitReport({permits: this.#selector.permits, logger, metrics});
+		this.#permitRequests = new PermitRequests({
+			permits: this.#selector.permits,
+			limitedTargets: service => this.#selector.limitedTargets(service, nowMs()),
+			waitingCount: () => this.#context.admission.waitingCount,
+			take: async request => this.#authorityCalls.call(request.targetId, linkService.permit, request),
+			onGranted: () => {
+				this.#context.admission.processQueue(nowMs());
+			},
+			nowMs: permitNowMs,
+			random,
 		});
 		this.#authorityCalls = new AuthorityCalls({controls: () => [...this.#links.nodes.values()], nowMs});
 		const crashWatch = new CrashWatch({
@@ -120,16 +147,10 @@
 			entryCount: () => Math.max(1, this.#entries.length),
 			onTargetLeaving: target => this.#onTargetLeaving(target),
 			onTargetLimit: limit => this.#onTargetLimit(limit),
-			permitRequests: new PermitRequests({
-				permits: this.#selector.permits,
-				limitedTargets: service => this.#selector.limitedTargets(service, nowMs()),
-				waitingCount: () => this.#context.admission.waitingCount,
-				take: async target => this.#authorityCalls.call(target.targetId, linkService.permit, target),
-				onGranted: () => {
-					this.#context.admission.processQueue(nowMs());
-				},
-				nowMs,
-			}),
+			onTargetCold: (word, requestId) => {
+				this.#onTargetCold(word, requestId);
+			},
+			permitRequests: this.#permitRequests,
 		};
 		this.#server = new CallerServer({
 			host: options.callerHost,
@@ -245,7 +266,7 @@
 			this.#isQueueProcessingScheduled = false;
 			this.#context.admission.processQueue(this.#context.nowMs());
 			for (const service of this.#context.admission.waitingServices) {
-				this.#context.permitRequests.ask(service);
+				this.#permitRequests.askForWaiting(service);
 			}
 
 			if (this.#context.admission.waitingCount > 0) {
@@ -293,7 +314,10 @@
 		switch (message.type) {
 			case 'targets': {
 				for (const report of message.reports) {
-					this.#targets.add(report, nowMs);
+					const isNewLifetime = this.#targets.get(report.targetId)?.bornMs !== report.bornMs;
+					if (this.#targets.add(report, nowMs)) {
+						this.#coldWatch.onReport(report, isNewLifetime);
+					}
 				}
 
 				this.#refreshTargets();
@@ -334,6 +358,10 @@
 					this.#selector.setLimit(limit);
 				}
 
+				for (const word of message.cold ?? []) {
+					this.#coldWatch.onStated(word, {leftMs: word.coldLeftMs, source: 'relayed'});
+				}
+
 				break;
 			}
 
@@ -354,12 +382,13 @@
 	#sendKnownFacts(linkAddress: string): void {
 		const records = this.#context.crashWatch.guard.openCases;
 		const {limits} = this.#selector;
+		const cold = this.#coldWatch.words;
 		if (records.length > 0) {
 			this.#links.send({type: 'evidence', records}, linkAddress);
 		}
 
-		if (limits.length > 0) {
-			this.#links.send({type: 'limits', limits}, linkAddress);
+		if (limits.length + cold.length > 0) {
+			this.#links.send({type: 'limits', limits, cold}, linkAddress);
 		}
 	}
 
@@ -384,6 +413,13 @@
 		return isNew;
 	}
 
+	/** All entries share a cold target's limit, so the others are told. */
+	#onTargetCold(word: ColdWord, requestId: string | undefined): void {
+		if (this.#coldWatch.onStated(word, {leftMs: word.coldLeftMs, source: 'answer', requestId})) {
+			this.#links.send({type: 'limits', limits: [], cold: [word]});
+		}
+	}
+
 	/** Without an answer of the authority there is no trial. */
 	async #isTrialGranted(component: string): Promise<boolean> {
 		const reply = await this.#authorityCalls.call(component, linkService.trial, {component});
@@ -394,5 +430,7 @@
 		const ready = this.#targets.ready();
 		this.#selector.setTargets(ready, this.#context.nowMs());
 		this.#options.metrics.targetsKnown.set(ready.length);
+		this.#coldWatch.refresh(targetId => this.#targets.get(targetId) !== undefined);
+		this.#permitReport.refresh();
 	}
 }
--- a/packages/gateway/src/header-codec.ts
+++ b/packages/gateway/src/header-codec.ts
@@ -41,6 +41,8 @@
 	readonly isLeaving: boolean;
 	/** Requests a second that the target takes from all entries together, as long as it says so: a number, or a text that is none. */
 	readonly limitPerSecond?: number | string;
+	/** How much longer the target is cold: a number of milliseconds, or a text that is none; absent if it says nothing about it. */
+	readonly coldLeft?: number | string;
 	/** Time for which the target asks for no further requests from this entry: a number of milliseconds, or a text that is none. */
 	readonly pause?: number | string;
 };
--- a/packages/gateway/src/target-notices.ts
+++ b/packages/gateway/src/target-notices.ts
@@ -1,4 +1,4 @@
-/** What targets say of themselves in the heads of their answers: that they leave, that they want a pause, or that they name a limit. */
+/** What targets say of themselves in the heads of their answers: that they leave, that they want a pause, that they name a limit, or that they are cold. */
 
 import {readPauseRequest} from '@rattanspring/placement';
 import type {TargetLifetime} from '@rattanspring/target-table';
@@ -24,6 +24,14 @@
 		});
 	}
 
+	if (metadata.isSigned) {
+		context.selector.answered({targetId, bornMs});
+	}
+
+	if (metadata.coldLeft !== undefined) {
+		recordCold(context, source, metadata.coldLeft);
+	}
+
 	recordLimit(context, source, metadata);
 	if (metadata.pause !== undefined) {
 		recordPause(context, source, metadata.pause);
@@ -49,6 +57,14 @@
 	}
 }
 
+function recordCold({logger, onTargetCold}: GatewayContext, {targetId, bornMs, requestId}: NoticeSource, coldLeft: number | string): void {
+	if (typeof coldLeft === 'string') {
+		logger.log('warn', 'targetColdIgnored', {targetId, text: coldLeft.slice(0, maxLoggedLength), requestId});
+	} else {
+		onTargetCold({targetId, bornMs, coldLeftMs: coldLeft}, requestId);
+	}
+}
+
 function recordPause({logger, selector, nowMs}: GatewayContext, {targetId, bornMs, requestId}: NoticeSource, pause: number | string): void {
 	const requested = readPauseRequest(pause);
 	if (requested.kind === 'ignored') {
--- a/packages/metrics/src/index.ts
+++ b/packages/metrics/src/index.ts
@@ -54,6 +54,19 @@
 		registers: [this.registry],
 	});
 
+	readonly targetsCold = new Gauge({
+		name: 'rattanspring_targets_cold',
+		help: 'Targets that have said that they are cold, as this entry knows it.',
+		registers: [this.registry],
+	});
+
+	readonly permits = new Counter({
+		name: 'rattanspring_permits_total',
+		help: 'Calls for permits for limited and cold targets (asked, refused, unanswered), and permits that were given and that ended unused.',
+		labelNames: ['outcome'] as const,
+		registers: [this.registry],
+	});
+
 	readonly targetCrashes = new Counter({
 		name: 'rattanspring_requests_on_crashed_targets_total',
 		help: 'Requests of this entry that were running on a target when it crashed.',
--- a/packages/placement/src/admission.ts
+++ b/packages/placement/src/admission.ts
@@ -130,7 +130,7 @@
 			return notQueued;
 		}
 
-		const reason = refusalReasonOf(choice) ?? (this.#queue.length >= maxQueueLength ? 'queueFull' : undefined);
+		const reason = refusalReasonOf(choice) ?? (isTooLate(choice, refuseAtMs(request, isLate, nowMs), nowMs) ? 'limited' : undefined) ?? (this.#queue.length >= maxQueueLength ? 'queueFull' : undefined);
 		if (reason) {
 			settle(this.#refusal(reason, {request, choice, nowMs}));
 			return notQueued;
@@ -161,9 +161,9 @@
 				this.#end(queued, {kind: 'admitted', view: choice.view, isLate: queued.isLate});
 			} else if (choice.kind === 'paused' || choice.kind === 'drained') {
 				this.#end(queued, this.#refusal(choice.kind, {request: queued.request, choice, nowMs}));
-			} else if (nowMs >= queued.refuseAtMs && !queued.isLate && queued.request.mayBeRetry) {
+			} else if ((nowMs >= queued.refuseAtMs || isTooLate(choice, queued.refuseAtMs, nowMs)) && !queued.isLate && queued.request.mayBeRetry) {
 				this.#demoteToLate(queued, nowMs);
-			} else if (nowMs >= queued.refuseAtMs) {
+			} else if (nowMs >= queued.refuseAtMs || isTooLate(choice, queued.refuseAtMs, nowMs)) {
 				this.#end(queued, this.#refusal(choice.kind === 'limited' ? 'limited' : 'full', {request: queued.request, choice, nowMs}));
 			} else {
 				full.add(`${service} ${lane}`);
@@ -207,6 +207,11 @@
 	return kind === 'paused' || kind === 'drained' ? kind : undefined;
 }
 
+/** Whether all targets have limits and no permit can be there within the wait. */
+function isTooLate(choice: Choice, refuseAtMs: number, nowMs: number): boolean {
+	return choice.kind === 'limited' && nowMs + choice.permitInMs > refuseAtMs;
+}
+
 /** Whether a request that is admitted within the on-time wait can be answered on time. */
 function mayBeOnTime({arrivedAtMs, objectiveMs, sinceFirstTryMs = 0}: AdmissionRequest, nowMs: number): boolean {
 	return sinceFirstTryMs < objectiveMs * retryOnTimeShare && nowMs - arrivedAtMs <= objectiveMs * onTimeWaitShare;
--- a/packages/placement/src/target-limit.test.ts
+++ b/packages/placement/src/target-limit.test.ts
@@ -4,7 +4,8 @@
 import type {Admission} from './index.js';
 
 const limited = {targetId: 't0', bornMs: 1, perSecond: 4};
-const granted = {isGranted: true, retryInMs: 0};
+const granted = {granted: 1, retryInMs: 0};
+const at = (nowMs: number) => ({askedAtMs: nowMs, nowMs});
 
 describe('limits that targets name', () => {
 	it('leave a request to a target only with a permit, and each permit to one request', () => {
@@ -18,7 +19,7 @@
 		};
 
 		expect(chosen()).toEqual('limited');
-		selector.permits.record(limited, granted, 0);
+		selector.permits.record(limited, granted, at(0));
 		expect(chosen()).toEqual('target');
 		selector.sent('t0', 10);
 		expect(chosen()).toEqual('limited');
@@ -33,7 +34,7 @@
 		expect(choice.kind === 'target' && choice.view.report.targetId).toEqual('t1');
 		expect(selector.limitedTargets('s', 0)).toEqual([limited]);
 		expect(selector.limitedTargets('other', 0)).toEqual([]);
-		selector.permits.record(limited, granted, 0);
+		selector.permits.record(limited, granted, at(0));
 		const withPermit = selector.choose({
 			service: 's', nowMs: 0, random: () => 0, excluded: new Set(['t1']),
 		});
@@ -44,7 +45,7 @@
 		const selector = createSelector(1);
 		selector.setLimit(limited);
 		for (let index = 0; index < 8; index++) {
-			selector.permits.record(limited, granted, index * 500);
+			selector.permits.record(limited, granted, at(index * 500));
 		}
 
 		selector.permits.use(limited);
--- a/packages/placement/src/target-record.ts
+++ b/packages/placement/src/target-record.ts
@@ -46,6 +46,8 @@
 	backoffMs: number;
 	failureRate: number;
 	failureAtMs: number;
+	/** Whether this lifetime of the target has answered a request. */
+	hasAnswered?: boolean;
 };
 
 /** Whether newer figures of the same target are known. A sequence far below the known one comes from an agent that has restarted. */
--- a/packages/placement/src/target-selector.ts
+++ b/packages/placement/src/target-selector.ts
@@ -49,9 +49,6 @@
 	readonly isLimited?: boolean;
 };
 
-/** A target that accepts work and names a limit, in requests a second of all entries together. */
-export type LimitedTarget = TargetLifetime & {readonly perSecond: number};
-
 /** Input of a choice. */
 export type ChoiceInput = {
 	readonly service: string;
@@ -68,12 +65,14 @@
 };
 
 /**
-A target to send to, or why there is none: `full` if no usable target has a free slot, `limited` if all of them name limits that leave no request
+A target to send to, or why there is none: `full` if no usable target has a free slot, `limited` if the limits of all of them leave no request
 for now, `paused` if all of them have asked for a pause, `drained` if all usable targets are in drained failure domains, `none` if there is no usable target.
 */
 export type Choice
 	= | {readonly kind: 'target'; readonly view: TargetView}
-		| {readonly kind: 'full' | 'limited' | 'drained' | 'none'}
+		| {readonly kind: 'full' | 'drained' | 'none'}
+		/** There is no permit before this time has passed. */
+		| {readonly kind: 'limited'; readonly permitInMs: number}
 		| {readonly kind: 'paused'; readonly untilMs: number};
 
 export type TargetSelectorOptions = {
@@ -84,6 +83,12 @@
 	readonly writersWithin?: (service: string, skew: number) => number | undefined;
 	/** Reasons against ready targets; none by default. */
 	readonly exclusions?: readonly TargetExclusion[];
+	/** Limit of a target while it is cold, in requests a second of all entries together; undefined if it is not cold or has none. */
+	readonly coldLimitOf?: (target: TargetReport, nowMs: number) => number | undefined;
+	/** Whether the target was seen to start, so that it may not be able yet to take what other targets take; no by default. */
+	readonly hasSeenStart?: (target: TargetLifetime) => boolean;
+	/** Time that counts the suspension of the process, for permits; by default that of the calls. */
+	readonly permitNowMs?: () => number;
 };
 
 const alone: EntryPosition = {index: 0, count: 1};
@@ -153,7 +158,7 @@
 	sent(targetId: string, nowMs: number, promptTokens?: number): void {
 		const record = this.#entries.get(targetId);
 		if (record) {
-			if (this.#limits.perSecondOf(record.report) !== undefined) {
+			if (this.#limitOf(record.report, nowMs)) {
 				this.#permits.use(record.report);
 			}
 
@@ -164,6 +169,14 @@
 		}
 	}
 
+	/** Records that a lifetime of a target has answered a request. */
+	answered({targetId, bornMs}: TargetLifetime): void {
+		const record = this.#entries.get(targetId);
+		if (record?.report.bornMs === bornMs) {
+			record.hasAnswered = true;
+		}
+	}
+
 	/** Records that a request got its first event, or ended without one. */
 	begun(targetId: string, promptTokens?: number): void {
 		const record = this.#entries.get(targetId);
@@ -192,12 +205,11 @@
 		return this.#limits.set(limit);
 	}
 
-	/** Targets of a service that accept work and name a limit. */
-	limitedTargets(service: string, nowMs: number): LimitedTarget[] {
+	/** Targets of a service that accept work and have a limit. */
+	limitedTargets(service: string, nowMs: number): TargetLimit[] {
 		return [...this.#entries.values()].flatMap(record => {
-			const {targetId, bornMs} = record.report;
-			const perSecond = this.#limits.perSecondOf(record.report);
-			return perSecond !== undefined && isUsable(record, service, nowMs) && this.#exclusionOf(record, nowMs) === undefined ? [{targetId, bornMs, perSecond}] : [];
+			const limit = isUsable(record, service, nowMs) && this.#exclusionOf(record, nowMs) === undefined ? this.#limitOf(record.report, nowMs) : undefined;
+			return limit ? [limit] : [];
 		});
 	}
 
@@ -256,7 +268,7 @@
 			const slotPenalty = ownsFreeSlot ? random() * scoreJitter : unownedSlotPenalty + (random() * unownedSlotJitter);
 			const rank = preferIdle ? view.busy + random() : record.pendingPrefillPasses + excessLoad + this.#penalty(record, nowMs, groupPaces) + slotPenalty;
 			const mayUseSlot = entriesPerSlot === undefined || ownedSlotsLeft(record, nowMs, {position: place, limit: view.limit, entriesPerSlot}) > 0;
-			const hasFreeSlot = !view.isBackingOff && view.busy < view.limit * slotShare && mayUseSlot;
+			const hasFreeSlot = !view.isBackingOff && !this.#isUntried(record) && view.busy < view.limit * slotShare && mayUseSlot;
 			if (hasFreeSlot && rank < bestScore) {
 				best = view;
 				bestScore = rank;
@@ -268,7 +280,7 @@
 		}
 
 		if (hasUsableTarget) {
-			return {kind: areAllLimited ? 'limited' : 'full'};
+			return areAllLimited ? {kind: 'limited', permitInMs: this.#permits.earliestPermitInMs(this.limitedTargets(service, nowMs), this.#permitNowMs(nowMs))} : {kind: 'full'};
 		}
 
 		if (Number.isFinite(firstPauseEndMs)) {
@@ -289,9 +301,28 @@
 		return undefined;
 	}
 
-	/** Whether the target names no limit, or this entry has a permit for it. */
+	/** Whether the target has no limit, or this entry has a permit for it. */
 	#mayBeSent({report}: TargetRecord, nowMs: number): boolean {
-		return this.#limits.perSecondOf(report) === undefined || this.#permits.has(report, nowMs);
+		return this.#limitOf(report, nowMs) === undefined || this.#permits.has(report, this.#permitNowMs(nowMs));
+	}
+
+	/** The limit that the target names, that of a cold target, or both. */
+	#limitOf(report: TargetReport, nowMs: number): TargetLimit | undefined {
+		const perSecond = this.#limits.perSecondOf(report);
+		const coldPerSecond = this.#options.coldLimitOf?.(report, nowMs);
+		const {targetId, bornMs} = report;
+		return perSecond === undefined && coldPerSecond === undefined ? undefined : {
+			targetId, bornMs, ...(perSecond !== undefined && {perSecond}), ...(coldPerSecond !== undefined && {coldPerSecond}),
+		};
+	}
+
+	/** Whether a target that has just started works on the first request of this entry: until it answers, nobody knows what it can take. */
+	#isUntried({report, inFlight, hasAnswered}: TargetRecord): boolean {
+		return inFlight > 0 && hasAnswered !== true && this.#options.hasSeenStart?.(report) === true;
+	}
+
+	#permitNowMs(nowMs: number): number {
+		return this.#options.permitNowMs?.() ?? nowMs;
 	}
 
 	get #entryPosition(): EntryPosition {
--- a/packages/rank-agent/src/index.ts
+++ b/packages/rank-agent/src/index.ts
@@ -8,4 +8,3 @@
 export * from './map-version-allocator.js';
 export * from './rank-agent.js';
 export * from './rank-request-handler.js';
-export * from './suspend-aware-clock.js';
--- a/packages/rank-agent/src/rank-agent.ts
+++ b/packages/rank-agent/src/rank-agent.ts
@@ -13,7 +13,7 @@
 import {describeError, type Logger} from '@rattanspring/logger';
 import {serverOptions} from '@rattanspring/protocol';
 import type {RankPlace, TargetLoad} from '@rattanspring/target-table';
-import type {Clock} from '@rattanspring/types';
+import {type Clock, SuspendAwareClock} from '@rattanspring/types';
 import type {EngineClient, EngineState} from './engine-client.js';
 import {ExclusiveTask} from './exclusive-task.js';
 import {FencedEngineClient} from './fenced-engine-client.js';
@@ -22,7 +22,6 @@
 import {MapSwitch} from './map-switch.js';
 import {MapVersionAllocator} from './map-version-allocator.js';
 import {RankRequestHandler} from './rank-request-handler.js';
-import {SuspendAwareClock} from './suspend-aware-clock.js';
 
 /** Interval of load measurements, normally and while the target is nearly full: entries then need to learn of every slot that becomes free. */
 const measureIntervalMs = 200;
--- a/packages/rank-agent/src/unresponsive-agent.test.ts
+++ b/packages/rank-agent/src/unresponsive-agent.test.ts
@@ -1,12 +1,12 @@
 import {after, describe, it} from 'node:test';
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {LinkCalls, RankReply, RankRequest} from '@rattanspring/fleet-link';
+import {SuspendAwareClock} from '@rattanspring/types';
 import {expect} from 'earl';
 import type {EngineClient, EngineOrder} from './engine-client.js';
 import {FakeRankGroup} from './fake-rank-group.js';
 import {MapSwitch} from './map-switch.js';
 import {RemoteEngineClient} from './remote-engine-client.js';
-import {SuspendAwareClock} from './suspend-aware-clock.js';
 
 const initialMap = [[[0, 4], [1, 5], [2, 6], [3, 7]]];
 const nextMap = [[[0, 5], [1, 4], [2, 7], [3, 6]]];
--- a/packages/target-limits/src/limit-table.ts
+++ b/packages/target-limits/src/limit-table.ts
@@ -2,8 +2,13 @@
 
 import type {TargetLifetime} from '@rattanspring/target-table';
 
-/** The limit that a target names, in requests a second of all entries together; absent if it names none any more. */
-export type TargetLimit = TargetLifetime & {readonly perSecond?: number};
+/** The limit of a target, in requests a second of all entries together. */
+export type TargetLimit = TargetLifetime & {
+	/** What the target names; absent if it names none any more. */
+	readonly perSecond?: number;
+	/** What its service allows it while it is cold; absent if it is not cold. */
+	readonly coldPerSecond?: number;
+};
 
 /** Changes of a limit by less than this share are not passed on. */
 const minChangeShare = 0.02;
@@ -52,13 +57,24 @@
 
 /** Throws if the value, which another daemon has sent, is not a limit. */
 export function readTargetLimit(value: unknown): TargetLimit {
-	const limit = value as Partial<TargetLimit> | undefined;
-	const {perSecond} = limit ?? {};
-	if (typeof limit?.targetId !== 'string' || typeof limit.bornMs !== 'number' || !(perSecond === undefined || (Number.isFinite(perSecond) && perSecond >= 0))) {
+	const {perSecond} = (value ?? {}) as Partial<TargetLimit>;
+	const lifetime = readLifetime(value);
+	if (!lifetime || !isRate(perSecond)) {
 		throw new TypeError('The message has no limit of a target.');
 	}
 
-	return {targetId: limit.targetId, bornMs: limit.bornMs, ...(perSecond !== undefined && {perSecond})};
+	return {...lifetime, ...(perSecond !== undefined && {perSecond})};
+}
+
+/** The lifetime of a target in a value that another daemon has sent; undefined if there is none. */
+export function readLifetime(value: unknown): TargetLifetime | undefined {
+	const {targetId, bornMs} = (value ?? {}) as Partial<TargetLifetime>;
+	return typeof targetId === 'string' && typeof bornMs === 'number' ? {targetId, bornMs} : undefined;
+}
+
+/** Whether a value that another daemon has sent is a rate, or absent. */
+export function isRate(value: unknown): value is number | undefined {
+	return value === undefined || (typeof value === 'number' && Number.isFinite(value) && value >= 0);
 }
 
 function isClose(known: number | undefined, current: number | undefined): boolean {
--- a/packages/target-limits/src/permit-holder.ts
+++ b/packages/target-limits/src/permit-holder.ts
@@ -1,41 +1,75 @@
 /**
-The permits of one entry. A permit is for one request to one target and ends soon, so that permits of several entries can't pile up
-and be used at once.
+The permits of one entry. A permit is for one request to one target and ends soon after it was asked for, so that permits of several entries can't pile up
+and be used at once. All times are of a clock that counts the time for which the process was suspended: an entry that resumes has no permits.
 */
 
 import type {TargetLifetime} from '@rattanspring/target-table';
+import type {TargetLimit} from './limit-table.js';
 import type {PermitDecision} from './permit-authority.js';
 
-/** Longest validity of a permit. It ends sooner at a high limit: within it, not more than this many permits are given. */
+/** Longest validity of a permit. It ends sooner at a high stated limit: within it, not more than this many permits are given. */
 const maxValidityMs = 500;
 const maxPermitsPerValidity = 2;
 
+/** Validity of permits for cold targets: what all authorities give within a second and this time stays within half more than the limit and five. */
+const coldValidityMs = 150;
+const coldPermitsPerValidity = 1.6;
+
 /** A target whose authority does not answer is not asked for again for this long. */
 const unansweredRetryMs = 500;
 
 /** Time over which the rate of permits is measured. */
 const rateWindowMs = 4000;
 
-type Asking = {readonly bornMs: number; validUntilMs: number; isAsked: boolean; askAgainAtMs: number};
+type Held = {count: number; readonly untilMs: number};
+
+type Asking = {readonly bornMs: number; held: Held[]; isAsked: boolean; askAgainAtMs: number};
+
+/** Numbers of permits since the start. */
+export type PermitCounts = {readonly asked: number; readonly granted: number; readonly unused: number; readonly refusals: number; readonly unanswered: number};
 
 /** Permits by target. */
 export class PermitHolder {
 	readonly #targets = new Map<string, Asking>();
 	#grantedAtMs: number[] = [];
+	#counts = {
+		asked: 0, granted: 0, unused: 0, refusals: 0, unanswered: 0,
+	};
+
+	/** What was asked for, given and used so far. */
+	get counts(): PermitCounts {
+		return {...this.#counts};
+	}
 
 	/** Whether a request may be sent to the target now. */
 	has(target: TargetLifetime, nowMs: number): boolean {
-		return this.#of(target).validUntilMs > nowMs;
+		return this.count(target, nowMs) > 0;
 	}
 
-	/** Uses up the permit for the target. */
+	/** Number of requests that may be sent to the target now. */
+	count(target: TargetLifetime, nowMs: number): number {
+		const asking = this.#of(target);
+		if (asking.held.some(({untilMs}) => untilMs <= nowMs)) {
+			this.#counts.unused += asking.held.filter(({untilMs}) => untilMs <= nowMs).reduce((sum, {count}) => sum + count, 0);
+			asking.held = asking.held.filter(({untilMs}) => untilMs > nowMs);
+		}
+
+		return asking.held.reduce((sum, {count}) => sum + count, 0);
+	}
+
+	/** Uses up a permit for the target: the one that ends first. */
 	use(target: TargetLifetime): void {
-		this.#of(target).validUntilMs = 0;
+		const asking = this.#of(target);
+		const [first] = asking.held.toSorted((left, right) => left.untilMs - right.untilMs);
+		if (first) {
+			first.count--;
+			asking.held = asking.held.filter(({count}) => count > 0);
+		}
 	}
 
 	/** The target among these for which to ask for a permit next, and marks it as asked for; undefined if there is none to ask for now. */
-	nextToAsk(targets: readonly TargetLifetime[], nowMs: number): TargetLifetime | undefined {
-		let next: TargetLifetime | undefined;
+	nextToAsk<Target extends TargetLifetime>(targets: readonly Target[], nowMs: number): Target | undefined {
+		let next: Target | undefined;
 		for (const target of targets) {
 			const {isAsked, askAgainAtMs} = this.#of(target);
 			if (!isAsked && askAgainAtMs <= nowMs && !this.has(target, nowMs) && (!next || askAgainAtMs < this.#of(next).askAgainAtMs)) {
@@ -50,17 +84,31 @@
 		return next;
 	}
 
-	/** Records the authority's decision; undefined if it did not answer. */
-	record(target: TargetLifetime & {readonly perSecond: number}, decision: PermitDecision | undefined, nowMs: number): void {
+	/** Records the authority's decision on permits that were asked for at a time; undefined if it did not answer. */
+	record(target: TargetLimit, decision: PermitDecision | undefined, {askedAtMs, nowMs}: {readonly askedAtMs: number; readonly nowMs: number}): void {
 		const asking = this.#of(target);
 		asking.isAsked = false;
 		asking.askAgainAtMs = nowMs + (decision ? decision.retryInMs : unansweredRetryMs);
-		if (decision?.isGranted) {
-			asking.validUntilMs = nowMs + Math.min(maxValidityMs, maxPermitsPerValidity / target.perSecond * 1000);
-			this.#grantedAtMs = [...this.#grantedAtMs.filter(atMs => atMs > nowMs - rateWindowMs), nowMs];
+		this.#counts.asked++;
+		if (!decision) {
+			this.#counts.unanswered++;
+		} else if (decision.granted === 0) {
+			this.#counts.refusals++;
+		} else {
+			this.#counts.granted += decision.granted;
+			asking.held.push({count: decision.granted, untilMs: askedAtMs + validityMsOf(target)});
+			this.#grantedAtMs = [...this.#grantedAtMs.filter(atMs => atMs > nowMs - rateWindowMs), ...Array.from({length: decision.granted}, () => nowMs)];
 		}
 	}
 
+	/** Time until any of these targets may be asked for a permit again: before it there is none. */
+	earliestPermitInMs(targets: readonly TargetLifetime[], nowMs: number): number {
+		return Math.min(...targets.map(target => {
+			const {isAsked, askAgainAtMs} = this.#of(target);
+			return isAsked ? 0 : Math.max(0, askAgainAtMs - nowMs);
+		}));
+	}
+
 	/** Time after which a request that comes behind `waitingCount` others can expect a permit, at the rate of the last seconds. */
 	expectedWaitMs(waitingCount: number, nowMs: number): number {
 		const granted = this.#grantedAtMs.filter(atMs => atMs > nowMs - rateWindowMs).length;
@@ -83,9 +131,18 @@
 		}
 
 		const asking: Asking = {
-			bornMs, validUntilMs: 0, isAsked: false, askAgainAtMs: 0,
+			bornMs, held: [], isAsked: false, askAgainAtMs: 0,
 		};
 		this.#targets.set(targetId, asking);
 		return asking;
 	}
 }
+
+/** Time from asking to the end of a permit. */
+function validityMsOf({perSecond, coldPerSecond}: TargetLimit): number {
+	return Math.min(
+		maxValidityMs,
+		perSecond === undefined ? Number.POSITIVE_INFINITY : maxPermitsPerValidity / perSecond * 1000,
+		coldPerSecond === undefined ? Number.POSITIVE_INFINITY : coldValidityMs + (coldPermitsPerValidity / coldPerSecond * 1000),
+	);
+}
--- a/packages/target-limits/src/target-limits.test.ts
+++ b/packages/target-limits/src/target-limits.test.ts
@@ -40,7 +40,7 @@
 	/** Largest number of permits in any four seconds, and the number in all, if permits are asked for at these times. */
 	function play(perSecond: number, askAtMs: readonly number[]): {readonly most: number; readonly count: number} {
 		const authority = new PermitAuthority();
-		const granted = askAtMs.filter(atMs => authority.take({...target, perSecond}, atMs).isGranted);
+		const granted = askAtMs.filter(atMs => authority.take({...target, perSecond}, {}, atMs).granted === 1);
 		return {most: Math.max(...granted.map(startMs => granted.filter(atMs => atMs >= startMs && atMs < startMs + 4000).length)), count: granted.length};
 	}
 
@@ -56,29 +56,30 @@
 
 	it('says when there will be a permit, and never gives one at a limit of 0', () => {
 		const authority = new PermitAuthority();
-		expect(authority.take(limited, 0)).toEqual({isGranted: false, retryInMs: 250});
-		expect(authority.take(limited, 250)).toEqual({isGranted: true, retryInMs: 0});
-		authority.take({...target, targetId: 'none', perSecond: 0}, 0);
-		const {isGranted, retryInMs} = authority.take({...target, targetId: 'none', perSecond: 0}, 60_000);
-		expect([isGranted, Number.isFinite(retryInMs)]).toEqual([false, true]);
+		expect(authority.take(limited, {}, 0)).toEqual({granted: 0, retryInMs: 250});
+		expect(authority.take(limited, {}, 250)).toEqual({granted: 1, retryInMs: 0});
+		authority.take({...target, targetId: 'none', perSecond: 0}, {}, 0);
+		const {granted, retryInMs} = authority.take({...target, targetId: 'none', perSecond: 0}, {}, 60_000);
+		expect([granted, Number.isFinite(retryInMs)]).toEqual([0, true]);
 	});
 });
 
 describe('PermitHolder', () => {
-	const granted = {isGranted: true, retryInMs: 0};
+	const granted = {granted: 1, retryInMs: 0};
+	const at = (nowMs: number) => ({askedAtMs: nowMs, nowMs});
 
 	it('lets one request be sent with a permit, and none once it has ended', () => {
 		const holder = new PermitHolder();
-		holder.record(limited, granted, 0);
+		holder.record(limited, granted, at(0));
 		expect([holder.has(target, 499), holder.has(target, 500), holder.has({...target, bornMs: 6}, 0)]).toEqual([true, false, false]);
-		holder.record(limited, granted, 1000);
+		holder.record(limited, granted, at(1000));
 		holder.use(target);
 		expect(holder.has(target, 1001)).toEqual(false);
 	});
 
 	it('holds permits for a shorter time at a high limit, so that they can\'t be used all at once', () => {
 		const holder = new PermitHolder();
-		holder.record({...target, perSecond: 100}, granted, 0);
+		holder.record({...target, perSecond: 100}, granted, at(0));
 		expect([holder.has(target, 19), holder.has(target, 20)]).toEqual([true, false]);
 	});
 
@@ -87,15 +88,15 @@
 		const other = {...limited, targetId: 't2'};
 		const targets = [limited, other];
 		expect([holder.nextToAsk(targets, 0), holder.nextToAsk(targets, 0), holder.nextToAsk(targets, 0)]).toEqual([limited, other, undefined]);
-		holder.record(limited, {isGranted: false, retryInMs: 200}, 10);
-		holder.record(other, undefined, 10);
+		holder.record(limited, {granted: 0, retryInMs: 200}, at(10));
+		holder.record(other, undefined, at(10));
 		expect([holder.nextToAsk(targets, 209), holder.nextToAsk(targets, 210), holder.nextToAsk(targets, 509), holder.nextToAsk(targets, 510)]).toEqual([undefined, limited, undefined, other]);
 	});
 
 	it('expects a wait that follows from the permits of the last seconds and from those who wait', () => {
 		const holder = new PermitHolder();
 		for (let index = 0; index < 8; index++) {
-			holder.record(limited, granted, index * 400);
+			holder.record(limited, granted, at(index * 400));
 		}
 
 		expect(holder.expectedWaitMs(0, 3000)).toEqual(500);
--- a/packages/target-table/src/target-report.ts
+++ b/packages/target-table/src/target-report.ts
@@ -26,8 +26,8 @@
 	readonly failureDomain: string;
 	readonly slots: number;
 	readonly state: TargetState;
-	/** Remaining time for which the target is slow after its start. */
-	readonly coldLeftMs: number;
+	/** Remaining time for which the target is cold; absent if the target says nothing about it. */
+	readonly coldLeftMs?: number;
 	readonly rankPlace?: RankPlace;
 };
 
--- a/packages/target-table/src/target-table.ts
+++ b/packages/target-table/src/target-table.ts
@@ -6,7 +6,15 @@
 import type {TargetLifetime, TargetReport, TargetHeartbeat} from './target-report.js';
 
 /** A report, and the time at which its target was last heard of, on the monotonic clock of this process. */
-export type KnownTarget = {readonly report: TargetReport; readonly heardAtMs: number};
+export type KnownTarget = {
+	readonly report: TargetReport;
+	readonly heardAtMs: number;
+	/** When its cold time ends, by the newest report that says so; a heartbeat does not move it. */
+	readonly coldUntilMs?: number;
+};
+
+/** Ends of a cold time that differ by less are the same one: reports take different times to arrive. */
+const sameColdEndMs = 300;
 
 /** A target that has not reported for this long gets no new work, provided that other targets have reported since. */
 export const silenceTimeoutMs = 4500;
@@ -32,7 +40,7 @@
 		this.#leavingBornMs.set(targetId, bornMs);
 		const known = this.#targets.get(targetId);
 		if (known) {
-			this.#store(this.#withLeaving(known.report), known.heardAtMs);
+			this.#store({...known, report: this.#withLeaving(known.report)});
 		}
 
 		return true;
@@ -45,6 +53,10 @@
 
 	/** Adds a report; returns false if a newer one is known. */
 	add(reported: TargetReport, nowMs: number): boolean {
+		return this.#add(reported, nowMs, this.#coldUntilMsOf(reported, nowMs));
+	}
+
+	#add(reported: TargetReport, nowMs: number, coldUntilMs: number | undefined): boolean {
 		const report = this.#withLeaving(reported);
 		const known = this.#targets.get(report.targetId);
 		if (known && !isNewer(report, known.report)) {
@@ -56,7 +68,7 @@
 		}
 
 		this.#markOlderTargetsGone(report);
-		this.#store(report, nowMs);
+		this.#store({report, heardAtMs: nowMs, coldUntilMs});
 		if (report.state !== 'gone') {
 			this.#newestHeardAtMs = nowMs;
 		}
@@ -66,8 +78,8 @@
 
 	/** Records a heartbeat; returns false if it is not newer than what is known, or the target's report is unknown. */
 	touch({targetId, bornMs, sequence}: TargetHeartbeat, nowMs: number): boolean {
-		const known = this.#targets.get(targetId)?.report;
-		return known?.bornMs === bornMs && this.add({...known, sequence}, nowMs);
+		const known = this.#targets.get(targetId);
+		return known?.report.bornMs === bornMs && this.#add({...known.report, sequence}, nowMs, known.coldUntilMs);
 	}
 
 	/** Returns a report that the target has left; undefined if the target is unknown. */
@@ -81,6 +93,17 @@
 		return this.#targets.get(targetId)?.report;
 	}
 
+	/** The newest report of a target, with what is left now of its cold time. */
+	current(targetId: string, nowMs: number): TargetReport | undefined {
+		const known = this.#targets.get(targetId);
+		return known && withColdLeft(known, nowMs);
+	}
+
+	/** Returns all reports, including those of targets that have left, with what is left now of their cold times. */
+	allCurrent(nowMs: number): TargetReport[] {
+		return [...this.#targets.values()].map(known => withColdLeft(known, nowMs));
+	}
+
 	/** Returns all reports, including those of targets that have left. */
 	all(): TargetReport[] {
 		return [...this.#targets.values()].map(({report}) => report);
@@ -109,13 +132,22 @@
 		return isLeaving && report.state === 'ready' ? {...report, state: 'draining'} : report;
 	}
 
-	#store(report: TargetReport, heardAtMs: number): void {
-		const {targetId, address} = report;
+	/** The end of the reported cold time; that of the known report if it is the same one. */
+	#coldUntilMsOf({targetId, bornMs, coldLeftMs}: TargetReport, nowMs: number): number | undefined {
+		const known = this.#targets.get(targetId);
+		const knownUntilMs = known?.report.bornMs === bornMs ? known.coldUntilMs : undefined;
+		const untilMs = coldLeftMs === undefined ? undefined : nowMs + coldLeftMs;
+		const isSame = untilMs !== undefined && knownUntilMs !== undefined && coldLeftMs! > 0 && Math.abs(untilMs - knownUntilMs) < sameColdEndMs;
+		return isSame ? knownUntilMs : untilMs;
+	}
+
+	#store(target: KnownTarget): void {
+		const {targetId, address} = target.report;
 		if (this.#targets.get(targetId)?.report.address !== address) {
 			this.#forget(targetId);
 		}
 
-		this.#targets.set(targetId, {report, heardAtMs});
+		this.#targets.set(targetId, target);
 		this.#idsByAddress.set(address, (this.#idsByAddress.get(address) ?? new Set()).add(targetId));
 	}
 
@@ -140,14 +172,31 @@
 	}
 
 	#markOlderTargetsGone(report: TargetReport): void {
-		for (const {report: other, heardAtMs} of this.#othersAtAddress(report)) {
-			if (other.state !== 'gone') {
-				this.#store({...other, state: 'gone'}, heardAtMs);
+		for (const other of this.#othersAtAddress(report)) {
+			if (other.report.state !== 'gone') {
+				this.#store({...other, report: {...other.report, state: 'gone'}});
 			}
 		}
 	}
 }
 
+/** Whether two reports of a target differ in nothing but their sequence and the passing of its cold time. */
+export function isSameState(previous: TargetReport, current: TargetReport): boolean {
+	return JSON.stringify(withoutTimes(previous)) === JSON.stringify(withoutTimes(current)) && isSameColdTime(previous.coldLeftMs, current.coldLeftMs);
+}
+
+function withoutTimes({sequence: _sequence, coldLeftMs: _coldLeftMs, ...report}: TargetReport): Partial<TargetReport> {
+	return report;
+}
+
+function isSameColdTime(previous: number | undefined, current: number | undefined): boolean {
+	return previous === current || (previous !== undefined && current !== undefined && previous > 0 && current > 0 && Math.abs(previous - current) < sameColdEndMs);
+}
+
+function withColdLeft({report, coldUntilMs}: KnownTarget, nowMs: number): TargetReport {
+	return coldUntilMs === undefined ? report : {...report, coldLeftMs: Math.max(0, coldUntilMs - nowMs)};
+}
+
 function isNewer(report: TargetReport, known: TargetReport): boolean {
 	if (report.bornMs !== known.bornMs) {
 		return report.bornMs > known.bornMs;
--- a/packages/types/src/index.ts
+++ b/packages/types/src/index.ts
@@ -6,4 +6,5 @@
 export * from './failures.js';
 export type * from './identity.js';
 export * from './result.js';
+export * from './suspend-aware-clock.js';
 export type * from './transition.js';
--- a/packages/rank-agent/src/suspend-aware-clock.ts
+++ b/packages/types/src/suspend-aware-clock.ts
@@ -5,7 +5,7 @@
 continue as if no time had passed, so each forward jump of the wall clock counts as elapsed time, even if it is an adjustment.
 */
 
-import type {Clock} from '@rattanspring/types';
+import type {Clock} from './clock.js';
 
 /** Smaller differences between the two clocks are drift. */
 const minJumpMs = 50;
