--- a/packages/fleet-control/src/fleet-control.ts
+++ b/packages/fleet-control/src/fleet-control.ts
@@ -30,6 +30,7 @@
 import {RelayedFacts} from './relayed-facts.js';
 
 const expireIntervalMs = 10_000;
+const rankIntervalMs = 500;
 
 export type FleetControlOptions = {
 	readonly nodeId: string;
@@ -85,7 +86,6 @@
 				this.#onControlMessage(message);
 			},
 			onNodes: () => {
-				this.#permits.refreshRank();
 				this.#linkServer.scheduleNodesUpdate();
 			},
 		});
@@ -114,6 +114,8 @@
 		this.#figures.start();
 		this.#addInterval(expireIntervalMs, () => {
 			this.#targets.expire(this.#options.clock.monotonicMs());
+		});
+		this.#addInterval(rankIntervalMs, () => {
 			this.#permits.refreshRank();
 		});
 		await this.#group.start();
--- a/packages/target-limits/src/permit-holder.ts
+++ b/packages/target-limits/src/permit-holder.ts
@@ -48,16 +48,10 @@
 
 	/** Number of requests that may be sent to the target now. */
 	count(target: TargetLifetime, nowMs: number): number {
-		const asking = this.#of(target);
-		if (asking.held.some(({untilMs}) => untilMs <= nowMs)) {
-			this.#counts.unused += asking.held.filter(({untilMs}) => untilMs <= nowMs).reduce((sum, {count}) => sum + count, 0);
-			asking.held = asking.held.filter(({untilMs}) => untilMs > nowMs);
-		}
-
-		return asking.held.reduce((sum, {count}) => sum + count, 0);
+		return sumOf(this.#heldOf(this.#of(target), nowMs));
 	}
 
-	/** Uses up a permit for the target: the one that ends first. */
+	/** Uses up a permit for the target: of those that were valid when it was last asked for them, the one that ends first. */
 	use(target: TargetLifetime): void {
 		const asking = this.#of(target);
 		const [first] = asking.held.toSorted((left, right) => left.untilMs - right.untilMs);
@@ -96,7 +90,7 @@
 			this.#counts.refusals++;
 		} else {
 			this.#counts.granted += decision.granted;
-			asking.held.push({count: decision.granted, untilMs: askedAtMs + validityMsOf(target)});
+			this.#heldOf(asking, nowMs).push({count: decision.granted, untilMs: askedAtMs + validityMsOf(target)});
 			this.#grantedAtMs = [...this.#grantedAtMs.filter(atMs => atMs > nowMs - rateWindowMs), ...Array.from({length: decision.granted}, () => nowMs)];
 		}
 	}
@@ -124,6 +118,17 @@
 		}
 	}
 
+	/** The permits that are still valid; those that have ended count as unused. */
+	#heldOf(asking: Asking, nowMs: number): Held[] {
+		const ended = asking.held.filter(({untilMs}) => untilMs <= nowMs);
+		if (ended.length > 0) {
+			this.#counts.unused += sumOf(ended);
+			asking.held = asking.held.filter(({untilMs}) => untilMs > nowMs);
+		}
+
+		return asking.held;
+	}
+
 	#of({targetId, bornMs}: TargetLifetime): Asking {
 		const known = this.#targets.get(targetId);
 		if (known?.bornMs === bornMs) {
@@ -138,6 +143,10 @@
 	}
 }
 
+function sumOf(held: readonly Held[]): number {
+	return held.reduce((sum, {count}) => sum + count, 0);
+}
+
 /** Time from asking to the end of a permit. */
 function validityMsOf({perSecond, coldPerSecond}: TargetLimit): number {
 	return Math.min(
