--- a/packages/fleet-control/src/target-limits-spread.test.ts
+++ b/packages/fleet-control/src/target-limits-spread.test.ts
@@ -58,6 +58,28 @@
 		await waitUntil(() => limitsOf(other).length > 0, {timeoutMs: 2000});
 	});
 
+	it('that are none fail the call for a permit with one log line, and no process', async () => {
+		const calls = new LinkCalls();
+		const malformed = {...limit, perSecond: 'many'} as unknown as typeof limit;
+		expect(await calls.call(group.addressOf(0), linkService.permit, malformed, 1000)).toEqual(undefined);
+		expect((await calls.call(group.addressOf(0), linkService.permit, limit, 1000))?.granted).toEqual(0);
+		calls.close();
+		expect(group.linesOf('callFailed')).toEqual(1);
+	});
+
+	it('bring cold times to other entries, and to those that come later with what is left of them', async () => {
+		const reporter = await addEntry();
+		const other = await addEntry();
+		const coldLeftOf = ({messages}: TestEntry) => messages.flatMap(message => message.type === 'limits' ? message.cold ?? [] : []).map(({coldLeftMs}) => coldLeftMs);
+		reporter.links.send({type: 'limits', limits: [], cold: [{targetId: 't1', bornMs: 100, coldLeftMs: 3000}]});
+		await waitUntil(() => coldLeftOf(other).length === 2, {timeoutMs: 2000});
+		expect(coldLeftOf(other)).toEqual([3000, 3000]);
+		await sleep(300);
+		const late = await addEntry();
+		await waitUntil(() => coldLeftOf(late).length > 0, {timeoutMs: 2000});
+		expect(coldLeftOf(late)[0]).toBeLessThan(2750);
+	});
+
 	it('are kept by one process, which gives permits at their rate', async () => {
 		const calls = new LinkCalls();
 		const take = async () => calls.call(group.addressOf(0), linkService.permit, limit, 1000);
--- a/packages/fleet-control/src/test-group.ts
+++ b/packages/fleet-control/src/test-group.ts
@@ -5,7 +5,7 @@
 import path from 'node:path';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {FatalErrorHandler} from '@rattanspring/log-storage';
-import {SilentLogger} from '@rattanspring/logger';
+import {Logger, type LogLevel} from '@rattanspring/logger';
 import {freePorts, waitUntil} from '@rattanspring/test-kit';
 import {SystemClock} from '@rattanspring/voter-group';
 import {FleetControl} from './fleet-control.js';
@@ -25,6 +25,19 @@
 	}
 }
 
+/** Counts the lines of each event. */
+class CountingLogger extends Logger {
+	readonly #counts = new Map<string, number>();
+
+	log(_level: LogLevel, event: string): void {
+		this.#counts.set(event, this.linesOf(event) + 1);
+	}
+
+	linesOf(event: string): number {
+		return this.#counts.get(event) ?? 0;
+	}
+}
+
 export type TestGroupOptions = {
 	readonly size: number;
 	/** Number of VMs whose loss at the same time has to be tolerated. */
@@ -43,6 +56,7 @@
 	readonly #options: TestGroupOptions;
 	readonly #folder: string;
 	readonly #addresses: readonly string[];
+	readonly #logger = new CountingLogger();
 	readonly #running = new Map<number, FleetControl>();
 
 	private constructor(options: TestGroupOptions, folder: string, addresses: readonly string[]) {
@@ -56,6 +70,11 @@
 		return this.#addresses.map((_address, index) => index);
 	}
 
+	/** Number of lines that all processes have logged for an event. */
+	linesOf(event: string): number {
+		return this.#logger.linesOf(event);
+	}
+
 	addressOf(index: number): string {
 		return this.#addresses[index];
 	}
@@ -84,7 +103,7 @@
 			faultTolerance,
 			isFirstStart,
 			clock: new SystemClock(),
-			logger: new SilentLogger(),
+			logger: this.#logger,
 			fatalErrorHandler: new ThrowingFatalErrorHandler(),
 		});
 		this.#running.set(index, control);
--- a/packages/gateway/src/cold-watch.ts
+++ b/packages/gateway/src/cold-watch.ts
@@ -49,7 +49,7 @@
 				this.#log(report, 'report');
 			}
 		} else if (isNewLifetime && this.#targets.recordStart(report, this.#startedAtMs(bornMs)) && this.#leftMs(report) > 0) {
-			this.#log(report, 'assumed');
+			this.#log(report, 'assumed', {unstatedMs: this.#serviceOf(report)?.coldMs});
 		}
 	}
 
@@ -57,7 +57,7 @@
 	onStated(target: TargetLifetime, {leftMs, source, requestId}: {readonly leftMs: number; readonly source: ColdSource; readonly requestId?: string}): boolean {
 		const isNew = this.#targets.record(target, {leftMs, source}, this.#nowMs);
 		if (isNew) {
-			this.#log(target, source, requestId);
+			this.#log(target, source, {requestId});
 		}
 
 		return isNew;
@@ -114,9 +114,11 @@
 		return this.#options.services().find(({name}) => name === service);
 	}
 
-	#log({targetId, bornMs}: TargetLifetime, source: ColdSource, requestId?: string): void {
-		this.#options.logger.log('info', 'targetCold', {
-			targetId, bornMs, source, coldLeftMs: Math.round(this.#targets.leftMs({targetId, bornMs}, this.#nowMs)), ageMs: Math.round(this.#options.clock.wallMs() - bornMs), ...(requestId !== undefined && {requestId}),
+	#log({targetId, bornMs}: TargetLifetime, source: ColdSource, {requestId, unstatedMs}: {readonly requestId?: string; readonly unstatedMs?: number} = {}): void {
+		const {clock, logger} = this.#options;
+		const coldLeftMs = Math.round(this.#targets.leftMs({targetId, bornMs}, this.#nowMs, unstatedMs));
+		logger.log('info', 'targetCold', {
+			targetId, bornMs, source, coldLeftMs, ageMs: Math.round(clock.wallMs() - bornMs), ...(requestId !== undefined && {requestId}),
 		});
 	}
 }
--- a/packages/placement/src/target-selector.ts
+++ b/packages/placement/src/target-selector.ts
@@ -311,9 +311,11 @@
 		const perSecond = this.#limits.perSecondOf(report);
 		const coldPerSecond = this.#options.coldLimitOf?.(report, nowMs);
 		const {targetId, bornMs} = report;
-		return perSecond === undefined && coldPerSecond === undefined ? undefined : {
-			targetId, bornMs, ...(perSecond !== undefined && {perSecond}), ...(coldPerSecond !== undefined && {coldPerSecond}),
-		};
+		return perSecond === undefined && coldPerSecond === undefined
+			? undefined
+			: {
+				targetId, bornMs, ...(perSecond !== undefined && {perSecond}), ...(coldPerSecond !== undefined && {coldPerSecond}),
+			};
 	}
 
 	/** Whether a target that has just started works on the first request of this entry: until it answers, nobody knows what it can take. */
--- a/packages/target-limits/src/cold-permits.test.ts
+++ b/packages/target-limits/src/cold-permits.test.ts
@@ -254,7 +254,9 @@
 	const request = {...lifetime, coldPerSecond: 15, count: 3};
 
 	it('are read as they were sent', () => {
-		expect([readPermitRequest(request), readPermitDecision({granted: 2, retryInMs: 0}), readColdWord({...lifetime, coldLeftMs: 4})]).toEqual([request, {granted: 2, retryInMs: 0}, {...lifetime, coldLeftMs: 4}]);
+		const decision = {granted: 2, retryInMs: 0};
+		const word = {...lifetime, coldLeftMs: 4};
+		expect([readPermitRequest(request), readPermitDecision(decision), readColdWord(word)]).toEqual([request, decision, word]);
 	});
 
 	for (const value of [undefined, null, 'x', {}, {...request, count: 0}, {...request, count: 1.5}, {...request, count: 1e9}, {...request, coldPerSecond: -1}, {...request, perSecond: '4'}, {...request, bornMs: 'x'}]) {
--- a/packages/target-limits/src/cold-targets.ts
+++ b/packages/target-limits/src/cold-targets.ts
@@ -139,9 +139,11 @@
 			return undefined;
 		}
 
-		const state = known?.bornMs === bornMs ? known : {
-			bornMs, reportSequence: Number.NEGATIVE_INFINITY, reportedUntilMs: Number.NEGATIVE_INFINITY, statedUntilMs: Number.NEGATIVE_INFINITY, source: 'report' as const,
-		};
+		const state = known?.bornMs === bornMs
+			? known
+			: {
+				bornMs, reportSequence: Number.NEGATIVE_INFINITY, reportedUntilMs: Number.NEGATIVE_INFINITY, statedUntilMs: Number.NEGATIVE_INFINITY, source: 'report' as const,
+			};
 		this.#targets.delete(targetId);
 		this.#targets.set(targetId, state);
 		if (this.#targets.size > this.#maxTargets) {
--- a/packages/target-limits/src/permit-holder.ts
+++ b/packages/target-limits/src/permit-holder.ts
@@ -32,7 +32,7 @@
 export class PermitHolder {
 	readonly #targets = new Map<string, Asking>();
 	#grantedAtMs: number[] = [];
-	#counts = {
+	readonly #counts = {
 		asked: 0, granted: 0, unused: 0, refusals: 0, unanswered: 0,
 	};
 
--- a/packages/target-table/src/target-table.test.ts
+++ b/packages/target-table/src/target-table.test.ts
@@ -1,6 +1,6 @@
 import {describe, it} from 'node:test';
 import {expect} from 'earl';
-import {silenceTimeoutMs, type TargetReport, TargetTable} from './index.js';
+import {isSameState, silenceTimeoutMs, type TargetReport, TargetTable} from './index.js';
 
 const report: TargetReport = {
 	targetId: 't1', bornMs: 100, sequence: 4, service: 's', address: '10.0.0.1:80', failureDomain: 'a', slots: 8, state: 'ready', coldLeftMs: 0,
@@ -53,6 +53,31 @@
 		});
 	});
 
+	describe('cold times', () => {
+		const cold = {...report, coldLeftMs: 3000};
+
+		it('run on between reports, and heartbeats do not move their end', () => {
+			const table = new TargetTable();
+			table.add(cold, 0);
+			table.touch({...report, sequence: 5}, 1000);
+			expect([table.current('t1', 1000)?.coldLeftMs, table.allCurrent(2000)[0].coldLeftMs, table.allCurrent(9000)[0].coldLeftMs]).toEqual([2000, 1000, 0]);
+			table.add({...cold, sequence: 6, coldLeftMs: 800}, 2100);
+			expect(table.current('t1', 2100)?.coldLeftMs).toEqual(900);
+			table.add({...cold, sequence: 7, coldLeftMs: 3000}, 2200);
+			expect(table.current('t1', 2200)?.coldLeftMs).toEqual(3000);
+			expect(new TargetTable().allCurrent(0)).toEqual([]);
+		});
+
+		it('that only run down are no change of a report, and those that begin, end or are said for the first time are one', () => {
+			expect(isSameState({...cold, coldLeftMs: 2000}, {...cold, sequence: 5, coldLeftMs: 1900})).toEqual(true);
+			expect(isSameState({...cold, coldLeftMs: 2000}, {...cold, sequence: 5, coldLeftMs: 2500})).toEqual(false);
+			expect(isSameState({...cold, coldLeftMs: 100}, {...cold, coldLeftMs: 0})).toEqual(false);
+			expect(isSameState({...cold, coldLeftMs: 0}, {...cold, coldLeftMs: 100})).toEqual(false);
+			expect(isSameState({...cold, coldLeftMs: undefined}, {...cold, coldLeftMs: 0})).toEqual(false);
+			expect(isSameState({...cold, slots: 7}, cold)).toEqual(false);
+		});
+	});
+
 	describe('reports that arrive out of order', () => {
 		it('keeps the report with the higher sequence', () => {
 			const table = new TargetTable();
--- a/packages/target-table/src/target-table.ts
+++ b/packages/target-table/src/target-table.ts
@@ -56,26 +56,6 @@
 		return this.#add(reported, nowMs, this.#coldUntilMsOf(reported, nowMs));
 	}
 
-	#add(reported: TargetReport, nowMs: number, coldUntilMs: number | undefined): boolean {
-		const report = this.#withLeaving(reported);
-		const known = this.#targets.get(report.targetId);
-		if (known && !isNewer(report, known.report)) {
-			return false;
-		}
-
-		if (this.#hasNewerTargetAtAddress(report)) {
-			return false;
-		}
-
-		this.#markOlderTargetsGone(report);
-		this.#store({report, heardAtMs: nowMs, coldUntilMs});
-		if (report.state !== 'gone') {
-			this.#newestHeardAtMs = nowMs;
-		}
-
-		return true;
-	}
-
 	/** Records a heartbeat; returns false if it is not newer than what is known, or the target's report is unknown. */
 	touch({targetId, bornMs, sequence}: TargetHeartbeat, nowMs: number): boolean {
 		const known = this.#targets.get(targetId);
@@ -126,6 +106,26 @@
 		}
 	}
 
+	#add(reported: TargetReport, nowMs: number, coldUntilMs: number | undefined): boolean {
+		const report = this.#withLeaving(reported);
+		const known = this.#targets.get(report.targetId);
+		if (known && !isNewer(report, known.report)) {
+			return false;
+		}
+
+		if (this.#hasNewerTargetAtAddress(report)) {
+			return false;
+		}
+
+		this.#markOlderTargetsGone(report);
+		this.#store({report, heardAtMs: nowMs, coldUntilMs});
+		if (report.state !== 'gone') {
+			this.#newestHeardAtMs = nowMs;
+		}
+
+		return true;
+	}
+
 	/** The report, as draining if its lifetime is known to be leaving. */
 	#withLeaving(report: TargetReport): TargetReport {
 		const isLeaving = this.#leavingBornMs.get(report.targetId) === report.bornMs;
