--- a/packages/fleet-control/src/target-limits-spread.test.ts
+++ b/packages/fleet-control/src/target-limits-spread.test.ts
@@ -62,7 +62,8 @@
 		const calls = new LinkCalls();
 		const malformed = {...limit, perSecond: 'many'} as unknown as typeof limit;
 		expect(await calls.call(group.addressOf(0), linkService.permit, malformed, 1000)).toEqual(undefined);
-		expect((await calls.call(group.addressOf(0), linkService.permit, limit, 1000))?.granted).toEqual(0);
+		const next = await calls.call(group.addressOf(0), linkService.permit, limit, 1000);
+		expect(next?.granted).toEqual(0);
 		calls.close();
 		expect(group.linesOf('callFailed')).toEqual(1);
 	});
--- a/packages/placement/src/cold-targets.test.ts
+++ b/packages/placement/src/cold-targets.test.ts
@@ -1,7 +1,9 @@
 import {describe, it} from 'node:test';
 import {expect} from 'earl';
-import {AdmissionQueue, type Admission, TargetSelector} from './index.js';
-import {createQueue, createSelector, request, targets} from './test-fixtures.js';
+import {
+	createQueue, createSelector, request, targets,
+} from './test-fixtures.js';
+import {type AdmissionQueue, type Admission, TargetSelector} from './index.js';
 
 const coldPerSecond = 4;
 const granted = {granted: 1, retryInMs: 0};
--- a/packages/target-table/src/target-table.test.ts
+++ b/packages/target-table/src/target-table.test.ts
@@ -1,6 +1,8 @@
 import {describe, it} from 'node:test';
 import {expect} from 'earl';
-import {isSameState, silenceTimeoutMs, type TargetReport, TargetTable} from './index.js';
+import {
+	isSameState, silenceTimeoutMs, type TargetReport, TargetTable,
+} from './index.js';
 
 const report: TargetReport = {
 	targetId: 't1', bornMs: 100, sequence: 4, service: 's', address: '10.0.0.1:80', failureDomain: 'a', slots: 8, state: 'ready', coldLeftMs: 0,
