--- a/packages/gateway/src/cold-watch.ts
+++ b/packages/gateway/src/cold-watch.ts
@@ -63,6 +63,16 @@
 		return isNew;
 	}
 
+	/** Records that targets may have turned cold without a word so far, as when their failure domain comes back: they count as cold for their service's cold time. */
+	assumeCold(reports: readonly TargetReport[]): void {
+		for (const report of reports) {
+			const {coldMs = 0} = this.#serviceOf(report) ?? {};
+			if (coldMs > 0) {
+				this.onStated(report, {leftMs: coldMs, source: 'assumed'});
+			}
+		}
+	}
+
 	/** Requests a second that all entries together may send to a target while it is cold; undefined if it is not cold, or its service has no such limit. */
 	limitOf(report: TargetReport): number | undefined {
 		const service = this.#serviceOf(report);
