--- a/packages/fleet-control/src/fleet-control.ts
+++ b/packages/fleet-control/src/fleet-control.ts
@@ -16,9 +16,8 @@
 import {describeError, type Logger} from '@rattanspring/logger';
 import {serverOptions} from '@rattanspring/protocol';
 import {
-	type TargetReport, type TargetHeartbeat, TargetTable,
+	isSameState, type TargetReport, type TargetHeartbeat, TargetTable,
 } from '@rattanspring/target-table';
-import {PermitAuthority, type TargetLimit} from '@rattanspring/target-limits';
 import type {Clock} from '@rattanspring/types';
 import {
 	type handleUnaryCall, type sendUnaryData, Server, type ServerDuplexStream, status, type UntypedServiceImplementation,
@@ -30,10 +29,12 @@
 import {DomainAnnouncements} from './domain-announcements.js';
 import {type DomainOrderResult, DomainOrders} from './domain-orders.js';
 import {FigureBatches} from './figure-batches.js';
+import {Permits} from './permits.js';
 import {RelayedFacts} from './relayed-facts.js';
 import {UseRelay} from './use-relay.js';
 
 const expireIntervalMs = 10_000;
+const rankIntervalMs = 500;
 
 export type FleetControlOptions = {
 	readonly nodeId: string;
@@ -65,7 +66,7 @@
 	readonly #facts: RelayedFacts;
 	readonly #domains: DomainAnnouncements;
 	readonly #domainOrders: DomainOrders;
-	readonly #permits = new PermitAuthority();
+	readonly #permits: Permits;
 	readonly #uses: UseRelay;
 	#isLeaving = false;
 
@@ -103,8 +104,12 @@
 			},
 		});
 		const {dataFolder, logger} = options;
+		this.#permits = new Permits({
+			nowMs, ownAddress: options.linkAddress, seeds: options.seeds, nodes: () => this.#controlLinks.nodes.values(),
+		});
 		this.#facts = new RelayedFacts({
 			targets: this.#targets,
+			nowMs,
 			...(dataFolder !== undefined && {convictions: new ConvictionStore({folder: dataFolder, logger})}),
 			broadcast: (message, receivers) => {
 				this.#linkServer.broadcast(message, receivers);
@@ -136,6 +141,9 @@
 		this.#addInterval(expireIntervalMs, () => {
 			this.#targets.expire(this.#options.clock.monotonicMs());
 		});
+		this.#addInterval(rankIntervalMs, () => {
+			this.#permits.refreshRank();
+		});
 		await this.#group.start();
 	}
 
@@ -180,8 +188,9 @@
 
 	/** Records a target's report of its own state and broadcasts it. */
 	report(report: TargetReport): void {
-		const previous = this.#targets.get(report.targetId);
-		if (!this.#targets.add(report, this.#options.clock.monotonicMs())) {
+		const nowMs = this.#options.clock.monotonicMs();
+		const previous = this.#targets.current(report.targetId, nowMs);
+		if (!this.#targets.add(report, nowMs)) {
 			return;
 		}
 
@@ -270,7 +279,7 @@
 			readDomains: this.#unary('readDomains', async () => this.#group.isLeader ? {register: await this.#group.readRegister()} : {}),
 			orderDomain: this.#unary('orderDomain', async (order: DomainOrder) => this.#group.isLeader ? {outcome: await this.#group.orderDomain(order)} : {}),
 			trial: this.#unary('trial', async (request: TrialRequest) => this.#grantTrial(request)),
-			permit: this.#unary('permit', async (limit: TargetLimit) => this.#permits.take(limit, this.#options.clock.monotonicMs())),
+			permit: this.#unary('permit', async (request: unknown) => this.#permits.take(request)),
 			join: this.#unary('join', async (request: JoinRequest) => this.#group.join(request)),
 		};
 	}
@@ -304,7 +313,7 @@
 			}
 
 			case 'limits': {
-				this.#facts.recordLimits(message.limits, ['entry', 'control']);
+				this.#facts.recordLimits(message, ['entry', 'control']);
 				break;
 			}
 
@@ -360,7 +369,7 @@
 			}
 
 			case 'limits': {
-				this.#facts.recordLimits(message.limits, ['entry']);
+				this.#facts.recordLimits(message, ['entry']);
 				break;
 			}
 
@@ -400,7 +409,7 @@
 
 	#initialMessages(role: NodeRole): DownMessage[] {
 		const {document} = this.#group;
-		const messages: DownMessage[] = role === 'agent' ? [] : [{type: 'targets', reports: this.#targets.all()}];
+		const messages: DownMessage[] = role === 'agent' ? [] : [{type: 'targets', reports: this.#targets.allCurrent(this.#options.clock.monotonicMs())}];
 		if (role !== 'agent') {
 			// Before the version: an entry begins to serve once it has the document.
 			messages.push(...this.#facts.messages, ...this.#domains.messages);
@@ -423,11 +432,6 @@
 
 const {rank: _rank, ...controlMethods} = linkService;
 
-/** Whether two reports of a target differ in nothing but their sequence. */
-function isSameState(previous: TargetReport, current: TargetReport): boolean {
-	return JSON.stringify({...previous, sequence: 0}) === JSON.stringify({...current, sequence: 0});
-}
-
 function heartbeatOf({targetId, bornMs, sequence}: TargetReport): TargetHeartbeat {
 	return {targetId, bornMs, sequence};
 }
--- a/packages/fleet-link/src/link-service.ts
+++ b/packages/fleet-link/src/link-service.ts
@@ -10,7 +10,9 @@
 import {
 	type DomainOrder, type DomainRegister, readDomainOrder, readDomainRegister,
 } from '@rattanspring/domain-drain';
-import {type PermitDecision, readTargetLimit, type TargetLimit} from '@rattanspring/target-limits';
+import {
+	type PermitDecision, type PermitRequest, readColdWord, readPermitDecision, readTargetLimit,
+} from '@rattanspring/target-limits';
 import {fromLoadRow, toLoadRow} from './load-rows.js';
 import type {DownMessage, UpMessage} from './messages.js';
 
@@ -98,7 +100,8 @@
 	orderDomain: {...method<DomainOrder, SubmitReply>('OrderDomain', false), requestDeserialize: (bytes: Buffer) => readDomainOrder(parseJson(bytes))},
 	join: method<JoinRequest, JoinReply>('Join', false),
 	trial: {...method<TrialRequest, TrialReply>('Trial', false), requestDeserialize: parseTrialRequest},
-	permit: {...method<TargetLimit, PermitDecision>('Permit', false), requestDeserialize: (bytes: Buffer) => readTargetLimit(parseJson(bytes))},
+	/** The request is checked where it is handled, so that a malformed one is logged. */
+	permit: {...method<PermitRequest, PermitDecision>('Permit', false), responseDeserialize: (bytes: Buffer) => readPermitDecision(parseJson(bytes))},
 	rank: rankMethod(),
 };
 
@@ -173,7 +176,9 @@
 		return {...message, register: readDomainRegister(message.register)};
 	}
 
-	return message.type === 'limits' ? {...message, limits: message.limits.map(limit => readTargetLimit(limit))} : message;
+	return message.type === 'limits'
+		? {...message, limits: message.limits.map(limit => readTargetLimit(limit)), ...(message.cold && {cold: message.cold.map(word => readColdWord(word))})}
+		: message;
 }
 
 function parseReadDomainsReply(bytes: Buffer): ReadDomainsReply {
--- a/packages/fleet-link/src/messages.ts
+++ b/packages/fleet-link/src/messages.ts
@@ -3,7 +3,7 @@
 import type {AccountUse} from '@rattanspring/account-shares';
 import type {ComponentEvidence} from '@rattanspring/crash-evidence';
 import type {DomainRegister} from '@rattanspring/domain-drain';
-import type {TargetLimit} from '@rattanspring/target-limits';
+import type {ColdWord, TargetLimit} from '@rattanspring/target-limits';
 import type {
 	RankPlace, TargetLifetime, TargetLoad, TargetReport, TargetHeartbeat,
 } from '@rattanspring/target-table';
@@ -64,8 +64,8 @@
 /** Evidence about components of requests that crash targets. */
 export type EvidenceMessage = {readonly type: 'evidence'; readonly records: readonly ComponentEvidence[]};
 
-/** Limits that targets have named, or name no more, in answers to some entry. */
-export type LimitsMessage = {readonly type: 'limits'; readonly limits: readonly TargetLimit[]};
+/** Limits that targets have named, or name no more, and how much longer they are cold, in answers to some entry. */
+export type LimitsMessage = {readonly type: 'limits'; readonly limits: readonly TargetLimit[]; readonly cold?: readonly ColdWord[]};
 
 /** What client accounts used over the last seconds: at the entry that sends it, or at all entries that told the control process that sends it. */
 export type UseMessage = {readonly type: 'use'; readonly nodeId: string; readonly uses: readonly AccountUse[]};
--- a/packages/gateway/src/domain-follower.ts
+++ b/packages/gateway/src/domain-follower.ts
@@ -17,8 +17,8 @@
 export type DomainFollowerOptions = {
 	readonly logger: Logger;
 	readonly metrics: Pick<DaemonMetrics, 'domainsDrained' | 'domainRegisterRevision'>;
-	/** Called when domains were drained or restored. */
-	readonly onSwitched: () => void;
+	/** Called when domains were drained or restored, with those that were restored. */
+	readonly onSwitched: (restored: ReadonlySet<string>) => void;
 	/** Called once, when the register is known. */
 	readonly onKnown: () => void;
 	readonly registerWaitMs?: number;
@@ -53,7 +53,7 @@
 		}
 
 		if (switched.length > 0) {
-			onSwitched();
+			onSwitched(new Set(switched.filter(({isDrained}) => !isDrained).map(({domain}) => domain)));
 		}
 	}
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -11,13 +11,14 @@
 	AdmissionQueue, type EntryPosition, ExpectedRoom, type GroupFigures, PassLimit, type RetryAllowance, RetryBudget, RoomReturnTimes, StreamSilence, TargetSelector,
 } from '@rattanspring/placement';
 import {isReachable, type TargetTransport} from '@rattanspring/target-connection';
-import type {TargetLimit} from '@rattanspring/target-limits';
+import type {ColdWord, TargetLimit} from '@rattanspring/target-limits';
 import {type TargetLifetime, TargetTable} from '@rattanspring/target-table';
-import type {Clock} from '@rattanspring/types';
+import {type Clock, SuspendAwareClock} from '@rattanspring/types';
 import {AccountUsage} from './account-usage.js';
 import {AuthorityCalls} from './authority-calls.js';
 import {ByteBudget} from './byte-budget.js';
 import {CallerServer} from './caller-server.js';
+import {ColdWatch} from './cold-watch.js';
 import {CrashWatch} from './crash-watch.js';
 import {DocumentFollower} from './document-follower.js';
 import {DomainFollower} from './domain-follower.js';
@@ -26,6 +27,7 @@
 import type {HeaderCodec} from './header-codec.js';
 import {rejectRevoked} from './key-revocation.js';
 import {PauseObjectives} from './pause-objectives.js';
+import {PermitReport} from './permit-report.js';
 import {PermitRequests} from './permit-requests.js';
 import {serveRequest} from './request-flow.js';
 import {UnsentBudget} from './unsent-budget.js';
@@ -81,6 +83,9 @@
 	readonly #selector: TargetSelector;
 	readonly #accountUsage: AccountUsage;
 	readonly #context: GatewayContext;
+	readonly #coldWatch: ColdWatch;
+	readonly #permitRequests: PermitRequests;
+	readonly #permitReport: PermitReport;
 	readonly #timers: NodeJS.Timeout[] = [];
 	#active = 0;
 	#isQueueProcessingScheduled = false;
@@ -99,19 +104,41 @@
 		this.#domains = new DomainFollower({
 			logger,
 			metrics,
-			onSwitched: () => {
+			onSwitched: restored => {
+				// Targets of a restored domain may have turned cold, and their next reports come later than the first requests.
+				this.#coldWatch.assumeCold(this.#targets.all().filter(({failureDomain}) => restored.has(failureDomain)));
 				this.#context.admission.processQueue(nowMs());
 			},
 			onKnown: () => {
 				this.#updateInformed();
 			},
 		});
+		const suspendAwareClock = new SuspendAwareClock(options.clock);
+		const permitNowMs = () => suspendAwareClock.nowMs();
+		this.#coldWatch = new ColdWatch({
+			clock: options.clock, services: () => this.#documents.table?.state.services ?? [], isInService: () => this.isReady, logger, metrics,
+		});
 		this.#selector = new TargetSelector({
 			failureDomain,
 			entryPosition: () => this.#entryPosition,
 			writersWithin: (service, figures, atMs) => this.#writersWithin(service, figures, atMs),
 			engineOf: service => this.#engineOf(service),
 			exclusions: [this.#domains.drained],
+			coldLimitOf: report => this.#coldWatch.limitOf(report),
+			hasSeenStart: target => this.#coldWatch.hasSeenStart(target),
+			permitNowMs,
+		});
+		this.#permitReport = new PermitReport({permits: this.#selector.permits, logger, metrics});
+		this.#permitRequests = new PermitRequests({
+			permits: this.#selector.permits,
+			limitedTargets: service => this.#selector.limitedTargets(service, nowMs()),
+			waitingCount: () => this.#context.admission.waitingCount,
+			take: async request => this.#authorityCalls.call(request.targetId, linkService.permit, request),
+			onGranted: () => {
+				this.#context.admission.processQueue(nowMs());
+			},
+			nowMs: permitNowMs,
+			random,
 		});
 		this.#authorityCalls = new AuthorityCalls({controls: () => [...this.#links.nodes.values()], nowMs});
 		const crashWatch = new CrashWatch({
@@ -156,16 +183,10 @@
 			entryCount: () => Math.max(1, this.#entries.length),
 			onTargetLeaving: target => this.#onTargetLeaving(target),
 			onTargetLimit: limit => this.#onTargetLimit(limit),
-			permitRequests: new PermitRequests({
-				permits: this.#selector.permits,
-				limitedTargets: service => this.#selector.limitedTargets(service, nowMs()),
-				waitingCount: () => this.#context.admission.waitingCount,
-				take: async target => this.#authorityCalls.call(target.targetId, linkService.permit, target),
-				onGranted: () => {
-					this.#context.admission.processQueue(nowMs());
-				},
-				nowMs,
-			}),
+			onTargetCold: (word, requestId) => {
+				this.#onTargetCold(word, requestId);
+			},
+			permitRequests: this.#permitRequests,
 		};
 		this.#server = new CallerServer({
 			host: options.callerHost,
@@ -287,7 +308,7 @@
 			this.#isQueueProcessingScheduled = false;
 			this.#context.admission.processQueue(this.#context.nowMs());
 			for (const service of this.#context.admission.waitingServices) {
-				this.#context.permitRequests.ask(service);
+				this.#permitRequests.askForWaiting(service);
 			}
 
 			if (this.#context.admission.waitingCount > 0) {
@@ -339,7 +360,10 @@
 		switch (message.type) {
 			case 'targets': {
 				for (const report of message.reports) {
-					this.#targets.add(report, nowMs);
+					const isNewLifetime = this.#targets.get(report.targetId)?.bornMs !== report.bornMs;
+					if (this.#targets.add(report, nowMs)) {
+						this.#coldWatch.onReport(report, isNewLifetime);
+					}
 				}
 
 				this.#refreshTargets();
@@ -386,6 +410,10 @@
 					this.#selector.setLimit(limit);
 				}
 
+				for (const word of message.cold ?? []) {
+					this.#coldWatch.onStated(word, {leftMs: word.coldLeftMs, source: 'relayed'});
+				}
+
 				break;
 			}
 
@@ -412,12 +440,13 @@
 	#sendKnownFacts(linkAddress: string): void {
 		const records = this.#context.crashWatch.guard.openCases;
 		const {limits} = this.#selector;
+		const cold = this.#coldWatch.words;
 		if (records.length > 0) {
 			this.#links.send({type: 'evidence', records}, linkAddress);
 		}
 
-		if (limits.length > 0) {
-			this.#links.send({type: 'limits', limits}, linkAddress);
+		if (limits.length + cold.length > 0) {
+			this.#links.send({type: 'limits', limits, cold}, linkAddress);
 		}
 	}
 
@@ -442,6 +471,13 @@
 		return isNew;
 	}
 
+	/** All entries share a cold target's limit, so the others are told. */
+	#onTargetCold(word: ColdWord, requestId: string | undefined): void {
+		if (this.#coldWatch.onStated(word, {leftMs: word.coldLeftMs, source: 'answer', requestId})) {
+			this.#links.send({type: 'limits', limits: [], cold: [word]});
+		}
+	}
+
 	/** Without an answer of the authority there is no trial. */
 	async #isTrialGranted(component: string): Promise<boolean> {
 		const reply = await this.#authorityCalls.call(component, linkService.trial, {component});
@@ -462,5 +498,7 @@
 		const ready = this.#targets.ready();
 		this.#selector.setTargets(ready, this.#context.nowMs());
 		this.#options.metrics.targetsKnown.set(ready.length);
+		this.#coldWatch.refresh(targetId => this.#targets.get(targetId) !== undefined);
+		this.#permitReport.refresh();
 	}
 }
--- a/packages/placement/src/admission.ts
+++ b/packages/placement/src/admission.ts
@@ -131,6 +131,7 @@
 			request, isLate, queuedAtMs: nowMs, refuseAtMs: refuseAtMs(request, isLate, nowMs), settle,
 		};
 		const reason = refusalReasonOf(choice)
+			?? (isTooLate(choice, queued.refuseAtMs, nowMs) ? 'limited' : undefined)
 			?? (this.#queue.length >= maxQueueLength ? 'queueFull' : undefined)
 			?? (choice.kind === 'full' && this.#isHopeless(queued, this.#countAhead(queued, nowMs), nowMs) ? 'full' : undefined);
 		if (reason) {
@@ -171,9 +172,9 @@
 				this.#end(queued, {kind: 'admitted', view: choice.view, isLate: queued.isLate});
 			} else if (choice.kind === 'paused' || choice.kind === 'drained' || choice.kind === 'tooLarge') {
 				this.#end(queued, this.#refusal(choice.kind, {request: queued.request, choice, nowMs}));
-			} else if (nowMs >= queued.refuseAtMs && !queued.isLate && (queued.request.mayBeRetry === true || this.#isRoomy(service, nowMs))) {
+			} else if ((nowMs >= queued.refuseAtMs || isTooLate(choice, queued.refuseAtMs, nowMs)) && !queued.isLate && (queued.request.mayBeRetry === true || this.#isRoomy(service, nowMs))) {
 				this.#demoteToLate(queued, nowMs);
-			} else if (nowMs >= queued.refuseAtMs) {
+			} else if (nowMs >= queued.refuseAtMs || isTooLate(choice, queued.refuseAtMs, nowMs)) {
 				this.#end(queued, this.#refusal(choice.kind === 'limited' ? 'limited' : 'full', {request: queued.request, choice, nowMs}));
 			} else if (choice.kind === 'full' && this.#isHopeless(queued, stillAhead.get(service) ?? 0, nowMs)) {
 				this.#end(queued, this.#refusal('full', {request: queued.request, choice, nowMs}));
@@ -249,6 +250,11 @@
 	return kind === 'paused' || kind === 'drained' || kind === 'tooLarge' ? kind : undefined;
 }
 
+/** Whether all targets have limits and no permit can be there within the wait. */
+function isTooLate(choice: Choice, refuseAtMs: number, nowMs: number): boolean {
+	return choice.kind === 'limited' && nowMs + choice.permitInMs > refuseAtMs;
+}
+
 /** Whether a request that is admitted within the on-time wait can be answered on time. */
 function mayBeOnTime({arrivedAtMs, objectiveMs, sinceFirstTryMs = 0}: AdmissionRequest, nowMs: number): boolean {
 	return sinceFirstTryMs < objectiveMs * retryOnTimeShare && nowMs - arrivedAtMs <= objectiveMs * onTimeWaitShare;
--- a/packages/rank-agent/src/rank-agent.ts
+++ b/packages/rank-agent/src/rank-agent.ts
@@ -13,7 +13,7 @@
 import {describeError, type Logger} from '@rattanspring/logger';
 import {serverOptions} from '@rattanspring/protocol';
 import type {RankPlace, TargetLoad} from '@rattanspring/target-table';
-import type {Clock} from '@rattanspring/types';
+import {type Clock, SuspendAwareClock} from '@rattanspring/types';
 import type {EngineClient, EngineState} from './engine-client.js';
 import {ExclusiveTask} from './exclusive-task.js';
 import {FencedEngineClient} from './fenced-engine-client.js';
@@ -23,7 +23,6 @@
 import {MapVersionAllocator} from './map-version-allocator.js';
 import {PassTimer, reportsPasses} from './pass-timer.js';
 import {RankRequestHandler} from './rank-request-handler.js';
-import {SuspendAwareClock} from './suspend-aware-clock.js';
 import {ToldPace} from './told-pace.js';
 
 /** Interval of load measurements, normally and while the target is nearly full: entries then need to learn of every slot that becomes free. */
