Prefer a kept connection among equally good targets, and keep connections longer

Cause: most requests opened a connection: an idle one was closed after 4 s although targets announce longer times, one opened for a request that must not repeat was closed after it, and the choice of a target did not know which connections are kept. Change: a connection is kept as long as its target announces, up to 30 s; one opened for such a request is kept for others; the score of an idle target to which a connection is kept is a little better, less the more it has to do and not where the entry has a request.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -83,7 +83,7 @@
 		const nowMs = () => options.clock.monotonicMs();
 		const {random, logger, metrics, headerCodec, exchange, failureDomain} = options;
 		this.#selector = new TargetSelector({
-			failureDomain, entryPosition: () => this.#entryPosition, writersWithin: (service, skew) => this.#writersWithin(service, skew),
+			failureDomain, entryPosition: () => this.#entryPosition, writersWithin: (service, skew) => this.#writersWithin(service, skew), hasConnection: address => exchange.hasIdle(address),
 		});
 		this.#authorityCalls = new AuthorityCalls({controls: () => [...this.#links.nodes.values()], nowMs});
 		const crashWatch = new CrashWatch({
--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -1,5 +1,6 @@
 /** Selects targets for requests, limits how long a request waits for one, and refuses it otherwise. */
 export * from './admission.js';
+export * from './connection-preference.js';
 export * from './queue-order.js';
 export * from './retry-budget.js';
 export * from './return-times.js';
--- a/packages/placement/src/target-selector.ts
+++ b/packages/placement/src/target-selector.ts
@@ -5,6 +5,7 @@
 
 import {LimitTable, PermitHolder, type TargetLimit} from '@rattanspring/target-limits';
 import type {TargetLifetime, TargetLoad, TargetReport} from '@rattanspring/target-table';
+import {connectionPreference} from './connection-preference.js';
 import type {EntryPosition} from './slot-shares.js';
 import type {ExclusionReason, TargetExclusion} from './target-exclusion.js';
 import {TargetPauses} from './target-pause.js';
@@ -84,6 +85,8 @@
 	readonly writersWithin?: (service: string, skew: number) => number | undefined;
 	/** Reasons against ready targets; none by default. */
 	readonly exclusions?: readonly TargetExclusion[];
+	/** Whether there is a kept connection to an address; none by default. */
+	readonly hasConnection?: (address: string) => boolean;
 };
 
 const alone: EntryPosition = {index: 0, count: 1};
@@ -251,10 +254,15 @@
 
 			areAllLimited = false;
 			const view = this.#view(record, nowMs, limitOf(record, writers));
-			const excessLoad = Math.max(0, view.busy - (record.report.slots * lowLoadShare));
+			const lowLoad = record.report.slots * lowLoadShare;
+			const excessLoad = Math.max(0, view.busy - lowLoad);
 			const ownsFreeSlot = ownedSlotsLeft(record, nowMs, {position: place, limit: view.limit}) > 0;
 			const slotPenalty = ownsFreeSlot ? random() * scoreJitter : unownedSlotPenalty + (random() * unownedSlotJitter);
-			const rank = preferIdle ? view.busy + random() : record.pendingPrefillPasses + excessLoad + this.#penalty(record, nowMs, groupPaces) + slotPenalty;
+			const hasConnection = this.#options.hasConnection?.(record.report.address) ?? false;
+			const preference = connectionPreference({
+				hasConnection, inFlight: record.inFlight, busy: view.busy, lowLoad,
+			});
+			const rank = preferIdle ? view.busy + random() : record.pendingPrefillPasses + excessLoad + this.#penalty(record, nowMs, groupPaces) + slotPenalty - preference;
 			const mayUseSlot = entriesPerSlot === undefined || ownedSlotsLeft(record, nowMs, {position: place, limit: view.limit, entriesPerSlot}) > 0;
 			const hasFreeSlot = !view.isBackingOff && view.busy < view.limit * slotShare && mayUseSlot;
 			if (hasFreeSlot && rank < bestScore) {
--- a/packages/target-connection/src/connection-pool.ts
+++ b/packages/target-connection/src/connection-pool.ts
@@ -12,13 +12,17 @@
 /** Options of the pool. */
 export type ConnectionPoolOptions = {
 	readonly connectTimeoutMs?: number;
-	/** Time after which an idle connection is closed, unless the target announces a shorter one. */
+	/** Time after which an idle connection is closed if its target announces none. */
 	readonly idleTimeoutMs?: number;
+	/** Time after which an idle connection is closed even if its target announces a longer one. */
+	readonly maxIdleTimeoutMs?: number;
 	/** Maximum number of idle connections to one target. */
 	readonly maxIdlePerTarget?: number;
 };
 
-const defaults = {connectTimeoutMs: 400, idleTimeoutMs: 4000, maxIdlePerTarget: 8};
+const defaults = {
+	connectTimeoutMs: 400, idleTimeoutMs: 4000, maxIdleTimeoutMs: 30_000, maxIdlePerTarget: 8,
+};
 
 /** An idle connection is closed this long before the target's own idle timeout. */
 const idleMarginMs = 1000;
@@ -81,7 +85,7 @@
 				if (this.#resetClients.has(client)) {
 					listener.onFailed({type: 'broken', message: 'reset'});
 				} else {
-					this.#release(address, client, needsFreshConnection);
+					this.#release(address, client);
 					listener.onEnd(isFramed);
 				}
 			},
@@ -106,6 +110,10 @@
 		};
 	}
 
+	hasIdle(address: string): boolean {
+		return (this.#idle.get(address)?.length ?? 0) > 0;
+	}
+
 	close(): void {
 		for (const clients of this.#idle.values()) {
 			for (const client of clients) {
@@ -117,14 +125,14 @@
 	}
 
 	#open(address: string): Client {
-		const {idleTimeoutMs} = this.#options;
+		const {idleTimeoutMs, maxIdleTimeoutMs} = this.#options;
 		const client: Client = new Client(`http://${address}`, {
 			pipelining: 1,
 			connect: this.#connector(() => {
 				this.#resetClients.add(client);
 			}),
 			keepAliveTimeout: idleTimeoutMs,
-			keepAliveMaxTimeout: idleTimeoutMs,
+			keepAliveMaxTimeout: maxIdleTimeoutMs,
 			keepAliveTimeoutThreshold: idleMarginMs,
 			headersTimeout: 0,
 			bodyTimeout: 0,
@@ -171,9 +179,9 @@
 		return undefined;
 	}
 
-	#release(address: string, client: Client, isSingleUse: boolean): void {
+	#release(address: string, client: Client): void {
 		const clients = this.#idle.get(address) ?? [];
-		if (isSingleUse || clients.length >= this.#options.maxIdlePerTarget) {
+		if (clients.length >= this.#options.maxIdlePerTarget) {
 			void client.close();
 			return;
 		}
--- a/packages/target-connection/src/target-connection.test.ts
+++ b/packages/target-connection/src/target-connection.test.ts
@@ -134,6 +134,38 @@
 			await exchange(pool, target.address, true);
 			expect(target.connections).toEqual(2);
 		});
+
+		it('keeps a connection that was opened for such a request, for others', async () => {
+			target.script = socket => {
+				socket.write(completeResponse);
+			};
+
+			expect(pool.hasIdle(target.address)).toEqual(false);
+			await exchange(pool, target.address, true);
+			expect(pool.hasIdle(target.address)).toEqual(true);
+			await exchange(pool, target.address);
+			expect(target.connections).toEqual(1);
+		});
+
+		const idleTimes: Array<[string, string, number]> = [
+			['as long as the target announces, less a margin', 'Keep-Alive: timeout=4\r\n', 1],
+			['no longer than its limit', 'Keep-Alive: timeout=600\r\n', 2],
+			['for a time of its own if the target announces none', '', 2],
+		];
+		for (const [how, header, connections] of idleTimes) {
+			it(`keeps an idle connection ${how}`, async () => {
+				const ownPool = new ConnectionPool({idleTimeoutMs: 200, maxIdleTimeoutMs: header.includes('600') ? 200 : 30_000});
+				target.script = socket => {
+					socket.write(completeResponse.replace('\r\n\r\n', `\r\n${header}\r\n`));
+				};
+
+				await exchange(ownPool, target.address);
+				await sleep(1800);
+				await exchange(ownPool, target.address);
+				expect(target.connections).toEqual(connections);
+				ownPool.close();
+			});
+		}
 	});
 
 	describe('with a target that sends invalid responses', () => {
--- a/packages/target-connection/src/target-transport.ts
+++ b/packages/target-connection/src/target-transport.ts
@@ -46,6 +46,8 @@
 /** Sends requests to targets. */
 export abstract class TargetTransport {
 	abstract send(options: ExchangeOptions): Exchange;
+	/** Whether a kept connection to an address is idle. */
+	abstract hasIdle(address: string): boolean;
 	/** Closes idle connections. */
 	abstract close(): void;
 }
