Name no entry in answers that died long before a restart of the control processes

Cause: after all control processes had restarted slowly, an entry kept the cards of the earlier stream for 3 s from the new one, however long before that stream had been lost: a silent entry was named for 7.6 s (platform/src/killed-entry.test.ts, which failed). Change: unconfirmed cards expire 3.5 s after their stream was lost, but not before 1.5 s of the new one.

--- a/packages/fleet-link/src/control-links.ts
+++ b/packages/fleet-link/src/control-links.ts
@@ -10,12 +10,12 @@
 import {type LinkCandidate, selectLinks} from './link-selection.js';
 import type {DownMessage, NodeCard, UpMessage} from './messages.js';
 import {PrimaryLink} from './primary-link.js';
-import {RetainedCards} from './retained-cards.js';
+import {RetainedCards, retentionEndMs} from './retained-cards.js';
 
 /** A control process that is not a seed is removed after it has been unreachable for this long; while others advertise it, it is added again. */
 const unreachableRemovalMs = 20_000;
 
-/** Retention of the node list of a lost stream while other streams are connected, and of the previous list after a new stream began. */
+/** Retention of the node list of a lost stream while other streams are connected. */
 const cardRetentionMs = 3000;
 
 /** A control process that has not answered for this long is replaced by another one, if there is one. */
@@ -225,7 +225,8 @@
 	#replaceCards(link: Link, cards: readonly NodeCard[]): void {
 		const isOnlyStream = [...this.#links.values()].every(other => other === link || !other.client.isConnected);
 		const previous = isOnlyStream ? this.#nodes.values() : link.cards.filter(({nodeId}) => this.#nodes.has(nodeId));
-		this.#retained.retain(previous, this.#options.nowMs() + cardRetentionMs);
+		const lostAtMs = isOnlyStream ? Math.max(...[...this.#links.values()].map(other => other.lastConnectedAtMs)) : link.lastConnectedAtMs;
+		this.#retained.retain(previous, retentionEndMs(this.#options.nowMs(), lostAtMs));
 		link.cards = cards;
 		this.#mergeNodes();
 	}
--- a/packages/fleet-link/src/retained-cards.ts
+++ b/packages/fleet-link/src/retained-cards.ts
@@ -2,8 +2,20 @@
 
 import type {NodeCard} from './messages.js';
 
+/** Retention after a new stream began, and the least of it: daemons reconnect within that time, also on slow VMs. */
+const retentionMs = 3000;
+const minRetentionMs = 1500;
+
+/** Cards of the previous stream are retained for this long after it was lost: nothing has confirmed them since, and callers may not be sent to daemons that died long ago. */
+const maxUnconfirmedMs = 3500;
+
 type Retained = {readonly card: NodeCard; readonly untilMs: number};
 
+/** When cards expire that were last listed on a stream lost at `lostAtMs`, if a new stream begins now. */
+export function retentionEndMs(nowMs: number, lostAtMs: number): number {
+	return Math.min(nowMs + retentionMs, Math.max(nowMs + minRetentionMs, lostAtMs + maxUnconfirmedMs));
+}
+
 /** Cards with an expiry. */
 export class RetainedCards {
 	readonly #retained = new Map<string, Retained>();
