Count reads, writes and wake-ups of each role in the measurement

Cause: where a machine charges for calls and wake-ups, processor time alone doesn't show them. Change: scripts/profile-roles.js prints both from /proc. With profiles on, the wake-ups are those of the profiler.

--- a/scripts/profile-roles.js
+++ b/scripts/profile-roles.js
@@ -192,6 +192,12 @@
 	return (Number(fields[11]) + Number(fields[12])) * 1000 / ticksPerSecond;
 }
 
+/** Reads and writes of a process so far, and how often it woke up. */
+function callsOf(pid) {
+	const number = (file, name) => Number(new RegExp(`^${name}:\\s+(\\d+)`, 'mu').exec(readFileSync(`/proc/${pid}/${file}`, 'utf8'))[1]);
+	return {calls: number('io', 'syscr') + number('io', 'syscw'), wakeUps: number('status', 'voluntary_ctxt_switches')};
+}
+
 const folder = await mkdtemp(path.join(tmpdir(), 'profile-roles-'));
 const program = fileURLToPath(new URL('../target/rattanspringd.js', import.meta.url));
 const children = [];
@@ -310,6 +316,7 @@
 
 for (const child of children) {
 	child.beforeMs = processorMs(child.process.pid);
+	child.before = callsOf(child.process.pid);
 	child.lines = 0;
 	child.switches = [];
 }
@@ -320,7 +327,9 @@
 const elapsedMs = performance.now() - beforeMs;
 for (const child of children) {
 	const share = (processorMs(child.process.pid) - child.beforeMs) / elapsedMs;
-	console.log(`process=${child.name} startProcessorMs=${child.startMs} corePercent=${(share * 100).toFixed(2)} logLines=${child.lines}`);
+	const {calls, wakeUps} = callsOf(child.process.pid);
+	const perSecond = (after, before) => ((after - before) * 1000 / elapsedMs).toFixed(0);
+	console.log(`process=${child.name} startProcessorMs=${child.startMs} corePercent=${(share * 100).toFixed(2)} logLines=${child.lines} callsPerSecond=${perSecond(calls, child.before.calls)} wakeUpsPerSecond=${perSecond(wakeUps, child.before.wakeUps)}`);
 }
 
 const {switches} = children.find(({name}) => name === 'agent-0');
