Search for the best change of a map with fewer computations

Cause: two fifths of the coordinator's agent is the planner: it computed what giving up each replica costs for all ranks before any candidate, and the correction of common holders for every candidate. Change: both only for candidates that a lower bound leaves open: the holders of an expert that is given up only get more load.

--- a/packages/expert-map/src/planner/even-share-search.ts
+++ b/packages/expert-map/src/planner/even-share-search.ts
@@ -35,8 +35,9 @@
 	#best: Array<Candidate | undefined> = [];
 	/** Power of the time of each rank, before any candidate. */
 	#powers: number[] = [];
-	/** Difference that an expert's remaining holders make if a rank gives it up, by rank and place in its list. */
-	#dropDifferences: number[][] = [];
+	/** Load of one replica of each expert, and the largest one of a redundant replica of each rank, before any candidate. */
+	#shares: number[] = [];
+	#largestRedundantShares: number[] = [];
 
 	constructor(placement: EvenSharePlacement, limits: PlaceLimits) {
 		this.#placement = placement;
@@ -52,13 +53,14 @@
 		const slowest = placement.slowestRank;
 		this.#best = [];
 		this.#powers = placement.lists.map((_, rank) => power(placement.time(rank)));
-		this.#dropDifferences = placement.lists.map((experts, rank) => experts.map(expert => this.#dropDifference(rank, expert)));
+		this.#shares = placement.holders.map((_, expert) => placement.share(expert));
+		this.#largestRedundantShares = placement.lists.map(experts => this.#largestRedundantShare(experts));
 		this.#tryDrops(slowest);
 		for (const add of placement.lists[slowest]) {
-			const addDifference = this.#addDifference(add);
+			const shared = {addDifference: this.#addDifference(add), share: placement.share(add, placement.holders[add].length + 1)};
 			for (let to = 0; to < placement.rankCount; to++) {
 				if (to !== slowest && !placement.holds(to, add)) {
-					this.#tryReplicas(add, to, addDifference);
+					this.#tryReplicas(add, to, shared);
 					this.#tryExchanges(add, to, slowest);
 				}
 			}
@@ -79,9 +81,9 @@
 
 	#tryDrops(rank: number): void {
 		const placement = this.#placement;
-		for (const [place, drop] of placement.lists[rank].entries()) {
+		for (const drop of placement.lists[rank]) {
 			if (placement.holders[drop].length > 1) {
-				const difference = this.#dropDifferences[rank][place] + this.#difference(rank, -placement.share(drop));
+				const difference = this.#dropDifference(rank, drop) + this.#difference(rank, -placement.share(drop));
 				if (this.#isBest(difference, 1)) {
 					this.#best[1] = {change: {to: rank, drop}, difference};
 				}
@@ -89,22 +91,39 @@
 		}
 	}
 
-	#tryReplicas(add: number, to: number, addDifference: number): void {
+	#tryReplicas(add: number, to: number, {addDifference, share}: {readonly addDifference: number; readonly share: number}): void {
 		const placement = this.#placement;
-		const experts = placement.lists[to];
-		const share = placement.share(add, placement.holders[add].length + 1);
-		const canReceive = this.#canReceive(to, this.#copiesOf(to, add));
-		if (canReceive && experts.length < this.#limits.placesPerRank) {
+		const canReceive = this.#canReceive(to, placement.isNew(to, add) ? 1 : 0);
+		if (canReceive && placement.lists[to].length < this.#limits.placesPerRank) {
 			const difference = addDifference + this.#difference(to, share);
 			if (this.#isBest(difference, 1)) {
 				this.#best[1] = {change: {to, add}, difference};
 			}
 		}
 
-		for (const [place, drop] of experts.entries()) {
+		if (canReceive || placement.newCount(to) > 0) {
+			this.#tryReplacements(add, to, {addDifference, share, canReceive});
+		}
+	}
+
+	/**
+	Replicas over redundant ones. The holders of the expert that is given up only get more load, so a change makes at least the difference of the other ranks: one that can't be
+	the best by these is not computed.
+	*/
+	#tryReplacements(add: number, to: number, {addDifference, share, canReceive}: {readonly addDifference: number; readonly share: number; readonly canReceive: boolean}): void {
+		const placement = this.#placement;
+		if (!this.#isBest(addDifference + this.#difference(to, share - this.#largestRedundantShares[to]), 1)) {
+			return;
+		}
+
+		for (const drop of placement.lists[to]) {
 			if (placement.holders[drop].length > 1 && (canReceive || placement.isNew(to, drop))) {
-				const difference = addDifference + this.#dropDifferences[to][place] + this.#commonDifference(add, drop, to)
-					+ this.#difference(to, share - placement.share(drop));
+				const ownDifference = this.#difference(to, share - this.#shares[drop]);
+				if (!this.#isBest(addDifference + ownDifference, 1)) {
+					continue;
+				}
+
+				const difference = addDifference + this.#dropDifference(to, drop) + this.#commonDifference(add, drop, to) + ownDifference;
 				if (this.#isBest(difference, 1)) {
 					this.#best[1] = {change: {to, add, drop}, difference};
 				}
@@ -114,15 +133,17 @@
 
 	#tryExchanges(add: number, to: number, from: number): void {
 		const placement = this.#placement;
+		const newOnTo = placement.isNew(to, add) ? 1 : 0;
+		const savedOnFrom = placement.isNew(from, add) ? 1 : 0;
 		for (const drop of placement.lists[to]) {
 			if (placement.holders[drop].length > 1) {
 				continue;
 			}
 
-			const copiesTo = this.#copiesOf(to, add, drop);
-			const copiesFrom = this.#copiesOf(from, drop, add);
+			const copiesTo = newOnTo - (placement.isNew(to, drop) ? 1 : 0);
+			const copiesFrom = (placement.isNew(from, drop) ? 1 : 0) - savedOnFrom;
 			if (this.#canReceive(to, copiesTo) && this.#canReceive(from, copiesFrom)) {
-				const more = placement.share(add) - placement.share(drop);
+				const more = this.#shares[add] - this.#shares[drop];
 				const difference = this.#difference(to, more) + this.#difference(from, -more);
 				const copies = Math.max(1, copiesTo + copiesFrom);
 				if (this.#isBest(difference, copies)) {
@@ -137,6 +158,17 @@
 		}
 	}
 
+	#largestRedundantShare(experts: readonly number[]): number {
+		let largest = 0;
+		for (const expert of experts) {
+			if (this.#placement.holders[expert].length > 1) {
+				largest = Math.max(largest, this.#shares[expert]);
+			}
+		}
+
+		return largest;
+	}
+
 	/** Number of additional copies that a rank needs if it receives one expert and gives up another; a copy of the latter that is not yet made is saved. */
 	#copiesOf(rank: number, add: number, drop?: number): number {
 		const placement = this.#placement;
