--- a/packages/placement/src/target-selector.ts
+++ b/packages/placement/src/target-selector.ts
@@ -258,11 +258,7 @@
 			const excessLoad = Math.max(0, view.busy - lowLoad);
 			const ownsFreeSlot = ownedSlotsLeft(record, nowMs, {position: place, limit: view.limit}) > 0;
 			const slotPenalty = ownsFreeSlot ? random() * scoreJitter : unownedSlotPenalty + (random() * unownedSlotJitter);
-			const hasConnection = this.#options.hasConnection?.(record.report.address) ?? false;
-			const preference = connectionPreference({
-				hasConnection, inFlight: record.inFlight, busy: view.busy, lowLoad,
-			});
-			const rank = preferIdle ? view.busy + random() : record.pendingPrefillPasses + excessLoad + this.#penalty(record, nowMs, groupPaces) + slotPenalty - preference;
+			const rank = preferIdle ? view.busy + random() : record.pendingPrefillPasses + excessLoad + this.#penalty(record, nowMs, groupPaces) + slotPenalty - this.#connectionPreference(record, view.busy, lowLoad);
 			const mayUseSlot = entriesPerSlot === undefined || ownedSlotsLeft(record, nowMs, {position: place, limit: view.limit, entriesPerSlot}) > 0;
 			const hasFreeSlot = !view.isBackingOff && view.busy < view.limit * slotShare && mayUseSlot;
 			if (hasFreeSlot && rank < bestScore) {
@@ -341,6 +337,13 @@
 		};
 	}
 
+	#connectionPreference({report, inFlight}: TargetRecord, busy: number, lowLoad: number): number {
+		const hasConnection = this.#options.hasConnection?.(report.address) ?? false;
+		return connectionPreference({
+			hasConnection, inFlight, busy, lowLoad,
+		});
+	}
+
 	/** Requests that the ranks of each group may process on average, where the skew of its expert load is known. */
 	#writersByGroup(service: string, nowMs: number): Map<string, number> {
 		const writers = new Map<string, number>();
