--- a/packages/placement/src/target-selector.ts
+++ b/packages/placement/src/target-selector.ts
@@ -258,7 +258,8 @@
 			const excessLoad = Math.max(0, view.busy - lowLoad);
 			const ownsFreeSlot = ownedSlotsLeft(record, nowMs, {position: place, limit: view.limit}) > 0;
 			const slotPenalty = ownsFreeSlot ? random() * scoreJitter : unownedSlotPenalty + (random() * unownedSlotJitter);
-			const rank = preferIdle ? view.busy + random() : record.pendingPrefillPasses + excessLoad + this.#penalty(record, nowMs, groupPaces) + slotPenalty - this.#connectionPreference(record, view.busy, lowLoad);
+			const preference = this.#connectionPreference(record, view.busy, lowLoad);
+			const rank = preferIdle ? view.busy + random() : record.pendingPrefillPasses + excessLoad + this.#penalty(record, nowMs, groupPaces) + slotPenalty - preference;
 			const mayUseSlot = entriesPerSlot === undefined || ownedSlotsLeft(record, nowMs, {position: place, limit: view.limit, entriesPerSlot}) > 0;
 			const hasFreeSlot = !view.isBackingOff && view.busy < view.limit * slotShare && mayUseSlot;
 			if (hasFreeSlot && rank < bestScore) {
