--- a/packages/expert-map/src/planner/even-share-search.ts
+++ b/packages/expert-map/src/planner/even-share-search.ts
@@ -39,8 +39,9 @@
 	#best: Array<Candidate | undefined> = [];
 	/** Power of the time of each rank, before any candidate. */
 	readonly #powers: Float64Array;
-	/** Difference that an expert's remaining holders make if a rank gives it up, by rank and place in its list. */
-	#dropDifferences: number[][] = [];
+	/** Load of one replica of each expert, and the largest one of a redundant replica of each rank that was tried, before any candidate. */
+	#shares: number[] = [];
+	readonly #largestRedundantShares: number[] = [];
 
 	constructor(placement: EvenSharePlacement, limits: PlaceLimits) {
 		this.#placement = placement;
@@ -60,11 +61,10 @@
 			this.#powers[rank] = power(placement.time(rank));
 		}
 
+		this.#shares = placement.holders.map((_, expert) => placement.share(expert));
+		this.#tryDrops(slowest);
 		const ranks = this.#otherRanksByTime(slowest);
 		const firstCount = Math.max(minFirstReceivers, Math.ceil(placement.rankCount * firstReceiverShare));
-		this.#dropDifferences = [];
-		this.#setDropDifferences(slowest);
-		this.#tryDrops(slowest);
 		this.#tryReceivers(slowest, ranks.slice(0, firstCount));
 		if (this.#best.every(candidate => candidate === undefined)) {
 			this.#tryReceivers(slowest, ranks.slice(firstCount));
@@ -90,22 +90,18 @@
 			.toSorted((left, right) => this.#powers[left] - this.#powers[right]);
 	}
 
-	#setDropDifferences(rank: number): void {
-		this.#dropDifferences[rank] = this.#placement.lists[rank].map(expert => this.#dropDifference(rank, expert));
-	}
-
 	/** Tries changes in which one of the given ranks receives an expert of the slowest one. */
 	#tryReceivers(slowest: number, receivers: readonly number[]): void {
 		const placement = this.#placement;
 		for (const rank of receivers) {
-			this.#setDropDifferences(rank);
+			this.#largestRedundantShares[rank] = this.#largestRedundantShare(placement.lists[rank]);
 		}
 
 		for (const add of placement.lists[slowest]) {
-			const addDifference = this.#addDifference(add);
+			const shared = {addDifference: this.#addDifference(add), share: placement.share(add, placement.holders[add].length + 1)};
 			for (const to of receivers) {
 				if (!placement.holds(to, add)) {
-					this.#tryReplicas(add, to, addDifference);
+					this.#tryReplicas(add, to, shared);
 					this.#tryExchanges(add, to, slowest);
 				}
 			}
@@ -114,9 +110,9 @@
 
 	#tryDrops(rank: number): void {
 		const placement = this.#placement;
-		for (const [place, drop] of placement.lists[rank].entries()) {
+		for (const drop of placement.lists[rank]) {
 			if (placement.holders[drop].length > 1) {
-				const difference = this.#dropDifferences[rank][place] + this.#difference(rank, -placement.share(drop));
+				const difference = this.#dropDifference(rank, drop) + this.#difference(rank, -placement.share(drop));
 				if (this.#isBest(difference, 1)) {
 					this.#best[1] = {change: {to: rank, drop}, difference};
 				}
@@ -124,22 +120,39 @@
 		}
 	}
 
-	#tryReplicas(add: number, to: number, addDifference: number): void {
+	#tryReplicas(add: number, to: number, {addDifference, share}: {readonly addDifference: number; readonly share: number}): void {
 		const placement = this.#placement;
-		const experts = placement.lists[to];
-		const share = placement.share(add, placement.holders[add].length + 1);
-		const canReceive = this.#canReceive(to, this.#copiesOf(to, add));
-		if (canReceive && experts.length < this.#limits.placesPerRank) {
+		const canReceive = this.#canReceive(to, placement.isNew(to, add) ? 1 : 0);
+		if (canReceive && placement.lists[to].length < this.#limits.placesPerRank) {
 			const difference = addDifference + this.#difference(to, share);
 			if (this.#isBest(difference, 1)) {
 				this.#best[1] = {change: {to, add}, difference};
 			}
 		}
 
-		for (const [place, drop] of experts.entries()) {
+		if (canReceive || placement.newCount(to) > 0) {
+			this.#tryReplacements(add, to, {addDifference, share, canReceive});
+		}
+	}
+
+	/**
+	Replicas over redundant ones. The holders of the expert that is given up only get more load, so a change makes at least the difference of the other ranks: one that can't be
+	the best by these is not computed.
+	*/
+	#tryReplacements(add: number, to: number, {addDifference, share, canReceive}: {readonly addDifference: number; readonly share: number; readonly canReceive: boolean}): void {
+		const placement = this.#placement;
+		if (!this.#isBest(addDifference + this.#difference(to, share - this.#largestRedundantShares[to]), 1)) {
+			return;
+		}
+
+		for (const drop of placement.lists[to]) {
 			if (placement.holders[drop].length > 1 && (canReceive || placement.isNew(to, drop))) {
-				const difference = addDifference + this.#dropDifferences[to][place] + this.#commonDifference(add, drop, to)
-					+ this.#difference(to, share - placement.share(drop));
+				const ownDifference = this.#difference(to, share - this.#shares[drop]);
+				if (!this.#isBest(addDifference + ownDifference, 1)) {
+					continue;
+				}
+
+				const difference = addDifference + this.#dropDifference(to, drop) + this.#commonDifference(add, drop, to) + ownDifference;
 				if (this.#isBest(difference, 1)) {
 					this.#best[1] = {change: {to, add, drop}, difference};
 				}
@@ -149,15 +162,17 @@
 
 	#tryExchanges(add: number, to: number, from: number): void {
 		const placement = this.#placement;
+		const newOnTo = placement.isNew(to, add) ? 1 : 0;
+		const savedOnFrom = placement.isNew(from, add) ? 1 : 0;
 		for (const drop of placement.lists[to]) {
 			if (placement.holders[drop].length > 1) {
 				continue;
 			}
 
-			const copiesTo = this.#copiesOf(to, add, drop);
-			const copiesFrom = this.#copiesOf(from, drop, add);
+			const copiesTo = newOnTo - (placement.isNew(to, drop) ? 1 : 0);
+			const copiesFrom = (placement.isNew(from, drop) ? 1 : 0) - savedOnFrom;
 			if (this.#canReceive(to, copiesTo) && this.#canReceive(from, copiesFrom)) {
-				const more = placement.share(add) - placement.share(drop);
+				const more = this.#shares[add] - this.#shares[drop];
 				const difference = this.#difference(to, more) + this.#difference(from, -more);
 				const copies = Math.max(1, copiesTo + copiesFrom);
 				if (this.#isBest(difference, copies)) {
@@ -172,6 +187,17 @@
 		}
 	}
 
+	#largestRedundantShare(experts: readonly number[]): number {
+		let largest = 0;
+		for (const expert of experts) {
+			if (this.#placement.holders[expert].length > 1) {
+				largest = Math.max(largest, this.#shares[expert]);
+			}
+		}
+
+		return largest;
+	}
+
 	/** Number of additional copies that a rank needs if it receives one expert and gives up another; a copy of the latter that is not yet made is saved. */
 	#copiesOf(rank: number, add: number, drop?: number): number {
 		const placement = this.#placement;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -127,6 +127,7 @@
 			coldLimitOf: report => this.#coldWatch.limitOf(report),
 			hasSeenStart: target => this.#coldWatch.hasSeenStart(target),
 			permitNowMs,
+			hasConnection: address => exchange.hasIdle(address),
 		});
 		this.#permitReport = new PermitReport({permits: this.#selector.permits, logger, metrics});
 		this.#permitRequests = new PermitRequests({
--- a/packages/placement/src/target-selector.ts
+++ b/packages/placement/src/target-selector.ts
@@ -5,6 +5,7 @@
 
 import {LimitTable, PermitHolder, type TargetLimit} from '@rattanspring/target-limits';
 import type {TargetLifetime, TargetLoad, TargetReport} from '@rattanspring/target-table';
+import {connectionPreference} from './connection-preference.js';
 import {groupFigures} from './group-figures.js';
 import type {GroupFigures} from './pass-limit.js';
 import type {EntryPosition} from './slot-shares.js';
@@ -101,6 +102,8 @@
 	readonly hasSeenStart?: (target: TargetLifetime) => boolean;
 	/** Time that counts the suspension of the process, for permits; by default that of the calls. */
 	readonly permitNowMs?: () => number;
+	/** Whether there is a kept connection to an address; none by default. */
+	readonly hasConnection?: (address: string) => boolean;
 };
 
 const alone: EntryPosition = {index: 0, count: 1};
@@ -298,10 +301,12 @@
 
 			areAllLimited = false;
 			const view = this.#view(record, nowMs, limitOf(record, writers));
-			const excessLoad = Math.max(0, view.busy - (record.report.slots * lowLoadShare));
+			const lowLoad = record.report.slots * lowLoadShare;
+			const excessLoad = Math.max(0, view.busy - lowLoad);
 			const ownsFreeSlot = ownedSlotsLeft(record, nowMs, {position: place, limit: view.limit}) > 0;
 			const slotPenalty = ownsFreeSlot ? random() * scoreJitter : unownedSlotPenalty + (random() * unownedSlotJitter);
-			const rank = preferIdle ? view.busy + random() : record.pendingPrefillPasses + excessLoad + this.#penalty(record, nowMs, groupPaces) + slotPenalty;
+			const preference = this.#connectionPreference(record, view.busy, lowLoad);
+			const rank = preferIdle ? view.busy + random() : record.pendingPrefillPasses + excessLoad + this.#penalty(record, nowMs, groupPaces) + slotPenalty - preference;
 			const mayUseSlot = entriesPerSlot === undefined || ownedSlotsLeft(record, nowMs, {position: place, limit: view.limit, entriesPerSlot}) > 0;
 			const usableSlots = Math.min(view.limit * slotShare, view.limit - reservedSlots(record, view.limit, reserve));
 			const hasFreeSlot = !view.isBackingOff && !this.#isUntried(record) && view.busy < usableSlots && mayUseSlot && (memory?.(record) ?? true);
@@ -432,6 +437,13 @@
 		};
 	}
 
+	#connectionPreference({report, inFlight}: TargetRecord, busy: number, lowLoad: number): number {
+		const hasConnection = this.#options.hasConnection?.(report.address) ?? false;
+		return connectionPreference({
+			hasConnection, inFlight, busy, lowLoad,
+		});
+	}
+
 	/** Requests that the ranks of each group may process on average, where something limits them. */
 	#writersByGroup(service: string, nowMs: number): Map<string, number> {
 		const {writersWithin} = this.#options;
