isFailure in placement: one notion of a failed exchange

Cause: the record of outcomes needs to know which exchanges speak against a target, which recordHealth decided inside.

--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -12,7 +12,7 @@
 export * from './target-exclusion.js';
 export * from './target-memory.js';
 export * from './target-pause.js';
-export type {ExchangeOutcome} from './target-record.js';
+export {type ExchangeOutcome, isFailure} from './target-record.js';
 export * from './writer-limit.js';
 export * from './target-selector.js';
 export * from './retry-policy.js';
--- a/packages/placement/src/target-record.ts
+++ b/packages/placement/src/target-record.ts
@@ -113,11 +113,15 @@
 	return failureRate * Math.exp(-failureDecayPerSecond * (nowMs - failureAtMs) / 1000);
 }
 
+/** Whether an outcome speaks against the target: an error, a wrong or broken answer, or no connection. A refusal and an exchange that this side has ended do not. */
+export function isFailure(outcome: ExchangeOutcome): boolean {
+	return outcome === 'failed' || outcome === 'unreachable';
+}
+
 /** Updates the failure rate and the backoff after an exchange. */
 export function recordHealth(record: TargetRecord, outcome: ExchangeOutcome, nowMs: number): void {
-	const isFailure = outcome === 'failed' || outcome === 'unreachable';
 	const share = failureRateAt(record, nowMs);
-	record.failureRate = outcome === 'refused' ? share : share + (((isFailure ? 1 : 0) - share) * failureRateWeight);
+	record.failureRate = outcome === 'refused' ? share : share + (((isFailure(outcome) ? 1 : 0) - share) * failureRateWeight);
 	record.failureAtMs = nowMs;
 	if (outcome === 'answered') {
 		record.backoffMs = 0;
