outlier-ejection: outcomes, accusations and the table of ejected targets

Cause: a target that fails, hangs or is late while it says that it is well was only avoided by a score, which gives way when the other targets are full. Change: a pure package.

--- a/.dependency-cruiser.cjs
+++ b/.dependency-cruiser.cjs
@@ -1,5 +1,5 @@
 /** Import directions between packages: types <- pure cores <- adapters <- daemon, cli. */
-const pureCores = '^packages/(types|replicated-log|fleet-state|request-ledger|directory|routing|expert-map|service-level|desired-state|target-table|placement|crash-evidence|target-limits|account-shares)/src';
+const pureCores = '^packages/(types|replicated-log|fleet-state|request-ledger|directory|routing|expert-map|service-level|desired-state|target-table|placement|crash-evidence|target-limits|account-shares|outlier-ejection)/src';
 const testFile = '[.]test[.]ts$';
 
 module.exports = {
