--- a/packages/fleet-control/src/fleet-control.ts
+++ b/packages/fleet-control/src/fleet-control.ts
@@ -100,6 +100,7 @@
 		const {dataFolder, logger} = options;
 		this.#facts = new RelayedFacts({
 			targets: this.#targets,
+			nowMs: () => options.clock.monotonicMs(),
 			...(dataFolder !== undefined && {convictions: new ConvictionStore({folder: dataFolder, logger})}),
 			broadcast: (message, receivers) => {
 				this.#linkServer.broadcast(message, receivers);
@@ -268,6 +269,11 @@
 				break;
 			}
 
+			case 'accusations': {
+				this.#facts.recordAccusations(message.accusations, ['entry', 'control']);
+				break;
+			}
+
 			case 'evidence': {
 				this.#facts.recordEvidence(message.records, ['entry', 'control']);
 				break;
@@ -324,6 +330,11 @@
 				break;
 			}
 
+			case 'accusations': {
+				this.#facts.recordAccusations(message.accusations, ['entry']);
+				break;
+			}
+
 			case 'evidence': {
 				this.#facts.recordEvidence(message.records, ['entry']);
 				break;
--- a/packages/fleet-control/src/relayed-facts.ts
+++ b/packages/fleet-control/src/relayed-facts.ts
@@ -1,11 +1,12 @@
 /**
-What entries learn from the answers of targets and all of them need: who leaves, which limits are named, what crashes targets. A control process keeps it,
+What entries learn from the answers of targets and all of them need: who leaves, which limits are named, what crashes targets, which targets fail. A control process keeps it,
 passes on what is new, and gives all of it to daemons that come later.
 */
 
 import {type ComponentEvidence, CrashEvidence} from '@rattanspring/crash-evidence';
 import type {DownMessage, NodeRole, Receivers} from '@rattanspring/fleet-link';
 import type {Logger} from '@rattanspring/logger';
+import {type Accusation, AccusationBook} from '@rattanspring/outlier-ejection';
 import {LimitTable, type TargetLimit} from '@rattanspring/target-limits';
 import type {TargetLifetime, TargetTable} from '@rattanspring/target-table';
 import type {ConvictionStore} from './conviction-store.js';
@@ -15,6 +16,7 @@
 	readonly targets: TargetTable;
 	/** Where convictions outlast a loss of power; absent without a disk. */
 	readonly convictions?: ConvictionStore;
+	readonly nowMs: () => number;
 	readonly broadcast: (message: DownMessage, receivers: Receivers) => void;
 	readonly logger: Logger;
 };
@@ -23,6 +25,7 @@
 export class RelayedFacts {
 	readonly #options: RelayedFactsOptions;
 	readonly #limits = new LimitTable();
+	readonly #accusations = new AccusationBook();
 	readonly #crashEvidence = new CrashEvidence();
 
 	constructor(options: RelayedFactsOptions) {
@@ -51,6 +54,15 @@
 		}
 	}
 
+	/** Records which targets entries accuse. Grows with their number: one message a new accusation and follower, and the accusations of an entry are bounded by the second. */
+	recordAccusations(accusations: readonly Accusation[], receivers: readonly NodeRole[]): void {
+		const nowMs = this.#options.nowMs();
+		const added = accusations.filter(accusation => this.#accusations.add(accusation, nowMs));
+		if (added.length > 0) {
+			this.#options.broadcast({type: 'accusations', accusations: added}, {roles: receivers});
+		}
+	}
+
 	/** Records evidence about what crashes targets. */
 	recordEvidence(records: readonly ComponentEvidence[], receivers: readonly NodeRole[]): void {
 		const changed = this.#crashEvidence.merge(records);
@@ -69,10 +81,12 @@
 		const {targets} = this.#options;
 		const leaving = targets.leaving();
 		const limits = this.#limits.all.filter(({targetId, bornMs}) => targets.get(targetId)?.bornMs === bornMs);
+		const accusations = this.#accusations.messages(this.#options.nowMs()).filter(({targetId, bornMs}) => targets.get(targetId)?.bornMs === bornMs);
 		const records = this.#crashEvidence.withVerdict('unsuspected', 'suspected', 'convicted');
 		return [
 			...(leaving.length > 0 ? [{type: 'leaving', targets: leaving} as const] : []),
 			...(limits.length > 0 ? [{type: 'limits', limits} as const] : []),
+			...(accusations.length > 0 ? [{type: 'accusations', accusations} as const] : []),
 			...(records.length > 0 ? [{type: 'evidence', records} as const] : []),
 		];
 	}
--- a/packages/fleet-link/src/link-service.ts
+++ b/packages/fleet-link/src/link-service.ts
@@ -7,6 +7,7 @@
 import type {MethodDefinition} from '@grpc/grpc-js';
 import {readAccountUses} from '@rattanspring/account-shares';
 import {readEvidenceRecords} from '@rattanspring/crash-evidence';
+import {readAccusations} from '@rattanspring/outlier-ejection';
 import {type PermitDecision, readTargetLimit, type TargetLimit} from '@rattanspring/target-limits';
 import {fromLoadRow, toLoadRow} from './load-rows.js';
 import type {DownMessage, UpMessage} from './messages.js';
@@ -161,6 +162,10 @@
 		return {...message, uses: readAccountUses(message.uses)};
 	}
 
+	if (message.type === 'accusations') {
+		return {...message, accusations: readAccusations(message.accusations)};
+	}
+
 	return message.type === 'limits' ? {...message, limits: message.limits.map(limit => readTargetLimit(limit))} : message;
 }
 
--- a/packages/fleet-link/src/messages.ts
+++ b/packages/fleet-link/src/messages.ts
@@ -2,6 +2,7 @@
 
 import type {AccountUse} from '@rattanspring/account-shares';
 import type {ComponentEvidence} from '@rattanspring/crash-evidence';
+import type {Accusation} from '@rattanspring/outlier-ejection';
 import type {TargetLimit} from '@rattanspring/target-limits';
 import type {
 	RankPlace, TargetLifetime, TargetLoad, TargetReport, TargetHeartbeat,
@@ -64,6 +65,9 @@
 /** Limits that targets have named, or name no more, in answers to some entry. */
 export type LimitsMessage = {readonly type: 'limits'; readonly limits: readonly TargetLimit[]};
 
+/** Targets at which requests of some entry fail, hang or are late. */
+export type AccusationsMessage = {readonly type: 'accusations'; readonly accusations: readonly Accusation[]};
+
 /** What client accounts used over the last seconds: at the entry that sends it, or at all entries that told the control process that sends it. */
 export type UseMessage = {readonly type: 'use'; readonly nodeId: string; readonly uses: readonly AccountUse[]};
 
@@ -77,6 +81,7 @@
 		| {readonly type: 'leaving'; readonly target: TargetLifetime}
 		| EvidenceMessage
 		| LimitsMessage
+		| AccusationsMessage
 		| UseMessage;
 
 /** Messages from a control process to a daemon. */
@@ -94,6 +99,7 @@
 		| {readonly type: 'leaving'; readonly targets: readonly TargetLifetime[]}
 		| EvidenceMessage
 		| LimitsMessage
+		| AccusationsMessage
 		| UseMessage
 		/** What client accounts used at all entries. */
 		| {readonly type: 'useTotals'; readonly uses: readonly AccountUse[]}
