Entries leave out targets by the outcomes of their requests

Change: target-outcomes.ts records each exchange, passes accusations on and writes targetEjected, targetOnProbation and targetReinstated; requestEnded names the targets that were left out; a gauge counts them.

--- a/packages/gateway/src/gateway-context.ts
+++ b/packages/gateway/src/gateway-context.ts
@@ -15,6 +15,7 @@
 import type {FirstAttemptEstimator} from './first-attempt-estimator.js';
 import type {HeaderCodec} from './header-codec.js';
 import type {PermitRequests} from './permit-requests.js';
+import type {TargetOutcomes} from './target-outcomes.js';
 import type {UnsentBudget} from './unsent-budget.js';
 
 export type GatewayContext = {
@@ -45,5 +46,7 @@
 	readonly onTargetLeaving: (target: TargetLifetime) => boolean;
 	/** Called with a limit that a target named, or names no more; returns whether that is new. */
 	readonly onTargetLimit: (limit: TargetLimit) => boolean;
+	/** What becomes of requests at targets. */
+	readonly outcomes: TargetOutcomes;
 	readonly permitRequests: Pick<PermitRequests, 'ask'>;
 };
--- a/packages/gateway/src/gateway.test.ts
+++ b/packages/gateway/src/gateway.test.ts
@@ -21,6 +21,7 @@
 import {CrashWatch} from './crash-watch.js';
 import {FirstAttemptEstimator} from './first-attempt-estimator.js';
 import type {GatewayContext} from './gateway-context.js';
+import {TargetOutcomes} from './target-outcomes.js';
 import {UnsentBudget} from './unsent-budget.js';
 import {rejectRevoked} from './key-revocation.js';
 import {serveRequest} from './request-flow.js';
@@ -216,6 +217,9 @@
 			newestVersion: () => newestVersion,
 			entryCount: () => 1,
 			onTargetLimit: limit => selector.setLimit(limit),
+			outcomes: new TargetOutcomes({
+				nodeId: 'e1', onAccusation: () => undefined, logger: new SilentLogger(), metrics: new DaemonMetrics(), nowMs: () => performance.now(),
+			}),
 			permitRequests: {ask: () => undefined},
 			onTargetLeaving({targetId}) {
 				leaving.push(targetId);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -27,6 +27,7 @@
 import {PauseObjectives} from './pause-objectives.js';
 import {PermitRequests} from './permit-requests.js';
 import {serveRequest} from './request-flow.js';
+import {TargetOutcomes} from './target-outcomes.js';
 import {UnsentBudget} from './unsent-budget.js';
 
 /** Interval at which targets are checked for missing reports. */
@@ -78,6 +79,7 @@
 	readonly #targets = new TargetTable();
 	readonly #selector: TargetSelector;
 	readonly #accountUsage: AccountUsage;
+	readonly #outcomes: TargetOutcomes;
 	readonly #context: GatewayContext;
 	readonly #timers: NodeJS.Timeout[] = [];
 	#active = 0;
@@ -93,7 +95,17 @@
 		this.#options = options;
 		const nowMs = () => options.clock.monotonicMs();
 		const {random, logger, metrics, headerCodec, exchange, failureDomain} = options;
+		this.#outcomes = new TargetOutcomes({
+			nodeId: options.nodeId,
+			onAccusation: accusation => {
+				this.#links.send({type: 'accusations', accusations: [accusation]});
+			},
+			logger,
+			metrics,
+			nowMs,
+		});
 		this.#selector = new TargetSelector({
+			exclusions: [this.#outcomes.table],
 			failureDomain, entryPosition: () => this.#entryPosition, writersWithin: (service, skew) => this.#writersWithin(service, skew), engineOf: service => this.#engineOf(service),
 		});
 		this.#authorityCalls = new AuthorityCalls({controls: () => [...this.#links.nodes.values()], nowMs});
@@ -132,6 +144,7 @@
 			unsentBytes: new UnsentBudget(maxUnsentBytes),
 			firstAttempts: new FirstAttemptEstimator(),
 			accountUsage: this.#accountUsage,
+			outcomes: this.#outcomes,
 			nowMs,
 			random,
 			table: () => this.#documents.table,
@@ -364,6 +377,11 @@
 				break;
 			}
 
+			case 'accusations': {
+				this.#outcomes.receive(message.accusations);
+				break;
+			}
+
 			case 'evidence': {
 				this.#context.crashWatch.guard.receive(message.records);
 				break;
@@ -436,6 +454,7 @@
 	#refreshTargets(): void {
 		const ready = this.#targets.ready();
 		this.#selector.setTargets(ready, this.#context.nowMs());
+		this.#outcomes.setTargets(ready);
 		this.#options.metrics.targetsKnown.set(ready.length);
 	}
 }
--- a/packages/gateway/src/request-forwarder.ts
+++ b/packages/gateway/src/request-forwarder.ts
@@ -12,6 +12,7 @@
 } from '@rattanspring/placement';
 import type {RouteTable} from '@rattanspring/desired-state';
 import type {ResponseHead} from '@rattanspring/target-connection';
+import type {TargetReport} from '@rattanspring/target-table';
 import {Attempt, type CompleteResponse, isBrokenConnection} from './attempt.js';
 import type {CallerResponse} from './caller-response.js';
 import type {TimeSinceFirstAttempt} from './first-attempt-estimator.js';
@@ -21,6 +22,7 @@
 import type {RoutedRequest} from './routed-request.js';
 import {SilenceTimer} from './silence-timer.js';
 import {recordNotices} from './target-notices.js';
+import type {ObservedExchange} from './target-outcomes.js';
 import type {GateDecision} from './trial-gate.js';
 
 /** The final response is sent this long before the deadline. */
@@ -35,7 +37,7 @@
 /** Urgency sent to the target: requests that can still meet their objective precede those that can't. */
 const urgencies = {resumed: 1, onTime: 3, late: 7} as const;
 
-type RunningAttempt = {readonly attempt: Attempt; readonly targetId: string; readonly bornMs: number; readonly address: string};
+type RunningAttempt = {readonly attempt: Attempt; readonly targetId: string; readonly bornMs: number; readonly address: string; readonly exchange: ObservedExchange};
 
 /** Forwards one request. */
 export class RequestForwarder {
@@ -61,6 +63,8 @@
 	#failureResponse: CompleteResponse | undefined;
 	/** Data from which the target was last chosen. */
 	#lastView: TargetView | undefined;
+	/** Targets that were left out for their outcomes when a target was last chosen or none was found. */
+	#leftOut: string | undefined;
 	/** Whether the current target has not yet started its response. */
 	#isAwaitingResponse = false;
 	/** Whether it is being decided whether the request may be sent, or sent again. */
@@ -238,6 +242,7 @@
 	}
 
 	#onAdmission(admission: Admission): void {
+		this.#leftOut = this.#context.outcomes.leftOut(this.#request.service, admission.kind === 'refused' ? undefined : admission.view.report.targetId);
 		if (admission.kind === 'refused') {
 			this.#giveUp(admission.reason, admission.retryAfterMs);
 			return;
@@ -255,16 +260,18 @@
 		this.#lastView = admission.view;
 		const isResumed = this.#streamHead !== undefined;
 		const urgency = isResumed ? urgencies.resumed : (admission.isLate ? urgencies.late : urgencies.onTime);
-		this.#send(report.address, report.targetId, report.bornMs, urgency);
+		this.#send(report, urgency);
 	}
 
-	#send(address: string, targetId: string, bornMs: number, urgency: number): void {
+	#send(report: TargetReport, urgency: number): void {
+		const {address, targetId, bornMs} = report;
 		const {headerCodec, exchange} = this.#context;
 		const {method, path, rawHeaders, body, route, metadata, deadlineAtMs} = this.#request;
 		const headers = headerCodec.targetHeaders(rawHeaders, {
 			targetId, timeLeftMs: Math.max(1, Math.floor(deadlineAtMs - this.#nowMs)), accountName: this.#request.account?.name, lastEventId: this.#lastEventId, urgency,
 		});
 		this.#triedTargets.add(targetId);
+		const observed = this.#context.outcomes.sent(report, metadata.requestId);
 		const attempt = new Attempt({
 			exchange,
 			headerCodec,
@@ -297,7 +304,7 @@
 			},
 		});
 		this.#running = {
-			attempt, targetId, bornMs, address,
+			attempt, targetId, bornMs, address, exchange: observed,
 		};
 		this.#silenceTimer?.begin();
 	}
@@ -324,6 +331,7 @@
 
 	#onEvents(head: ResponseHead, bytes: Buffer, lastId: string | undefined): void {
 		this.#recordResponseStart();
+		this.#context.outcomes.begun(this.#running!.exchange);
 		if (!this.#streamHead) {
 			this.#streamHead = head;
 			this.#answer.startStream(head);
@@ -464,6 +472,7 @@
 		this.#silenceTimer?.stop();
 		this.#recordResponseStart();
 		if (this.#running) {
+			this.#context.outcomes.ended(this.#running.exchange, outcome);
 			this.#context.selector.ended(this.#running.targetId, outcome, this.#nowMs);
 			if (outcome === 'answered' || outcome === 'abandoned') {
 				this.#context.admission.recordEnded(this.#request.service, this.#nowMs);
@@ -510,6 +519,7 @@
 			busy: this.#lastView?.busy,
 			limit: this.#lastView?.limit,
 			loadAgeMs: sinceMs(0, this.#lastView?.loadAgeMs),
+			leftOut: this.#leftOut,
 			sent: this.#sentCount,
 			retryAfterMs: sinceMs(0, this.#retryAfterMs),
 			sinceFirstTryMs: this.#mayBeRetry ? Math.round(this.#timeSinceFirstAttempt.atLeastMs) : undefined,
--- a/packages/metrics/src/index.ts
+++ b/packages/metrics/src/index.ts
@@ -71,6 +71,12 @@
 		registers: [this.registry],
 	});
 
+	readonly targetsEjected = new Gauge({
+		name: 'rattanspring_targets_ejected',
+		help: 'Targets that this entry leaves out for the outcomes of requests, those on probation included.',
+		registers: [this.registry],
+	});
+
 	readonly targetCrashes = new Counter({
 		name: 'rattanspring_requests_on_crashed_targets_total',
 		help: 'Requests of this entry that were running on a target when it crashed.',
