Median of first events worked out at intervals

Cause: it was sorted anew for each request, which costs processor time at the entry. Change: four times a second. Measured: 24 tests of the package pass; processor time not measured.

--- a/packages/outlier-ejection/src/outcome-record.ts
+++ b/packages/outlier-ejection/src/outcome-record.ts
@@ -22,6 +22,9 @@
 const minSamples = 8;
 const maxSamples = 128;
 
+/** The median is worked out anew after this time, not for each request. */
+const medianIntervalMs = 250;
+
 /** Bad outcomes, and their share, that are evidence. */
 const minBad = 3;
 const minBadShare = 0.25;
@@ -38,7 +41,7 @@
 
 type Outcome = {readonly atMs: number; readonly kind: OutcomeKind; readonly requestId?: string};
 type TargetOutcomes = TargetLifetime & {outcomes: Outcome[]};
-type ServiceOutcomes = {readonly targets: Map<string, TargetOutcomes>; firstEvents: Array<{readonly atMs: number; readonly tookMs: number}>};
+type ServiceOutcomes = {readonly targets: Map<string, TargetOutcomes>; firstEvents: Array<{readonly atMs: number; readonly tookMs: number}>; medianMs?: number; medianAtMs: number};
 
 /** A target of a service. */
 export type ServiceTarget = TargetLifetime & {readonly service: string};
@@ -149,7 +152,7 @@
 	}
 
 	#of(name: string): ServiceOutcomes {
-		const known = this.#services.get(name) ?? {targets: new Map(), firstEvents: []};
+		const known = this.#services.get(name) ?? {targets: new Map(), firstEvents: [], medianAtMs: Number.NEGATIVE_INFINITY};
 		this.#services.set(name, known);
 		return known;
 	}
@@ -174,7 +177,16 @@
 	return isHung ? 'hung' : undefined;
 }
 
-function medianOf({firstEvents}: ServiceOutcomes, nowMs: number): number | undefined {
+function medianOf(service: ServiceOutcomes, nowMs: number): number | undefined {
+	if (nowMs - service.medianAtMs >= medianIntervalMs) {
+		service.medianAtMs = nowMs;
+		service.medianMs = currentMedianOf(service, nowMs);
+	}
+
+	return service.medianMs;
+}
+
+function currentMedianOf({firstEvents}: ServiceOutcomes, nowMs: number): number | undefined {
 	const times = firstEvents.filter(({atMs}) => nowMs - atMs < windowMs).map(({tookMs}) => tookMs).toSorted((left, right) => left - right);
 	return times.length < minSamples ? undefined : times[Math.floor(times.length / 2)];
 }
