--- a/packages/fleet-control/src/fleet-control.ts
+++ b/packages/fleet-control/src/fleet-control.ts
@@ -317,6 +317,11 @@
 				break;
 			}
 
+			case 'accusations': {
+				this.#facts.recordAccusations(message.accusations, ['entry', 'control']);
+				break;
+			}
+
 			case 'evidence': {
 				this.#facts.recordEvidence(message.records, ['entry', 'control']);
 				break;
@@ -373,6 +378,11 @@
 				break;
 			}
 
+			case 'accusations': {
+				this.#facts.recordAccusations(message.accusations, ['entry']);
+				break;
+			}
+
 			case 'evidence': {
 				this.#facts.recordEvidence(message.records, ['entry']);
 				break;
--- a/packages/fleet-control/src/relayed-facts.ts
+++ b/packages/fleet-control/src/relayed-facts.ts
@@ -1,5 +1,5 @@
 /**
-What entries learn from the answers of targets and all of them need: who leaves, which limits are named, what crashes targets. A control process keeps it,
+What entries learn from the answers of targets and all of them need: who leaves, which limits are named, what crashes targets, which targets fail. A control process keeps it,
 passes on what is new, and gives all of it to daemons that come later.
 */
 
@@ -8,6 +8,7 @@
 	DownMessage, LimitsMessage, NodeRole, Receivers,
 } from '@rattanspring/fleet-link';
 import type {Logger} from '@rattanspring/logger';
+import {type Accusation, AccusationBook} from '@rattanspring/outlier-ejection';
 import {ColdTargets, LimitTable} from '@rattanspring/target-limits';
 import type {TargetLifetime, TargetTable} from '@rattanspring/target-table';
 import type {ConvictionStore} from './conviction-store.js';
@@ -27,6 +28,7 @@
 	readonly #options: RelayedFactsOptions;
 	readonly #limits = new LimitTable();
 	readonly #coldTargets = new ColdTargets();
+	readonly #accusations = new AccusationBook();
 	readonly #crashEvidence = new CrashEvidence();
 
 	constructor(options: RelayedFactsOptions) {
@@ -57,6 +59,15 @@
 		}
 	}
 
+	/** Records which targets entries accuse. Grows with their number: one message a new accusation and follower, and the accusations of an entry are bounded by the second. */
+	recordAccusations(accusations: readonly Accusation[], receivers: readonly NodeRole[]): void {
+		const nowMs = this.#options.nowMs();
+		const added = accusations.filter(accusation => this.#accusations.add(accusation, nowMs));
+		if (added.length > 0) {
+			this.#options.broadcast({type: 'accusations', accusations: added}, {roles: receivers});
+		}
+	}
+
 	/** Records evidence about what crashes targets. */
 	recordEvidence(records: readonly ComponentEvidence[], receivers: readonly NodeRole[]): void {
 		const changed = this.#crashEvidence.merge(records);
@@ -76,10 +87,12 @@
 		const leaving = targets.leaving();
 		const limits = this.#limits.all.filter(({targetId, bornMs}) => targets.get(targetId)?.bornMs === bornMs);
 		const cold = this.#coldTargets.words(this.#options.nowMs());
+		const accusations = this.#accusations.messages(this.#options.nowMs()).filter(({targetId, bornMs}) => targets.get(targetId)?.bornMs === bornMs);
 		const records = this.#crashEvidence.withVerdict('unsuspected', 'suspected', 'convicted');
 		return [
 			...(leaving.length > 0 ? [{type: 'leaving', targets: leaving} as const] : []),
 			...(limits.length + cold.length > 0 ? [{type: 'limits', limits, cold} as const] : []),
+			...(accusations.length > 0 ? [{type: 'accusations', accusations} as const] : []),
 			...(records.length > 0 ? [{type: 'evidence', records} as const] : []),
 		];
 	}
--- a/packages/fleet-link/src/link-service.ts
+++ b/packages/fleet-link/src/link-service.ts
@@ -10,6 +10,7 @@
 import {
 	type DomainOrder, type DomainRegister, readDomainOrder, readDomainRegister,
 } from '@rattanspring/domain-drain';
+import {readAccusations} from '@rattanspring/outlier-ejection';
 import {
 	type PermitDecision, type PermitRequest, readColdWord, readPermitDecision, readTargetLimit,
 } from '@rattanspring/target-limits';
@@ -172,6 +173,10 @@
 		return {...message, uses: readAccountUses(message.uses)};
 	}
 
+	if (message.type === 'accusations') {
+		return {...message, accusations: readAccusations(message.accusations)};
+	}
+
 	if (message.type === 'domains') {
 		return {...message, register: readDomainRegister(message.register)};
 	}
--- a/packages/gateway/src/gateway-context.ts
+++ b/packages/gateway/src/gateway-context.ts
@@ -15,6 +15,7 @@
 import type {FirstAttemptEstimator} from './first-attempt-estimator.js';
 import type {HeaderCodec} from './header-codec.js';
 import type {PermitRequests} from './permit-requests.js';
+import type {TargetOutcomes} from './target-outcomes.js';
 import type {UnsentBudget} from './unsent-budget.js';
 
 export type GatewayContext = {
@@ -47,5 +48,7 @@
 	readonly onTargetLimit: (limit: TargetLimit) => boolean;
 	/** Called with how much longer a target is cold, as an answer says. */
 	readonly onTargetCold: (word: ColdWord, requestId: string | undefined) => void;
+	/** What becomes of requests at targets. */
+	readonly outcomes: TargetOutcomes;
 	readonly permitRequests: Pick<PermitRequests, 'ask'>;
 };
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -30,6 +30,7 @@
 import {PermitReport} from './permit-report.js';
 import {PermitRequests} from './permit-requests.js';
 import {serveRequest} from './request-flow.js';
+import {TargetOutcomes} from './target-outcomes.js';
 import {UnsentBudget} from './unsent-budget.js';
 
 /** Interval at which targets are checked for missing reports. */
@@ -82,6 +83,7 @@
 	readonly #targets = new TargetTable();
 	readonly #selector: TargetSelector;
 	readonly #accountUsage: AccountUsage;
+	readonly #outcomes: TargetOutcomes;
 	readonly #context: GatewayContext;
 	readonly #coldWatch: ColdWatch;
 	readonly #permitRequests: PermitRequests;
@@ -101,6 +103,15 @@
 		this.#options = options;
 		const nowMs = () => options.clock.monotonicMs();
 		const {random, logger, metrics, headerCodec, exchange, failureDomain} = options;
+		this.#outcomes = new TargetOutcomes({
+			nodeId: options.nodeId,
+			onAccusation: accusation => {
+				this.#links.send({type: 'accusations', accusations: [accusation]});
+			},
+			logger,
+			metrics,
+			nowMs,
+		});
 		this.#domains = new DomainFollower({
 			logger,
 			metrics,
@@ -123,7 +134,7 @@
 			entryPosition: () => this.#entryPosition,
 			writersWithin: (service, figures, atMs) => this.#writersWithin(service, figures, atMs),
 			engineOf: service => this.#engineOf(service),
-			exclusions: [this.#domains.drained],
+			exclusions: [this.#domains.drained, this.#outcomes.table],
 			coldLimitOf: report => this.#coldWatch.limitOf(report),
 			hasSeenStart: target => this.#coldWatch.hasSeenStart(target),
 			permitNowMs,
@@ -177,6 +188,7 @@
 			unsentBytes: new UnsentBudget(maxUnsentBytes),
 			firstAttempts: new FirstAttemptEstimator(),
 			accountUsage: this.#accountUsage,
+			outcomes: this.#outcomes,
 			nowMs,
 			random,
 			table: () => this.#domains.isKnown ? this.#documents.table : undefined,
@@ -418,6 +430,11 @@
 				break;
 			}
 
+			case 'accusations': {
+				this.#outcomes.receive(message.accusations);
+				break;
+			}
+
 			case 'evidence': {
 				this.#context.crashWatch.guard.receive(message.records);
 				break;
@@ -498,6 +515,7 @@
 	#refreshTargets(): void {
 		const ready = this.#targets.ready();
 		this.#selector.setTargets(ready, this.#context.nowMs());
+		this.#outcomes.setTargets(ready);
 		this.#options.metrics.targetsKnown.set(ready.length);
 		this.#coldWatch.refresh(targetId => this.#targets.get(targetId) !== undefined);
 		this.#permitReport.refresh();
