--- a/packages/domain-drain/src/drained-domains.ts
+++ b/packages/domain-drain/src/drained-domains.ts
@@ -23,6 +23,11 @@
 		return this.#drained.size;
 	}
 
+	/** Domains in use that were restored since the given revision, also if it was not known here that they were drained. */
+	restoredSince(revision: number): DomainState[] {
+		return this.#register.domains.filter(state => !state.isDrained && state.revision > revision);
+	}
+
 	/** Puts a register in force if it is newer; returns the domains whose state it switches. */
 	apply(register: DomainRegister): DomainState[] {
 		if (!isNewerRegister(register, this.#register)) {
--- a/packages/fleet-control/src/fleet-control.ts
+++ b/packages/fleet-control/src/fleet-control.ts
@@ -105,7 +105,7 @@
 		});
 		const {dataFolder, logger} = options;
 		this.#permits = new Permits({
-			nowMs, ownAddress: options.linkAddress, seeds: options.seeds, nodes: () => this.#controlLinks.nodes.values(),
+			nowMs, ownAddress: options.linkAddress, seeds: options.seeds, nodes: () => this.#controlLinks.nodes.values(), isLeaving: () => this.#isLeaving,
 		});
 		this.#facts = new RelayedFacts({
 			targets: this.#targets,
--- a/packages/fleet-control/src/permits.ts
+++ b/packages/fleet-control/src/permits.ts
@@ -12,6 +12,8 @@
 	readonly seeds: () => readonly string[];
 	/** The daemons that are known now. */
 	readonly nodes: () => Iterable<NodeCard>;
+	/** Whether this process is shutting down: the others count it as gone, and one of them ranks first in its place. */
+	readonly isLeaving: () => boolean;
 };
 
 /** The permits of one control process. */
@@ -30,7 +32,7 @@
 	take(request: unknown): PermitDecision {
 		const {count, ...limit} = readPermitRequest(request);
 		const nowMs = this.#options.nowMs();
-		return this.#authority.take(limit, {count, isFirst: this.#rank.isFirst(limit.targetId, nowMs)}, nowMs);
+		return this.#authority.take(limit, {count, isFirst: !this.#options.isLeaving() && this.#rank.isFirst(limit.targetId, nowMs)}, nowMs);
 	}
 
 	/** Looks which other control processes are known; to be called when that changes, and now and then. */
--- a/packages/gateway/src/domain-follower.test.ts
+++ b/packages/gateway/src/domain-follower.test.ts
@@ -22,6 +22,7 @@
 	let logger: RecordingLogger;
 	let metrics: DaemonMetrics;
 	let switches: number;
+	let restored: string[];
 	let knownCount: number;
 	let follower: DomainFollower;
 
@@ -29,12 +30,14 @@
 		logger = new RecordingLogger();
 		metrics = new DaemonMetrics();
 		switches = 0;
+		restored = [];
 		knownCount = 0;
 		follower = new DomainFollower({
 			logger,
 			metrics,
-			onSwitched() {
+			onSwitched(restoredDomains) {
 				switches++;
+				restored.push(...restoredDomains);
 			},
 			onKnown() {
 				knownCount++;
@@ -58,6 +61,16 @@
 		expect([text.includes('\nrattanspring_failure_domains_drained 1\n'), text.includes('\nrattanspring_failure_domain_register_revision 3\n')]).toEqual([true, true]);
 	});
 
+	it('names the domains that were restored, also if it has missed that they were drained, but not those of before its start', () => {
+		follower.receive(register(2, false), 'c1');
+		expect(restored).toEqual([]);
+		follower.receive(register(4, false), 'c1');
+		expect(restored).toEqual(['a']);
+		follower.receive(register(5, true), 'c1');
+		follower.receive(register(6, false), 'c1');
+		expect(restored).toEqual(['a', 'a']);
+	});
+
 	it('serves once a control process that holds the document has sent its register', () => {
 		follower.receive(register(1, true), 'withoutDocument');
 		expect(follower.isKnown).toEqual(false);
--- a/packages/gateway/src/domain-follower.ts
+++ b/packages/gateway/src/domain-follower.ts
@@ -17,7 +17,7 @@
 export type DomainFollowerOptions = {
 	readonly logger: Logger;
 	readonly metrics: Pick<DaemonMetrics, 'domainsDrained' | 'domainRegisterRevision'>;
-	/** Called when domains were drained or restored, with those that were restored. */
+	/** Called when domains were drained or restored, with those that were restored, also if this entry has missed that they were drained. */
 	readonly onSwitched: (restored: ReadonlySet<string>) => void;
 	/** Called once, when the register is known. */
 	readonly onKnown: () => void;
@@ -31,6 +31,7 @@
 	readonly #sources = new Set<string>();
 	#waitTimer: NodeJS.Timeout | undefined;
 	#isKnown = false;
+	#hasRegister = false;
 
 	constructor(options: DomainFollowerOptions) {
 		this.#options = options;
@@ -44,6 +45,9 @@
 	/** Puts a register in force if it is newer. */
 	receive(register: DomainRegister, address: string): void {
 		const {logger, metrics, onSwitched} = this.#options;
+		const {revision: knownRevision} = this.drained;
+		const isFirst = !this.#hasRegister;
+		this.#hasRegister = true;
 		this.#sources.add(address);
 		const switched = this.drained.apply(register);
 		metrics.domainsDrained.set(this.drained.drainedCount);
@@ -52,8 +56,9 @@
 			logger.log('info', isDrained ? 'domainDrained' : 'domainRestored', {failureDomain: domain, revision, source: address});
 		}
 
-		if (switched.length > 0) {
-			onSwitched(new Set(switched.filter(({isDrained}) => !isDrained).map(({domain}) => domain)));
+		const restored = isFirst ? [] : this.drained.restoredSince(knownRevision);
+		if (switched.length + restored.length > 0) {
+			onSwitched(new Set(restored.map(({domain}) => domain)));
 		}
 	}
 
--- a/packages/rank-agent/src/told-pace.test.ts
+++ b/packages/rank-agent/src/told-pace.test.ts
@@ -11,6 +11,13 @@
 		expect([told.observe(1.02, 8000), told.value]).toEqual([true, undefined]);
 	});
 
+	it('tells the recovery of a rank that was hardly slow', () => {
+		const told = new ToldPace();
+		told.observe(1.1, 2000);
+		told.observe(1, 4000);
+		expect(told.value).toEqual(undefined);
+	});
+
 	it('tells at most one change a second of a pace that wavers, and the last one in the end', () => {
 		const told = new ToldPace();
 		let changes = 0;
--- a/packages/rank-agent/src/told-pace.ts
+++ b/packages/rank-agent/src/told-pace.ts
@@ -26,7 +26,7 @@
 	/** Records a measured pace; returns whether the card has changed. */
 	observe(measured: number, nowMs: number): boolean {
 		const pace = measured < slowPace ? 1 : Math.round(measured * 100) / 100;
-		if (Math.abs(pace - this.#pace) < this.#pace * minChange || nowMs - this.#toldAtMs < minIntervalMs) {
+		if (Math.abs(pace - this.#pace) < Math.min(pace, this.#pace) * minChange || nowMs - this.#toldAtMs < minIntervalMs) {
 			return false;
 		}
 
