--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -118,6 +118,7 @@
 			onSwitched: restored => {
 				// Targets of a restored domain may have turned cold, and their next reports come later than the first requests.
 				this.#coldWatch.assumeCold(this.#targets.all().filter(({failureDomain}) => restored.has(failureDomain)));
+				this.#refreshTargets();
 				this.#context.admission.processQueue(nowMs());
 			},
 			onKnown: () => {
@@ -143,7 +144,7 @@
 		this.#permitReport = new PermitReport({permits: this.#selector.permits, logger, metrics});
 		this.#permitRequests = new PermitRequests({
 			permits: this.#selector.permits,
-			limitedTargets: service => this.#selector.limitedTargets(service, nowMs()),
+			limitedTargets: service => this.#selector.permitTargets(service, nowMs()),
 			waitingCount: () => this.#context.admission.waitingCount,
 			take: async request => this.#authorityCalls.call(request.targetId, linkService.permit, request),
 			onGranted: () => {
@@ -354,7 +355,9 @@
 		const {state} = this.#documents.table ?? {};
 		const engine = this.#engineOf(service);
 		const limits = this.#pauseObjectives.of(state, service);
-		return engine && limits !== undefined && engine.expertSets > 0 ? this.#passLimit.writers(engine, limits, figures, nowMs) : undefined;
+		const writers = engine && limits !== undefined && engine.expertSets > 0 ? this.#passLimit.writers(engine, limits, figures, nowMs) : undefined;
+		// Published figures that make no sense limit nothing.
+		return Number.isFinite(writers) ? writers : undefined;
 	}
 
 	#engineOf(service: string): EngineProfile | undefined {
@@ -515,7 +518,8 @@
 	#refreshTargets(): void {
 		const ready = this.#targets.ready();
 		this.#selector.setTargets(ready, this.#context.nowMs());
-		this.#outcomes.setTargets(ready);
+		// The share of targets that may be ejected is one of those in use.
+		this.#outcomes.setTargets(ready.filter(report => this.#domains.drained.reasonAgainst(report) === undefined));
 		this.#options.metrics.targetsKnown.set(ready.length);
 		this.#coldWatch.refresh(targetId => this.#targets.get(targetId) !== undefined);
 		this.#permitReport.refresh();
--- a/packages/gateway/src/request-forwarder.ts
+++ b/packages/gateway/src/request-forwarder.ts
@@ -88,10 +88,7 @@
 		const {route, service} = request;
 		if (route.kind === 'streaming' && isRetryable(route)) {
 			this.#silenceTimer = new SilenceTimer({
-				silence: context.streamSilence, service, route, nowMs: context.nowMs, onSilent: () => {
-					this.#running?.attempt.abandon();
-					this.#onOutcome('broken', 'silent');
-				},
+				silence: context.streamSilence, service, route, nowMs: context.nowMs, move: () => this.#moveSilentStream(),
 			});
 		}
 	}
@@ -403,6 +400,22 @@
 		}
 	}
 
+	/** Leaves the silent target if the stream may be sent to another one: silence alone is no reason to end it. */
+	#moveSilentStream(): boolean {
+		const {route, service, components} = this.#request;
+		const step = nextStep({
+			kind: route.kind, isResumable: route.isResumable, outcome: 'broken', sentCount: this.#sentCount + 1, unreachedCount: this.#unreachedCount, maxAttempts: route.maxAttempts, mayHaveRun: true,
+		});
+		const isAccused = this.#trialOf !== undefined || this.#context.crashWatch.guard.isAccused(components);
+		if (step !== 'tryAnother' || isAccused || !this.#running || !this.#context.retryBudget.isLeft(service, this.#nowMs, this.#context.entryCount())) {
+			return false;
+		}
+
+		this.#running.attempt.abandon();
+		this.#onOutcome('broken', 'silent');
+		return true;
+	}
+
 	#continue({targetId}: RunningAttempt, outcome: AttemptOutcome, detail: string): void {
 		const {logger, crashWatch} = this.#context;
 		const {route, service, components, metadata} = this.#request;
--- a/packages/gateway/src/silence-timer.ts
+++ b/packages/gateway/src/silence-timer.ts
@@ -8,14 +8,17 @@
 const objectiveFactor = 4;
 const pauseObjectiveFactor = 8;
 
+/** A stream that can't be continued elsewhere is looked at again after this time. */
+const stayedRecheckMs = 500;
+
 /** Options of a timer. */
 export type SilenceTimerOptions = {
 	readonly silence: StreamSilence;
 	readonly service: string;
 	readonly route: Pick<Route, 'objectiveMs' | 'pauseObjectiveMs'>;
 	readonly nowMs: () => number;
-	/** Called once when the stream is to be continued at another target. */
-	readonly onSilent: () => void;
+	/** Continues the stream at another target; false if that is not possible, so that it goes on waiting for this one. */
+	readonly move: () => boolean;
 };
 
 /** The timer of one stream, over all its targets. */
@@ -61,7 +64,7 @@
 	}
 
 	#onTime(): void {
-		const {silence, service, route, nowMs, onSilent} = this.#options;
+		const {silence, service, route, nowMs, move} = this.#options;
 		const silentMs = nowMs() - this.#lastEventAtMs;
 		const leftMs = silence.timeoutMs(service, this.#hasBegun, nowMs()) - silentMs;
 		if (leftMs > 0) {
@@ -77,7 +80,9 @@
 			return;
 		}
 
-		onSilent();
+		if (!move()) {
+			this.#check(stayedRecheckMs);
+		}
 	}
 }
 
--- a/packages/placement/src/admission.ts
+++ b/packages/placement/src/admission.ts
@@ -7,6 +7,7 @@
 import {ExpectedRoom} from './expected-room.js';
 import {InProgressOrder, type QueueOrder} from './queue-order.js';
 import {FixedReturnTimes, type RefusalReason, type ReturnTimes} from './return-times.js';
+import {onTimeEntriesPerSlot} from './slot-shares.js';
 import type {Choice, TargetSelector, TargetView} from './target-selector.js';
 
 /** Share of the objective after which a queued on-time request is refused: early enough for its caller to retry in time. */
@@ -69,7 +70,7 @@
 Number of entries to which each free slot is assigned, in the lanes in which not all entries may use it. An on-time request that another entry's request precedes at
 its target waits there until a whole answer ends, and is late.
 */
-const entriesPerSlot: Readonly<Partial<Record<Lane, number>>> = {onTime: 2, late: 2, lateOwnedSlots: 1};
+const entriesPerSlot: Readonly<Partial<Record<Lane, number>>> = {onTime: onTimeEntriesPerSlot, late: 2, lateOwnedSlots: 1};
 
 /** For each lane, the lanes whose lack of a slot leaves it none, since it may use no other slots or comes after them. */
 const isFullWith: Readonly<Record<Lane, readonly Lane[]>> = {
@@ -118,7 +119,7 @@
 	/** Admits, refuses or queues a request; `settle` is called once, immediately or later, unless the request is cancelled. */
 	admit(request: AdmissionRequest, nowMs: number, settle: (admission: Admission) => void): PendingAdmission {
 		const isLate = !request.isFailover && !mayBeOnTime(request, nowMs);
-		const isFirst = !this.#queue.some(other => other.request.service === request.service && (isLate || !other.isLate));
+		const isFirst = !this.#queue.some(({request: other, isLate: isOtherLate}) => other.service === request.service && (isLate || !isOtherLate) && !(other.excluded?.size));
 		const choice = isFirst ? this.#choose(request, firstLaneOf(request, isLate), nowMs) : {kind: 'full' as const};
 		if (choice.kind === 'target') {
 			this.#noteRoom(request.service, choice.view);
@@ -179,7 +180,10 @@
 			} else if (choice.kind === 'full' && this.#isHopeless(queued, stillAhead.get(service) ?? 0, nowMs)) {
 				this.#end(queued, this.#refusal('full', {request: queued.request, choice, nowMs}));
 			} else {
-				full.add(`${service} ${lane}`);
+				if (choice.kind !== 'full' || choice.isForOthers !== true) {
+					full.add(`${service} ${lane}`);
+				}
+
 				stillAhead.set(service, (stillAhead.get(service) ?? 0) + 1);
 			}
 		}
@@ -193,7 +197,7 @@
 		}
 
 		const onTimeLeftMs = (objectiveMs * retryOnTimeShare) - sinceFirstTryMs - (nowMs - arrivedAtMs);
-		return this.#options.room.waitMs(service, aheadCount, nowMs) > onTimeLeftMs && !this.#isRoomy(service, nowMs);
+		return this.#options.room.waitMs(service, aheadCount, nowMs) > onTimeLeftMs && this.#options.selector.freeShare(service, nowMs) === 0;
 	}
 
 	/** Queued requests of the same service that go before this one. */
@@ -270,7 +274,8 @@
 
 function laneOf({request, isLate, queuedAtMs, refuseAtMs}: QueuedRequest, nowMs: number): Lane {
 	if (!isLate) {
-		return firstLaneOf(request, false);
+		// Before it is refused, an on-time request may take any free slot.
+		return nowMs >= refuseAtMs ? 'failover' : firstLaneOf(request, false);
 	}
 
 	if (nowMs >= refuseAtMs) {
--- a/packages/placement/src/retry-budget.ts
+++ b/packages/placement/src/retry-budget.ts
@@ -37,15 +37,20 @@
 
 	/** Takes one retry from the budget; false if this entry's share is used up. */
 	tryConsume(service: string, nowMs: number, entryCount: number): boolean {
+		const isLeft = this.isLeft(service, nowMs, entryCount);
+		if (isLeft) {
+			this.#window(service, nowMs).retries.push(nowMs);
+		}
+
+		return isLeft;
+	}
+
+	/** Whether this entry's share has a retry left. */
+	isLeft(service: string, nowMs: number, entryCount: number): boolean {
 		const {ratio, slack} = this.#allowance;
 		const {requests, retries} = this.#window(service, nowMs);
 		const allowed = usableShare * ((ratio * requests.length) + (slack / this.#maxEntryCount(entryCount, nowMs)));
-		if (retries.length + 1 > allowed) {
-			return false;
-		}
-
-		retries.push(nowMs);
-		return true;
+		return retries.length + 1 <= allowed;
 	}
 
 	/** Largest entry count within the window. */
--- a/packages/placement/src/slot-shares.ts
+++ b/packages/placement/src/slot-shares.ts
@@ -2,6 +2,9 @@
 Divides the free slots of a target among the entries that send to it. All entries compute the same assignment without coordination.
 */
 
+/** Number of entries to which each free slot is assigned for requests that can still be on time. */
+export const onTimeEntriesPerSlot = 2;
+
 /** Position of an entry among those that send to the same targets. */
 export type EntryPosition = {readonly index: number; readonly count: number};
 
--- a/packages/placement/src/target-memory.ts
+++ b/packages/placement/src/target-memory.ts
@@ -37,6 +37,8 @@
 	readonly sentToAllTokens: number;
 	readonly targetCount: number;
 	readonly entryCount: number;
+	/** Slots that its last figures show as free: others can't have sent more requests than these. */
+	readonly freeSlots: number;
 };
 
 /** Tokens that a request will probably hold at its end: an estimate below the mean is not relied on, nor one above the maximum or the capacity. */
@@ -51,8 +53,10 @@
 }
 
 /** Tokens that a target probably holds. */
-export function heldTokens({memoryShare, sentTokens, sentToAllTokens, targetCount, entryCount}: TargetHoldings, {contextTokens}: MemoryProfile): number {
-	const byOthers = (entryCount - 1) * sentToAllTokens / Math.max(1, targetCount);
+export function heldTokens(holdings: TargetHoldings, {contextTokens, usualPromptTokens, usualAnswerTokens}: MemoryProfile): number {
+	const {memoryShare, sentTokens, sentToAllTokens, targetCount, entryCount, freeSlots} = holdings;
+	const atMost = Math.max(0, freeSlots) * (usualPromptTokens + usualAnswerTokens);
+	const byOthers = Math.min(atMost, (entryCount - 1) * sentToAllTokens / Math.max(1, targetCount));
 	return (memoryShare * contextTokens) + sentTokens + byOthers;
 }
 
--- a/packages/placement/src/target-selector.test.ts
+++ b/packages/placement/src/target-selector.test.ts
@@ -1,7 +1,8 @@
 import {describe, it} from 'node:test';
+import type {TargetReport} from '@rattanspring/target-table';
 import {expect} from 'earl';
 import {createSelector, targets} from './test-fixtures.js';
-import {TargetSelector} from './index.js';
+import {type ExclusionReason, TargetExclusion, TargetSelector} from './index.js';
 
 describe('TargetSelector', () => {
 	describe('with ranks in lock-step', () => {
@@ -142,4 +143,32 @@
 			expect(afterBackoff.kind).toEqual('target');
 		});
 	});
+
+	it('uses ejected targets rather than none, but never those in drained domains', () => {
+		const reasons = new Map<string, ExclusionReason>([['t0', 'ejected'], ['t1', 'domainDrained']]);
+		class Excluded extends TargetExclusion {
+			reasonAgainst({targetId}: TargetReport): ExclusionReason | undefined {
+				return reasons.get(targetId);
+			}
+		}
+
+		const selector = new TargetSelector({failureDomain: 'a', exclusions: [new Excluded()]});
+		selector.setTargets(targets(2), 0);
+		const choice = selector.choose({service: 's', nowMs: 0, random: () => 0});
+		expect(choice.kind === 'target' && choice.view.report.targetId).toEqual('t0');
+		reasons.set('t0', 'domainDrained');
+		expect(selector.choose({service: 's', nowMs: 0, random: () => 0}).kind).toEqual('drained');
+	});
+
+	it('asks for permits only where this entry may send now', () => {
+		const position = {index: 0, count: 20};
+		const selector = new TargetSelector({failureDomain: 'a', entryPosition: () => position, coldLimitOf: () => 15});
+		selector.setTargets(targets(40), 0);
+		selector.setLoads(targets(40).map(({address}) => ({
+			address, bornMs: 1, sequence: 1, active: 0, queued: 0, memoryShare: 0, pace: 1,
+		})), 0);
+		const asked = selector.permitTargets('s', 10).length;
+		expect(asked > 0 && asked < 20).toEqual(true);
+		expect(selector.limitedTargets('s', 10).length).toEqual(40);
+	});
 });
--- a/packages/placement/src/target-selector.ts
+++ b/packages/placement/src/target-selector.ts
@@ -8,7 +8,7 @@
 import {connectionPreference} from './connection-preference.js';
 import {groupFigures} from './group-figures.js';
 import type {GroupFigures} from './pass-limit.js';
-import type {EntryPosition} from './slot-shares.js';
+import {type EntryPosition, onTimeEntriesPerSlot} from './slot-shares.js';
 import type {ExclusionReason, TargetExclusion} from './target-exclusion.js';
 import {
 	expectedTokens, hasMemoryFor, isTooLarge, type MemoryProfile, type RequestLength,
@@ -81,7 +81,9 @@
 */
 export type Choice
 	= | {readonly kind: 'target'; readonly view: TargetView}
-		| {readonly kind: 'full' | 'tooLarge' | 'drained' | 'none'}
+		| {readonly kind: 'tooLarge' | 'drained' | 'none'}
+		/** `isForOthers` is whether there may be a slot for another request: one that needs less memory, or may go to targets that this one has tried. */
+		| {readonly kind: 'full'; readonly isForOthers?: boolean}
 		/** There is no permit before this time has passed. */
 		| {readonly kind: 'limited'; readonly permitInMs: number}
 		| {readonly kind: 'paused'; readonly untilMs: number};
@@ -230,6 +232,17 @@
 		});
 	}
 
+	/** Those of the limited targets to which this entry may send now if it has a permit; all of them if there is no such target. */
+	permitTargets(service: string, nowMs: number): TargetLimit[] {
+		const limited = this.limitedTargets(service, nowMs);
+		const writers = this.#writersByGroup(service, nowMs);
+		const usable = limited.filter(({targetId}) => {
+			const record = this.#entries.get(targetId)!;
+			return ownedSlotsLeft(record, nowMs, {position: this.#entryPosition, limit: limitOf(record, writers), entriesPerSlot: onTimeEntriesPerSlot}) > 0;
+		});
+		return usable.length > 0 ? usable : limited;
+	}
+
 	/** Records how a request ended. */
 	ended(targetId: string, outcome: ExchangeOutcome, nowMs: number): void {
 		const record = this.#entries.get(targetId);
@@ -261,8 +274,13 @@
 		return slots === 0 ? 0 : free / slots;
 	}
 
-	/** Chooses the target with the lowest score among those that have a free slot. */
-	choose({service, nowMs, excluded, random, preferIdle = false, slotShare = 1, reserve = 0, entriesPerSlot, requestLength}: ChoiceInput): Choice {
+	/** Chooses the target with the lowest score among those that have a free slot. Ejected targets are better than none. */
+	choose(input: ChoiceInput): Choice {
+		const choice = this.#chooseAmong(input, false);
+		return choice.kind === 'none' || choice.kind === 'drained' ? this.#chooseAmong(input, true) : choice;
+	}
+
+	#chooseAmong({service, nowMs, excluded, random, preferIdle = false, slotShare = 1, reserve = 0, entriesPerSlot, requestLength}: ChoiceInput, mayUseEjected: boolean): Choice {
 		const memory = this.#memoryCheck(service, nowMs, requestLength);
 		if (memory === 'tooLarge') {
 			return {kind: 'tooLarge'};
@@ -273,6 +291,7 @@
 		let hasUsableTarget = false;
 		let areAllLimited = true;
 		let hasDrainedTarget = false;
+		let isForOthers = excluded !== undefined && excluded.size > 0;
 		let firstPauseEndMs = Number.POSITIVE_INFINITY;
 		const groupPaces = this.#groupPaces(nowMs);
 		const writers = this.#writersByGroup(service, nowMs);
@@ -283,7 +302,7 @@
 			}
 
 			const exclusion = this.#exclusionOf(record, nowMs);
-			if (exclusion) {
+			if (exclusion && !(exclusion === 'ejected' && mayUseEjected)) {
 				hasDrainedTarget ||= exclusion === 'domainDrained';
 				continue;
 			}
@@ -309,8 +328,10 @@
 			const rank = preferIdle ? view.busy + random() : record.pendingPrefillPasses + excessLoad + this.#penalty(record, nowMs, groupPaces) + slotPenalty - preference;
 			const mayUseSlot = entriesPerSlot === undefined || ownedSlotsLeft(record, nowMs, {position: place, limit: view.limit, entriesPerSlot}) > 0;
 			const usableSlots = Math.min(view.limit * slotShare, view.limit - reservedSlots(record, view.limit, reserve));
-			const hasFreeSlot = !view.isBackingOff && !this.#isUntried(record) && view.busy < usableSlots && mayUseSlot && (memory?.(record) ?? true);
-			if (hasFreeSlot && rank < bestScore) {
+			const hasFreeSlot = !view.isBackingOff && !this.#isUntried(record) && view.busy < usableSlots && mayUseSlot;
+			const hasMemory = memory?.(record) ?? true;
+			isForOthers ||= hasFreeSlot && !hasMemory;
+			if (hasFreeSlot && hasMemory && rank < bestScore) {
 				best = view;
 				bestScore = rank;
 			}
@@ -321,7 +342,7 @@
 		}
 
 		if (hasUsableTarget) {
-			return areAllLimited ? {kind: 'limited', permitInMs: this.#permits.earliestPermitInMs(this.limitedTargets(service, nowMs), this.#permitNowMs(nowMs))} : {kind: 'full'};
+			return areAllLimited ? {kind: 'limited', permitInMs: this.#permits.earliestPermitInMs(this.limitedTargets(service, nowMs), this.#permitNowMs(nowMs))} : {kind: 'full', ...(isForOthers && {isForOthers})};
 		}
 
 		if (Number.isFinite(firstPauseEndMs)) {
@@ -334,7 +355,7 @@
 	/** Whether a target has memory for a request; `tooLarge` if none of the service ever has, undefined if memory is not regarded. */
 	#memoryCheck(service: string, nowMs: number, length: RequestLength | undefined): ((record: TargetRecord) => boolean) | 'tooLarge' | undefined {
 		const engine = length && this.#options.engineOf?.(service);
-		if (!engine) {
+		if (!engine || engine.contextTokens <= 0) {
 			return undefined;
 		}
 
@@ -349,7 +370,12 @@
 		const sentToAllTokens = records.reduce((sum, record) => sum + sentTo(record), 0);
 		const entryCount = this.#entryPosition.count;
 		return record => !record.load || nowMs - record.loadAtMs > maxLoadAgeMs || hasMemoryFor(requestTokens, {
-			memoryShare: record.load.memoryShare, sentTokens: sentTo(record), sentToAllTokens, targetCount: records.length, entryCount,
+			memoryShare: record.load.memoryShare,
+			sentTokens: sentTo(record),
+			sentToAllTokens,
+			targetCount: records.length,
+			entryCount,
+			freeSlots: record.report.slots - record.load.active - record.load.queued,
 		}, engine);
 	}
 
