--- a/packages/account-shares/src/account-use.ts
+++ b/packages/account-shares/src/account-use.ts
@@ -1,6 +1,6 @@
 /** What a client account asked of a service and was admitted, in units of work. */
 
-/** One account at one service. Work is in prompt tokens, with the tokens of the answer by what they cost; one for a request of a service without tokens. */
+/** One account at one service. Work is in milliseconds of a target's time; one for a request of a service without an engine. */
 export type AccountUse = {
 	readonly service: string;
 	readonly account: string;
