--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -105,6 +105,7 @@
 		const {random, logger, metrics, headerCodec, exchange, failureDomain} = options;
 		this.#outcomes = new TargetOutcomes({
 			nodeId: options.nodeId,
+			isCold: report => this.#coldWatch.limitOf(report) !== undefined || (report.coldLeftMs ?? 0) > 0,
 			onAccusation: accusation => {
 				this.#links.send({type: 'accusations', accusations: [accusation]});
 			},
--- a/packages/gateway/src/request-forwarder.ts
+++ b/packages/gateway/src/request-forwarder.ts
@@ -268,7 +268,7 @@
 			targetId, timeLeftMs: Math.max(1, Math.floor(deadlineAtMs - this.#nowMs)), accountName: this.#request.account?.name, lastEventId: this.#lastEventId, urgency,
 		});
 		this.#triedTargets.add(targetId);
-		const observed = this.#context.outcomes.sent(report, metadata.requestId);
+		const observed = this.#context.outcomes.sent(report, {requestId: metadata.requestId, route: route.name});
 		const attempt = new Attempt({
 			exchange,
 			headerCodec,
--- a/packages/gateway/src/target-outcomes.ts
+++ b/packages/gateway/src/target-outcomes.ts
@@ -19,6 +19,8 @@
 	readonly nodeId: string;
 	/** Tells the other entries. */
 	readonly onAccusation: (accusation: Accusation) => void;
+	/** Whether a target is cold, as this entry knows it; by default as the target has reported. */
+	readonly isCold?: (target: TargetReport) => boolean;
 	readonly logger: Logger;
 	readonly metrics: DaemonMetrics;
 	readonly nowMs: () => number;
@@ -28,6 +30,7 @@
 export type ObservedExchange = {
 	readonly target: ServiceTarget;
 	readonly requestId?: string;
+	readonly route?: string;
 	readonly isCold: boolean;
 	readonly sentAtMs: number;
 	readonly trial?: Trial;
@@ -50,9 +53,11 @@
 	}
 
 	/** Records that a request was sent. */
-	sent({targetId, bornMs, service, coldLeftMs}: TargetReport, requestId?: string): ObservedExchange {
+	sent(report: TargetReport, request: Pick<ObservedExchange, 'requestId' | 'route'> = {}): ObservedExchange {
+		const {targetId, bornMs, service, coldLeftMs} = report;
+		const {isCold = () => (coldLeftMs ?? 0) > 0} = this.#options;
 		return {
-			target: {targetId, bornMs, service}, requestId, isCold: (coldLeftMs ?? 0) > 0, sentAtMs: this.#options.nowMs(), trial: this.table.sent({targetId, bornMs}),
+			...request, target: {targetId, bornMs, service}, isCold: isCold(report), sentAtMs: this.#options.nowMs(), trial: this.table.sent({targetId, bornMs}),
 		};
 	}
 
@@ -64,10 +69,10 @@
 	/** Records how the request ended. An answer in one piece is its own first event. */
 	ended(exchange: ObservedExchange, outcome: ExchangeOutcome): void {
 		const nowMs = this.#options.nowMs();
-		const {target, sentAtMs, firstEventAtMs, isCold, requestId, trial} = exchange;
+		const {target, sentAtMs, firstEventAtMs, isCold, requestId, route, trial} = exchange;
 		const begunAtMs = firstEventAtMs ?? (outcome === 'answered' ? nowMs : undefined);
 		const kind = this.#record.record(target, {
-			outcome, tookMs: nowMs - sentAtMs, isCold, requestId, ...(begunAtMs !== undefined && {firstEventMs: begunAtMs - sentAtMs}),
+			outcome, tookMs: nowMs - sentAtMs, isCold, requestId, route, ...(begunAtMs !== undefined && {firstEventMs: begunAtMs - sentAtMs}),
 		}, nowMs);
 		const evidence = !trial && kind && kind !== 'answered' ? this.#record.evidenceAgainst(target, nowMs) : undefined;
 		const accusation = trial ? this.table.trialEnded(trial, kind, nowMs) : evidence && this.table.accuse(target, evidence, nowMs);
--- a/packages/outlier-ejection/src/outcome-record.test.ts
+++ b/packages/outlier-ejection/src/outcome-record.test.ts
@@ -34,6 +34,13 @@
 		return record.evidenceAgainst(targetOf(0), nowMs);
 	};
 
+	it('are judged among those of one route: one that always takes long is no evidence', () => {
+		const long = {...slowAnswer, route: 'long'};
+		const evidence = play(round => round % 3 === 0 ? long : {...answer, route: 'short'}, {ofOthers: round => round % 7 === 0 ? long : {...answer, route: 'short'}});
+		expect(evidence).toEqual(undefined);
+		expect(play(round => round % 3 === 0 ? slowAnswer : answer)?.kind).toEqual('slow');
+	});
+
 	describe('are evidence against a target', () => {
 		it('that fails a part of its requests, but not whole evidence', () => {
 			const evidence = play(round => round % 5 < 2 ? failure : answer);
--- a/packages/outlier-ejection/src/outcome-record.ts
+++ b/packages/outlier-ejection/src/outcome-record.ts
@@ -39,9 +39,13 @@
 const maxRequestIds = 3;
 const defaultMaxTargets = 10_000;
 
+/** Routes of a service whose first events are kept. */
+const maxRoutes = 100;
+
 type Outcome = {readonly atMs: number; readonly kind: OutcomeKind; readonly requestId?: string};
 type TargetOutcomes = TargetLifetime & {outcomes: Outcome[]};
-type ServiceOutcomes = {readonly targets: Map<string, TargetOutcomes>; firstEvents: Array<{readonly atMs: number; readonly tookMs: number}>; medianMs?: number; medianAtMs: number};
+type FirstEvents = {times: Array<{readonly atMs: number; readonly tookMs: number}>; medianMs?: number; medianAtMs: number};
+type ServiceOutcomes = {readonly targets: Map<string, TargetOutcomes>; readonly firstEventsByRoute: Map<string, FirstEvents>};
 
 /** A target of a service. */
 export type ServiceTarget = TargetLifetime & {readonly service: string};
@@ -56,6 +60,8 @@
 	/** Whether the target was slow after its start. */
 	readonly isCold: boolean;
 	readonly requestId?: string;
+	/** Requests of different routes may take different times: slowness is judged among those of one. */
+	readonly route?: string;
 };
 
 /** What speaks against a target at this entry. */
@@ -84,10 +90,11 @@
 	/** Records how a request ended; returns what it counts as, undefined for what says nothing of the target: a refusal, a caller that left early, the slowness of a cold target. */
 	record(target: ServiceTarget, exchange: EndedExchange, nowMs: number): OutcomeKind | undefined {
 		const service = this.#of(target.service);
-		const kind = kindOf(exchange, medianOf(service, nowMs));
-		const {outcome, firstEventMs, isCold, requestId} = exchange;
+		const {outcome, firstEventMs, isCold, requestId, route = ''} = exchange;
+		const firstEvents = firstEventsOf(service, route);
+		const kind = kindOf(exchange, medianOf(firstEvents, nowMs));
 		if (outcome === 'answered' && firstEventMs !== undefined && !isCold) {
-			service.firstEvents = [...service.firstEvents.slice(1 - maxSamples), {atMs: nowMs, tookMs: firstEventMs}];
+			firstEvents.times = [...firstEvents.times.slice(1 - maxSamples), {atMs: nowMs, tookMs: firstEventMs}];
 		}
 
 		if (kind) {
@@ -152,7 +159,7 @@
 	}
 
 	#of(name: string): ServiceOutcomes {
-		const known = this.#services.get(name) ?? {targets: new Map(), firstEvents: [], medianAtMs: Number.NEGATIVE_INFINITY};
+		const known = this.#services.get(name) ?? {targets: new Map(), firstEventsByRoute: new Map()};
 		this.#services.set(name, known);
 		return known;
 	}
@@ -177,16 +184,27 @@
 	return isHung ? 'hung' : undefined;
 }
 
-function medianOf(service: ServiceOutcomes, nowMs: number): number | undefined {
-	if (nowMs - service.medianAtMs >= medianIntervalMs) {
-		service.medianAtMs = nowMs;
-		service.medianMs = currentMedianOf(service, nowMs);
+/** The first events of a route; those of the route that came first are forgotten if there are too many. */
+function firstEventsOf({firstEventsByRoute}: ServiceOutcomes, route: string): FirstEvents {
+	const known = firstEventsByRoute.get(route) ?? {times: [], medianAtMs: Number.NEGATIVE_INFINITY};
+	firstEventsByRoute.set(route, known);
+	if (firstEventsByRoute.size > maxRoutes) {
+		firstEventsByRoute.delete(firstEventsByRoute.keys().next().value!);
+	}
+
+	return known;
+}
+
+function medianOf(firstEvents: FirstEvents, nowMs: number): number | undefined {
+	if (nowMs - firstEvents.medianAtMs >= medianIntervalMs) {
+		firstEvents.medianAtMs = nowMs;
+		firstEvents.medianMs = currentMedianOf(firstEvents, nowMs);
 	}
 
-	return service.medianMs;
+	return firstEvents.medianMs;
 }
 
-function currentMedianOf({firstEvents}: ServiceOutcomes, nowMs: number): number | undefined {
+function currentMedianOf({times: firstEvents}: FirstEvents, nowMs: number): number | undefined {
 	const times = firstEvents.filter(({atMs}) => nowMs - atMs < windowMs).map(({tookMs}) => tookMs).toSorted((left, right) => left - right);
 	return times.length < minSamples ? undefined : times[Math.floor(times.length / 2)];
 }
