--- a/packages/gateway/src/caller-response.ts
+++ b/packages/gateway/src/caller-response.ts
@@ -29,6 +29,11 @@
 		return this.#response.headersSent;
 	}
 
+	/** Whether the caller has closed its connection. This is known before the response reports its close, which takes a further turn of the event loop. */
+	get hasCallerLeft(): boolean {
+		return this.#response.destroyed || this.#response.socket?.readableEnded === true;
+	}
+
 	/** Bytes that wait to be sent, as the caller has not read what came before. */
 	get unsentBytes(): number {
 		return this.#response.writableLength;
--- a/packages/gateway/src/gateway.test.ts
+++ b/packages/gateway/src/gateway.test.ts
@@ -525,6 +525,29 @@
 	});
 
 	describe('with a caller that disconnects', () => {
+		it('sends it to no other target if its end at one target and the close are read together', async () => {
+			const callers: net.Socket[] = [];
+			setHandlers((request, response) => {
+				// The response and the close are both sent before the entry reads either, as after a stall of its process.
+				response.setHeader('x-not-run', '1');
+				answer(request, response, 503, 'busy');
+				for (const caller of callers) {
+					caller.destroy();
+				}
+			});
+			const rounds = 8;
+			for (let round = 0; round < rounds; round++) {
+				const caller = net.connect(port, '127.0.0.1');
+				callers.push(caller);
+				caller.on('error', () => undefined);
+				caller.write(`POST /lookup/x HTTP/1.1\r\nhost: a.example\r\nx-id: r${round}\r\nx-key: secret\r\ncontent-length: 0\r\n\r\n`);
+				// A target that has refused a request gets none for a short time.
+				await sleep(120);
+			}
+
+			expect(sent()).toEqual(rounds);
+		});
+
 		it('cancels the request at the target immediately', async () => {
 			setHandlers(() => undefined);
 			const request = http.request({
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -320,18 +320,25 @@
 
 		this.#isQueueProcessingScheduled = true;
 		setTimeout(() => {
-			this.#isQueueProcessingScheduled = false;
-			this.#context.admission.processQueue(this.#context.nowMs());
-			for (const service of this.#context.admission.waitingServices) {
-				this.#permitRequests.askForWaiting(service);
-			}
-
-			if (this.#context.admission.waitingCount > 0) {
-				this.#scheduleQueueProcessing();
-			}
+			// After a stall of the process, callers that have left meanwhile are read before their requests are sent.
+			setImmediate(() => {
+				this.#processWaiting();
+			});
 		}, queueProcessingIntervalMs);
 	}
 
+	#processWaiting(): void {
+		this.#isQueueProcessingScheduled = false;
+		this.#context.admission.processQueue(this.#context.nowMs());
+		for (const service of this.#context.admission.waitingServices) {
+			this.#permitRequests.askForWaiting(service);
+		}
+
+		if (this.#context.admission.waitingCount > 0) {
+			this.#scheduleQueueProcessing();
+		}
+	}
+
 	#every(intervalMs: number, work: () => void): void {
 		this.#timers.push(setInterval(work, intervalMs));
 	}
--- a/packages/gateway/src/request-forwarder.ts
+++ b/packages/gateway/src/request-forwarder.ts
@@ -239,6 +239,11 @@
 	}
 
 	#onAdmission(admission: Admission): void {
+		if (this.#answer.hasCallerLeft) {
+			this.#onCallerDisconnect();
+			return;
+		}
+
 		this.#leftOut = this.#context.outcomes.leftOut(this.#request.service, admission.kind === 'refused' ? undefined : admission.view.report.targetId);
 		if (admission.kind === 'refused') {
 			this.#giveUp(admission.reason, admission.retryAfterMs);
@@ -429,12 +434,21 @@
 			requestId: metadata.requestId, targetId, outcome, detail, step: mayRetry ? step : 'giveUp', isAccused, sent: this.#sentCount, lastEventId: this.#lastEventId,
 		});
 		if (mayRetry) {
-			this.#admit();
+			this.#admitAfterReads();
 		} else {
 			this.#giveUp(outcome, undefined);
 		}
 	}
 
+	/** Admits the request once more when all that was received before is read: after a stall of the process, the end of an attempt and the close of the caller are read together. */
+	#admitAfterReads(): void {
+		setImmediate(() => {
+			if (!this.#isFinished) {
+				this.#admit();
+			}
+		});
+	}
+
 	/** Sends the final response without trying another target. */
 	#giveUp(reason: string, retryAfterMs: number | undefined): void {
 		if (this.#failureResponse && !this.#answer.isStarted) {
