--- a/packages/fleet-control/src/fleet-control.ts
+++ b/packages/fleet-control/src/fleet-control.ts
@@ -9,8 +9,8 @@
 import type {ReplaceOutcome, StoredDocument} from '@rattanspring/desired-state';
 import type {DomainOrder, DomainRegister, DomainRequest} from '@rattanspring/domain-drain';
 import {
-	ControlLinks, type DocumentRequest, DocumentSender, type DownMessage, type JoinRequest, LinkServer, linkService, listen, type NodeCard, type NodeRole, type TrialReply, type TrialRequest,
-	type UpMessage,
+	ControlLinks, type DocumentRequest, DocumentSender, type DownMessage, type JoinRequest, LinkServer, linkService, listen, type NodeCard, type NodeRole, type RankReply, type RankRequest, type TrialReply,
+	type TrialRequest, type UpMessage,
 } from '@rattanspring/fleet-link';
 import type {FatalErrorHandler} from '@rattanspring/log-storage';
 import {describeError, type Logger} from '@rattanspring/logger';
@@ -50,6 +50,8 @@
 	readonly clock: Clock;
 	readonly logger: Logger;
 	readonly fatalErrorHandler: FatalErrorHandler;
+	/** Handles requests of coordinators that concern an engine; without it, they are refused. */
+	readonly handleRankRequest?: (request: RankRequest) => Promise<RankReply>;
 };
 
 export class FleetControl {
@@ -133,7 +135,7 @@
 	/** Starts the server, then recovers, forms or joins the group. */
 	async start(): Promise<void> {
 		this.#server.addService(this.#group.service.definition, this.#group.service.implementation);
-		this.#server.addService(controlMethods, this.#handlers());
+		this.#server.addService(linkService, this.#handlers());
 		await this.#facts.load();
 		await listen(this.#server, this.#options.linkAddress);
 		this.#figures.start();
@@ -280,6 +282,7 @@
 			orderDomain: this.#unary('orderDomain', async (order: DomainOrder) => this.#group.isLeader ? {outcome: await this.#group.orderDomain(order)} : {}),
 			trial: this.#unary('trial', async (request: TrialRequest) => this.#grantTrial(request)),
 			permit: this.#unary('permit', async (request: unknown) => this.#permits.take(request)),
+			rank: this.#unary('rank', async (request: RankRequest) => this.#options.handleRankRequest?.(request) ?? {answer: 'refused'}),
 			join: this.#unary('join', async (request: JoinRequest) => this.#group.join(request)),
 		};
 	}
@@ -440,8 +443,6 @@
 	}
 }
 
-const {rank: _rank, ...controlMethods} = linkService;
-
 function heartbeatOf({targetId, bornMs, sequence}: TargetReport): TargetHeartbeat {
 	return {targetId, bornMs, sequence};
 }
--- a/packages/rank-agent/src/group-engine-clients.ts
+++ b/packages/rank-agent/src/group-engine-clients.ts
@@ -18,7 +18,7 @@
 	readonly engines: readonly EngineClient[];
 	/** Paces that the agents of the ranks have told. */
 	readonly paces?: readonly number[];
-	/** Sends hold orders to the holding rank through an agent outside the group: if that agent's VM is paused, no rank of the group is paused with it. */
+	/** Sends hold orders to the holding rank through a process outside the group: if that process's VM is paused, no rank of the group is paused with it. */
 	readonly holdEngine?: EngineClient;
 	/** Reaches all ranks with few messages from this VM. */
 	readonly relay?: GroupRelay;
@@ -42,7 +42,7 @@
 	readonly #directClients = new Map<string, EngineClient>();
 	readonly #samples = new ReceivedSamples();
 	readonly #pacer = new TransferPacer();
-	#outsideAgentTurn = 0;
+	#outsideTurn = 0;
 
 	constructor(options: GroupEngineClientsOptions) {
 		this.#options = options;
@@ -88,11 +88,12 @@
 		return new GroupRelay({calls: this.#options.calls, local: {rank, engine: this.#options.localEngine}, members});
 	}
 
-	/** A client for the engine of the holding rank that goes through an agent outside the group. */
+	/** A client for the engine of the holding rank that goes through a process outside the group: an agent of another group, or else a control process. */
 	#createHoldEngine(group: string, cards: readonly NodeCard[]): EngineClient | undefined {
-		const outsideAgent = chooseOutsideAgent(group, cards, this.#outsideAgentTurn++);
+		const turn = this.#outsideTurn++;
+		const outside = chooseOutsideAgent(group, cards, turn) ?? chooseControl(cards, turn);
 		const holder = cards.find(({role, rankPlace}) => role === 'agent' && rankPlace?.group === group && rankPlace.rank === holdingRank);
-		return outsideAgent && holder && new RemoteEngineClient({calls: this.#options.calls, linkAddress: outsideAgent.linkAddress!, targetAddress: holder.targetAddress!});
+		return outside && holder && new RemoteEngineClient({calls: this.#options.calls, linkAddress: outside.linkAddress!, targetAddress: holder.targetAddress!});
 	}
 }
 
@@ -116,5 +117,14 @@
 /** Chooses an agent that has no rank in the group, in rotation by turn. */
 function chooseOutsideAgent(group: string, cards: Iterable<NodeCard>, turn: number): NodeCard | undefined {
 	const outsideAgents = [...cards].filter(card => card.role === 'agent' && card.rankPlace !== undefined && card.rankPlace.group !== group && !card.isLeaving);
-	return outsideAgents.toSorted((left, right) => left.nodeId < right.nodeId ? -1 : 1)[turn % Math.max(1, outsideAgents.length)];
+	return inTurn(outsideAgents, turn);
+}
+
+/** Chooses a control process, in rotation by turn. */
+function chooseControl(cards: Iterable<NodeCard>, turn: number): NodeCard | undefined {
+	return inTurn([...cards].filter(card => card.role === 'control' && !card.isLeaving), turn);
+}
+
+function inTurn(cards: readonly NodeCard[], turn: number): NodeCard | undefined {
+	return cards.toSorted((left, right) => left.nodeId < right.nodeId ? -1 : 1)[turn % Math.max(1, cards.length)];
 }
--- a/packages/rank-agent/src/group-relay.test.ts
+++ b/packages/rank-agent/src/group-relay.test.ts
@@ -7,13 +7,18 @@
 import {expect} from 'earl';
 import {FakeRankGroup} from './fake-rank-group.js';
 import {GroupRelay} from './group-relay.js';
+import type {EngineOrder} from './engine-client.js';
 import {MapSwitch} from './map-switch.js';
+import {RemoteEngineClient} from './remote-engine-client.js';
 import {RankRequestHandler} from './rank-request-handler.js';
 
 const rankCount = 9;
 const initialMap = [Array.from({length: rankCount}, (_, rank) => [rank])];
 const nextMap = [Array.from({length: rankCount}, (_, rank) => [rank, (rank + 1) % rankCount])];
 
+/** Longest time for which one frozen agent may hold its group. */
+const maxHoldMs = 450;
+
 const timers: NodeJS.Timeout[] = [];
 
 function cardOf(rank: number): NodeCard {
@@ -31,9 +36,9 @@
 	/** Number of calls by the address that sends them. */
 	readonly sent = new Map<string, number>();
 	readonly #handlers: RankRequestHandler[];
-	readonly #deliveryOf: (address: string) => Delivery;
+	readonly #deliveryOf: (address: string, request: RankRequest) => Delivery;
 
-	constructor(deliveryOf: (address: string) => Delivery) {
+	constructor(deliveryOf: (address: string, request: RankRequest) => Delivery) {
 		this.#deliveryOf = deliveryOf;
 		this.group = new FakeRankGroup({
 			ranks: rankCount, lists: initialMap, copyMs: 10, stepMs: 5, nextDelivery: () => 'prompt', orderDelayMs: () => 0, nowMs: () => performance.now(),
@@ -46,12 +51,22 @@
 		}, 1));
 	}
 
-	newSwitch(): MapSwitch {
+	/** A switch whose orders go to the engine directly if its agent does not answer. */
+	newSwitchThroughAgents(): MapSwitch {
+		const engines = this.group.engines.map((engine, rank) => rank === 0
+			? engine
+			: new RemoteEngineClient({
+				calls: this.#callsOf('agent-0'), linkAddress: `agent-${rank}`, targetAddress: `target-${rank}`, directClient: () => this.group.unfencedEngines[rank],
+			}));
+		return this.newSwitch(engines);
+	}
+
+	newSwitch(engines = this.group.engines): MapSwitch {
 		const members = Array.from({length: rankCount - 1}, (_, index) => ({rank: index + 1, card: cardOf(index + 1)}));
 		const relay = new GroupRelay({calls: this.#callsOf('agent-0'), local: {rank: 0, engine: this.group.engines[0]}, members});
 		return new MapSwitch({
 			ranks: {
-				group: 'g', epoch: this.group.epoch, engines: this.group.engines, relay,
+				group: 'g', epoch: this.group.epoch, engines, relay,
 			}, holdingRank: 1, nowMs: () => performance.now(),
 		});
 	}
@@ -59,7 +74,7 @@
 	#callsOf(sender: string): Pick<LinkCalls, 'call'> {
 		const call = async (address: string, _method: unknown, request: RankRequest, timeoutMs: number): Promise<RankReply | undefined> => {
 			this.sent.set(sender, (this.sent.get(sender) ?? 0) + 1);
-			const delivery = this.#deliveryOf(address);
+			const delivery = this.#deliveryOf(address, request);
 			const handler = this.#handlers[Number(address.split('-')[1])];
 			if (delivery === 'prompt') {
 				return handler.handle(request);
@@ -103,6 +118,28 @@
 		expect([relayed.group.mixedSteps, relayed.group.isHeld]).toEqual([0, false]);
 	});
 
+	for (const frozen of [1, 2, 3, 5]) {
+		it(`holds the group for no longer than a slow arming if agent ${frozen} freezes as the ranks are armed`, async () => {
+			let isFrozen = false;
+			const relayed = new RelayedGroup((address, request) => {
+				isFrozen ||= request.kind === 'relay' && request.request.kind === 'order' && (request.request.order as EngineOrder).kind === 'arm';
+				return isFrozen && address === `agent-${frozen}` ? 'lost' : 'prompt';
+			});
+			const {group} = relayed;
+			let heldMs = 0;
+			let lastMs = performance.now();
+			timers.push(setInterval(() => {
+				heldMs += group.isHeld ? performance.now() - lastMs : 0;
+				lastMs = performance.now();
+			}, 1));
+			expect(await relayed.newSwitchThroughAgents().run(10, nextMap)).toEqual('switched');
+			await sleep(80);
+			expect(new Set(group.versions)).toEqual(new Set([10]));
+			expect([group.mixedSteps, group.isHeld]).toEqual([0, false]);
+			expect(heldMs).toBeLessThan(maxHoldMs);
+		});
+	}
+
 	for (let seed = 1; seed <= 12; seed++) {
 		it(`never mixes maps in a step while messages are lost, unanswered or late: seed ${seed}`, async () => {
 			const random = seededRandom(seed * 104_729);
--- a/packages/rank-agent/src/index.ts
+++ b/packages/rank-agent/src/index.ts
@@ -6,5 +6,6 @@
 export * from './map-rebalancer.js';
 export * from './map-switch.js';
 export * from './map-version-allocator.js';
+export * from './outside-holder.js';
 export * from './rank-agent.js';
 export * from './rank-request-handler.js';
