--- a/packages/rank-agent/src/group-engine-clients.ts
+++ b/packages/rank-agent/src/group-engine-clients.ts
@@ -11,6 +11,9 @@
 /** The rank at which the group is held during a map switch, if the group has several ranks. */
 export const holdingRank = 1;
 
+/** Number of turns for which an outside process that did not answer is left out: some seconds, as a frozen VM may take. */
+const turnsLeftOut = 20;
+
 /** One formation of a group, with an engine client for each rank. */
 export type GroupRanks = {
 	readonly group: string;
@@ -43,6 +46,8 @@
 	readonly #samples = new ReceivedSamples();
 	readonly #pacer = new TransferPacer();
 	#outsideTurn = 0;
+	/** Turn in which an outside process last did not answer, by its address. */
+	readonly #silentTurns = new Map<string, number>();
 
 	constructor(options: GroupEngineClientsOptions) {
 		this.#options = options;
@@ -91,9 +96,18 @@
 	/** A client for the engine of the holding rank that goes through a process outside the group: an agent of another group, or else a control process. */
 	#createHoldEngine(group: string, cards: readonly NodeCard[]): EngineClient | undefined {
 		const turn = this.#outsideTurn++;
-		const outside = chooseOutsideAgent(group, cards, turn) ?? chooseControl(cards, turn);
+		const answering = cards.filter(({linkAddress = ''}) => turn - (this.#silentTurns.get(linkAddress) ?? Number.NEGATIVE_INFINITY) > turnsLeftOut);
+		const outside = chooseOutsideAgent(group, answering, turn) ?? chooseControl(answering, turn);
 		const holder = cards.find(({role, rankPlace}) => role === 'agent' && rankPlace?.group === group && rankPlace.rank === holdingRank);
-		return outside && holder && new RemoteEngineClient({calls: this.#options.calls, linkAddress: outside.linkAddress!, targetAddress: holder.targetAddress!});
+		return outside && holder && new RemoteEngineClient({
+			calls: this.#options.calls,
+			linkAddress: outside.linkAddress!,
+			targetAddress: holder.targetAddress!,
+			onAgentTimeout: unanswered => {
+				this.#silentTurns.set(outside.linkAddress!, turn);
+				this.#options.onAgentTimeout(unanswered);
+			},
+		});
 	}
 }
 
--- a/packages/rank-agent/src/map-switch.ts
+++ b/packages/rank-agent/src/map-switch.ts
@@ -45,6 +45,9 @@
 /** A map, as the experts of each rank, by set and rank. */
 export type ExpertLists = ReadonlyArray<ReadonlyArray<readonly number[]>>;
 
+/** A hold of the group before a step, and the time until which it may be armed. */
+type Hold = {readonly step: number; readonly untilMs: number};
+
 /** Options of a switch. */
 export type MapSwitchOptions = {
 	readonly ranks: GroupRanks;
@@ -116,20 +119,12 @@
 			return 'notPrepared';
 		}
 
-		const states = await this.#fetchStates();
-		if (!states) {
-			return 'groupChanged';
-		}
-
-		const step = Math.max(...states.map(state => state.step)) + this.#armMarginSteps + (version % armSpreadSteps);
-		const untilMs = this.#nowMs() + armLimitMs;
-		if (!await this.#timed('holding', async () => this.#hold(step, untilMs))) {
-			// No rank is armed yet, so it is safe to release the group whether or not it is held.
-			await this.#orderUntilApplied(this.#holdingEngine, {kind: 'go', step}, untilMs);
-			return 'notHeld';
+		const hold = await this.#timed('holding', async () => this.#holdBeforeStep(version));
+		if (typeof hold === 'string') {
+			return hold;
 		}
 
-		return await this.#timed('arming', async () => this.#armAndRelease(version, step, untilMs)) ? 'switched' : 'left';
+		return await this.#timed('arming', async () => this.#armAndRelease(version, hold.step, hold.untilMs)) ? 'switched' : 'left';
 	}
 
 	/** Releases a group that was left held, once the switch is complete on all ranks or undone on all. Only the agent of the holding rank calls this. */
@@ -155,21 +150,46 @@
 		return this.#orderUntilApplied(this.#holdingEngine, {kind: 'go', step}, untilMs);
 	}
 
-	/** Holds the group, through an agent outside of it if there is one. Repeats the order if no answer arrived and the group is not held. */
-	async #hold(step: number, untilMs: number): Promise<boolean> {
-		const {holdEngine, epoch} = this.#ranks;
+	/**
+	Holds the group before a step that it has not begun: through a process outside of it if there is one, and if that one does not answer or is too late, through the agent of
+	the holding rank at a later step. The weights that were copied stay of use.
+	*/
+	async #holdBeforeStep(version: number): Promise<Hold | 'notHeld' | 'groupChanged'> {
+		const steps: number[] = [];
+		for (const holdEngine of [this.#ranks.holdEngine, undefined]) {
+			const states = await this.#fetchStates();
+			if (!states) {
+				return 'groupChanged';
+			}
+
+			const step = Math.max(...states.map(state => state.step)) + this.#armMarginSteps + (version % armSpreadSteps);
+			const untilMs = this.#nowMs() + armLimitMs;
+			if (await this.#hold(step, untilMs, holdEngine)) {
+				return {step, untilMs};
+			}
+
+			// No rank is armed yet, so it is safe to release the group whether or not it is held; an earlier hold may have come late.
+			steps.push(step);
+			for (const triedStep of steps) {
+				await this.#orderUntilApplied(this.#holdingEngine, {kind: 'go', step: triedStep}, untilMs);
+			}
+		}
+
+		return 'notHeld';
+	}
+
+	/** Holds the group, through an outside process if one is given: one order, whose outcome is read from the holding rank if no answer arrived. */
+	async #hold(step: number, untilMs: number, holdEngine: EngineClient | undefined): Promise<boolean> {
+		const {epoch} = this.#ranks;
 		const body = {kind: 'hold', step} as const;
 		if (!holdEngine) {
 			return this.#orderUntilApplied(this.#holdingEngine, body, untilMs);
 		}
 
-		let outcome: OrderOutcome = 'unknown';
-		while (outcome === 'unknown' && this.#nowMs() < untilMs) {
-			outcome = await holdEngine.order({...body, fencing: this.#fencing, epoch});
-			const state = outcome === 'unknown' ? await this.#holdingEngine.state() : undefined;
-			if (isAccepted(outcome) || (state !== undefined && isApplied(state, body))) {
-				return true;
-			}
+		const outcome = await holdEngine.order({...body, fencing: this.#fencing, epoch});
+		const state = outcome === 'unknown' ? await this.#holdingEngine.state() : undefined;
+		if (isAccepted(outcome) || (state !== undefined && isApplied(state, body))) {
+			return true;
 		}
 
 		this.#firstRefusal ??= `hold from outside: ${outcome}`;
--- a/packages/rank-agent/src/outside-holder.test.ts
+++ b/packages/rank-agent/src/outside-holder.test.ts
@@ -82,13 +82,15 @@
 
 	frozen: string | undefined;
 	heldMs = 0;
+	readonly #freezesAfterHold: (address: string) => boolean;
 	readonly #clients: GroupEngineClients;
 	readonly #holder = new OutsideHolder(address => this.group.unfencedEngines[rankOf(address)]);
 	readonly #handlers = this.group.engines.map((engine, rank) => new RankRequestHandler({
 		targetAddress: `target-${rank}`, engine, directClient: address => this.group.unfencedEngines[rankOf(address)], calls: this.#calls(),
 	}));
 
-	constructor() {
+	constructor(freezesAfterHold: (address: string) => boolean = () => true) {
+		this.#freezesAfterHold = freezesAfterHold;
 		this.#clients = new GroupEngineClients({
 			nodeId: 'agent-0', localEngine: this.group.engines[0], calls: this.#calls(), createEngineClient: address => this.#directClient(rankOf(address)), onAgentTimeout: () => undefined,
 		});
@@ -119,7 +121,7 @@
 
 			const handler = address.startsWith('control') ? this.#holder : this.#handlers[rankOf(address)];
 			const reply = await handler.handle(request);
-			if (request.kind === 'order' && request.order.kind === 'hold') {
+			if (request.kind === 'order' && request.order.kind === 'hold' && this.#freezesAfterHold(address)) {
 				this.frozen = address;
 			}
 
@@ -146,6 +148,17 @@
 		expect(only.heldMs).toBeLessThan(maxHoldMs);
 	});
 
+	it('is held through its own agent by the same switch if the control process does not answer or is too late, and through another control process by the next one', async () => {
+		const only = new OnlyGroup(() => false);
+		only.frozen = 'control-1';
+		expect(await only.switchOnce([...agents, controlCard(1)], 10)).toEqual('switched');
+		await sleep(80);
+		expect(only.group.versions).toEqual([10, 10, 10, 10]);
+		const startedAtMs = performance.now();
+		expect(await only.switchOnce([...agents, controlCard(1), controlCard(2)], 20)).toEqual('switched');
+		expect(performance.now() - startedAtMs).toBeLessThan(200);
+	});
+
 	it('is held through another control process by the next switch', async () => {
 		const only = new OnlyGroup();
 		await only.switchOnce([...agents, controlCard(1), controlCard(2)], 10);
--- a/packages/rank-agent/src/unresponsive-agent.test.ts
+++ b/packages/rank-agent/src/unresponsive-agent.test.ts
@@ -99,8 +99,9 @@
 		const switchOnce = async (version: number) => new MapSwitch({ranks, holdingRank: 1, nowMs: () => performance.now()}).run(version, nextMap);
 		expect(await switchOnce(10)).toEqual('switched');
 		await sleep(100);
-		expect(await switchOnce(20)).toEqual('notHeld');
+		expect(await switchOnce(20)).toEqual('switched');
 		await sleep(300);
+		expect(group.versions).toEqual([20, 20, 20, 20]);
 		expect([group.isHeld, group.mixedSteps]).toEqual([false, 0]);
 		expect(longestHoldMs()).toBeLessThan(maxHoldMs);
 	});
