--- a/packages/gateway/src/request-forwarder.ts
+++ b/packages/gateway/src/request-forwarder.ts
@@ -537,6 +537,8 @@
 		logger.log('info', 'requestEnded', {
 			requestId: metadata.requestId,
 			route: route.name,
+			objectiveMs: route.objectiveMs,
+			pauseObjectiveMs: route.pauseObjectiveMs,
 			outcome,
 			status,
 			reason,
