--- a/packages/rank-agent/src/map-switch.test.ts
+++ b/packages/rank-agent/src/map-switch.test.ts
@@ -177,6 +177,30 @@
 		}
 	});
 
+	describe('when it is held from outside, and orders are lost, unanswered or applied late', () => {
+		for (let seed = 1; seed <= 12; seed++) {
+			it(`never mixes maps in a step, and leaves the group released: seed ${seed}`, async () => {
+				const random = seededRandom(seed * 32_452_843);
+				const {group, timer} = startGroup(() => deliveryOf(random()), random);
+				for (let version = 10; version < 14; version++) {
+					const ranks = {
+						group: 'g', epoch: group.epoch, engines: group.engines, holdEngine: group.unfencedEngines[1],
+					};
+					await new MapSwitch({ranks, holdingRank: 1, nowMs: () => performance.now()}).run(version * 10, version % 2 === 0 ? nextMap : initialMap);
+					await recoverIfHeld(group, (version * 10) + 5);
+				}
+
+				for (let look = 0; look < 20; look++) {
+					await sleep(20);
+					await recoverIfHeld(group, 1000 + (look * 10));
+				}
+
+				clearInterval(timer);
+				expect([group.mixedSteps, group.isHeld]).toEqual([0, false]);
+			});
+		}
+	});
+
 	describe('when the coordinator is paused and another one takes over', () => {
 		for (let seed = 1; seed <= 12; seed++) {
 			it(`never mixes maps in a step, and leaves the group released: seed ${seed}`, async () => {
