--- a/packages/placement/src/pass-limit.ts
+++ b/packages/placement/src/pass-limit.ts
@@ -1,7 +1,8 @@
 /**
 Number of requests that the ranks of a group may process at the same time so that the pauses between events stay within the objective, from passes that
 were measured. All ranks wait for the most loaded one in each pass, and a pass with more writers takes longer: while passes are slow, fewer writers are on
-time where more would all be late. A measured pass includes what the published formula leaves out: prompts that are read, copies, slow ranks.
+time where more would all be late. While none can be on time, there is no limit: a late answer is better for its caller than none. A measured pass includes
+what the published formula leaves out: prompts that are read, copies, slow ranks.
 
 Load that this answers: demand that moves between experts every few seconds, and ranks that become slow, at an arrival rate near the capacity of the group.
 */
@@ -96,7 +97,7 @@
 		this.#groups.set(group, record);
 		addSample(record, engine, figures, nowMs);
 		const highest = record.limit + (risePerSecond * writersWithin(engine, pauseObjectiveMs, 1) * (nowMs - record.updatedAtMs) / 1000);
-		record.limit = Math.min(wantedWriters(record, engine, pauseObjectiveMs, skew), highest);
+		record.limit = isEmptyPassTooLong(engine, pauseObjectiveMs, figures.pace) ? Number.POSITIVE_INFINITY : Math.min(wantedWriters(record, engine, pauseObjectiveMs, skew), highest);
 		record.updatedAtMs = nowMs;
 		return record.limit;
 	}
@@ -125,6 +126,11 @@
 	record.writerTimes.push({atMs: nowMs, value: Math.max(value, writerMs(engine, 1))});
 }
 
+/** Whether the slowest rank alone makes each pass longer than the objective: no answer is on time then, and a limit would only refuse those that come late. */
+function isEmptyPassTooLong(engine: EngineProfile, pauseObjectiveMs: number, pace: number): boolean {
+	return fixedPassMs(engine) * pace >= pauseObjectiveMs * passShare;
+}
+
 /** The writers that keep a pass within the objective. */
 function wantedWriters({writerTimes, pace}: GroupRecord, engine: EngineProfile, pauseObjectiveMs: number, skew: number | undefined): number {
 	if (writerTimes.length === 0) {
