--- a/packages/fleet-control/src/fleet-control.ts
+++ b/packages/fleet-control/src/fleet-control.ts
@@ -9,8 +9,8 @@
 import type {ReplaceOutcome, StoredDocument} from '@rattanspring/desired-state';
 import type {DomainOrder, DomainRegister, DomainRequest} from '@rattanspring/domain-drain';
 import {
-	ControlLinks, type DocumentRequest, DocumentSender, type DownMessage, type JoinRequest, LinkServer, linkService, listen, type NodeCard, type NodeRole, type RankReply, type RankRequest, type TrialReply,
-	type TrialRequest, type UpMessage,
+	ControlLinks, type DocumentRequest, DocumentSender, type DownMessage, type JoinRequest, LinkServer, linkService, listen, type NodeCard, type NodeRole, type RankReply,
+	type RankRequest, type TrialReply, type TrialRequest, type UpMessage,
 } from '@rattanspring/fleet-link';
 import type {FatalErrorHandler} from '@rattanspring/log-storage';
 import {describeError, type Logger} from '@rattanspring/logger';
