--- a/packages/rank-agent/src/map-switch.ts
+++ b/packages/rank-agent/src/map-switch.ts
@@ -152,7 +152,7 @@
 
 	/**
 	Holds the group before a step that it has not begun: through a process outside of it if there is one, and if that one does not answer or is too late, through the agent of
-	the holding rank at a later step. The weights that were copied stay of use.
+	the holding rank at a later step. The copied weights need not be copied again.
 	*/
 	async #holdBeforeStep(version: number): Promise<Hold | 'notHeld' | 'groupChanged'> {
 		const steps: number[] = [];
