--- a/packages/placement/src/pass-limit.test.ts
+++ b/packages/placement/src/pass-limit.test.ts
@@ -135,9 +135,11 @@
 		expect(value > 5).toEqual(true);
 	});
 
-	it('leaves a rank one writer, whatever is measured', () => {
+	it('leaves a rank one writer, however long the measured passes are at the published speed', () => {
 		expect(limits(new PassLimit(), 0, 100, {...calm, passTimes: [{passMs: 5000, ageMs: 0}]})).toEqual([1]);
-		expect(limits(new PassLimit(), 0, 100, {...calm, pace: 12, passTimes: []}).length).toEqual(1);
+		expect(limits(new PassLimit(), 0, 100, {
+			...calm, skew: 1, pace: 12, passTimes: [],
+		})).toEqual([Number.POSITIVE_INFINITY]);
 	});
 });
 
