Logs tell the hypotheses on requests cut by a planned stop apart

A request that a stop cut left no line: connections were closed and the process exited in the same turn of the event loop. Now it ends with requestEnded outcome=cut reason=stopping; requestEnded says which request of its connection it was and when it arrived relative to the stop (hypotheses 1 and 3), and each step of the stop says how many connections were open, how many of them had carried no request yet (2) and how many requests were in progress. No decision changes.

--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -6,6 +6,7 @@
 import http, {type IncomingMessage, type ServerResponse} from 'node:http';
 import type {Duplex} from 'node:stream';
 import type {CallLimits} from '@rattanspring/desired-state';
+import {CallerConnections} from './caller-connections.js';
 
 /** Interval at which connections are checked for timeouts. */
 const checkIntervalMs = 500;
@@ -20,12 +21,14 @@
 export type CallerServerOptions = {
 	readonly host: string;
 	readonly port: number;
-	readonly onRequest: (request: IncomingMessage, response: ServerResponse) => void;
+	/** `connectionRequest` is the number of the request among those of its connection, from 1 on. */
+	readonly onRequest: (request: IncomingMessage, response: ServerResponse, connectionRequest: number) => void;
 };
 
 export class CallerServer {
 	readonly #options: CallerServerOptions;
 	readonly #server: http.Server;
+	readonly #connections = new CallerConnections();
 	#isLeaving = false;
 
 	constructor(options: CallerServerOptions) {
@@ -37,13 +40,23 @@
 				response.shouldKeepAlive = false;
 			}
 
-			options.onRequest(request, response);
+			const connection = this.#connections.of(request.socket);
+			connection.begin(response);
+			options.onRequest(request, response, connection.requestCount);
+		});
+		this.#server.on('connection', socket => {
+			this.#connections.add(socket);
 		});
 		this.#server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
 			rejectUnparsableRequest(error, socket);
 		});
 	}
 
+	/** Open connections, and the requests in progress on them. */
+	get connections(): Pick<CallerConnections, 'count' | 'unusedCount' | 'inProgress'> {
+		return this.#connections;
+	}
+
 	/** Starts listening. */
 	async start(): Promise<void> {
 		const {host, port} = this.#options;
--- a/packages/gateway/src/crash-watch.ts
+++ b/packages/gateway/src/crash-watch.ts
@@ -6,10 +6,11 @@
 import type {TargetLifetime} from '@rattanspring/target-table';
 import {type BrokenRequest, CrashDetector} from './crash-detector.js';
 import type {Revocable} from './key-revocation.js';
+import type {Stoppable} from './planned-stop.js';
 import {TrialGate} from './trial-gate.js';
 
 /** A request in progress that can be ended for what it contains. */
-export type Withdrawable = Revocable & {readonly withdrawIfSuspected: () => void};
+export type Withdrawable = Revocable & Stoppable & {readonly withdrawIfSuspected: () => void};
 
 /** Options of a watch. */
 export type CrashWatchOptions = {
--- a/packages/gateway/src/gateway-context.ts
+++ b/packages/gateway/src/gateway-context.ts
@@ -16,6 +16,7 @@
 import type {FirstAttemptEstimator} from './first-attempt-estimator.js';
 import type {HeaderCodec} from './header-codec.js';
 import type {PermitRequests} from './permit-requests.js';
+import type {PlannedStop} from './planned-stop.js';
 import type {StallWatch} from './stall-watch.js';
 import type {TargetOutcomes} from './target-outcomes.js';
 import type {UnsentBudget} from './unsent-budget.js';
@@ -57,4 +58,6 @@
 	/** Whether this process was held up. */
 	readonly stallWatch: StallWatch;
 	readonly permitRequests: Pick<PermitRequests, 'ask'>;
+	/** Whether this entry is being stopped. */
+	readonly plannedStop: PlannedStop;
 };
--- a/packages/gateway/src/gateway.test.ts
+++ b/packages/gateway/src/gateway.test.ts
@@ -22,6 +22,7 @@
 import {CrashWatch} from './crash-watch.js';
 import {FirstAttemptEstimator} from './first-attempt-estimator.js';
 import type {GatewayContext} from './gateway-context.js';
+import {PlannedStop} from './planned-stop.js';
 import {StallWatch} from './stall-watch.js';
 import {TargetOutcomes} from './target-outcomes.js';
 import {UnsentBudget} from './unsent-budget.js';
@@ -234,6 +235,7 @@
 				nodeId: 'e1', onAccusation: () => undefined, logger: new SilentLogger(), metrics: new DaemonMetrics(), nowMs: () => performance.now(),
 			}),
 			permitRequests: {ask: () => undefined},
+			plannedStop: new PlannedStop(),
 			onTargetLeaving({targetId}) {
 				leaving.push(targetId);
 				return true;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -30,6 +30,7 @@
 import {PauseObjectives} from './pause-objectives.js';
 import {PermitReport} from './permit-report.js';
 import {PermitRequests} from './permit-requests.js';
+import {PlannedStop} from './planned-stop.js';
 import {QueueTimer} from './queue-timer.js';
 import {serveRequest} from './request-flow.js';
 import {StallWatch} from './stall-watch.js';
@@ -85,7 +86,7 @@
 	readonly #permitReport: PermitReport;
 	readonly #timers: NodeJS.Timeout[] = [];
 	readonly #queueTimer: QueueTimer;
-	#active = 0;
+	readonly #plannedStop = new PlannedStop();
 	readonly #entries = new EntryDirectory(() => this.#card());
 	readonly #pauseObjectives = new PauseObjectives();
 	readonly #passLimit = new PassLimit();
@@ -202,16 +203,13 @@
 				this.#onTargetCold(word, requestId);
 			},
 			permitRequests: this.#permitRequests,
+			plannedStop: this.#plannedStop,
 		};
 		this.#server = new CallerServer({
 			host: options.callerHost,
 			port: options.callerPort,
-			onRequest: (request, response) => {
-				this.#active++;
-				response.on('close', () => {
-					this.#active--;
-				});
-				void serveRequest(this.#context, request, response);
+			onRequest: (request, response, connectionRequest) => {
+				void serveRequest(this.#context, request, response, connectionRequest);
 			},
 		});
 		this.#documents = new DocumentFollower({
@@ -260,7 +258,7 @@
 
 	/** Number of requests in progress. */
 	get active(): number {
-		return this.#active;
+		return this.#server.connections.inProgress;
 	}
 
 	/** Starts listening for callers. */
@@ -283,16 +281,25 @@
 	/** Reports not ready. Requests are still served, and each connection is closed after its next response. */
 	startDraining(): void {
 		this.#isLeaving = true;
+		this.#plannedStop.begin(this.#context.nowMs());
+		this.#logStop('drainStarted');
 		this.#links.sendHello();
 		this.#server.startDraining();
 	}
 
 	/** Stops accepting connections. */
 	stopListening(): void {
+		this.#logStop('listenerClosed');
 		this.#server.stopListening();
 	}
 
+	/** Ends the requests in progress without an answer, and closes everything. */
 	close(): void {
+		this.#logStop('connectionsClosed');
+		for (const request of this.#context.crashWatch.forwarding) {
+			request.cut();
+		}
+
 		for (const timer of this.#timers) {
 			clearInterval(timer);
 		}
@@ -305,6 +312,15 @@
 		this.#options.exchange.close();
 	}
 
+	#logStop(step: string): void {
+		const {count, unusedCount, inProgress} = this.#server.connections;
+		const {logger, nowMs} = this.#context;
+		const sinceStopMs = this.#plannedStop.sinceBegunMs(nowMs());
+		logger.log('info', 'stopStep', {
+			step, connections: count, unusedConnections: unusedCount, requests: inProgress, ...(sinceStopMs !== undefined && {sinceStopMs: Math.round(sinceStopMs)}),
+		});
+	}
+
 	/** Processes the admission queue; returns whether requests still wait. */
 	#processWaiting(): boolean {
 		const {admission, nowMs} = this.#context;
--- a/packages/gateway/src/request-flow.ts
+++ b/packages/gateway/src/request-flow.ts
@@ -26,7 +26,7 @@
 const headerNamePattern = /^[!#$%&'*+\-.^`|~\w]+$/;
 
 /** Rejects the request, or forwards it to a target. */
-export async function serveRequest(context: GatewayContext, request: IncomingMessage, response: ServerResponse): Promise<void> {
+export async function serveRequest(context: GatewayContext, request: IncomingMessage, response: ServerResponse, connectionRequest = 1): Promise<void> {
 	const arrivedAtMs = context.nowMs();
 	const answer = new CallerResponse(response, context.headerCodec);
 	const metadata = context.headerCodec.readRequest(request.headers);
@@ -60,7 +60,7 @@
 		const service = selectWeightedService(route.split, context.random());
 		const routedRequest: RoutedRequest = {
 			metadata, route, service, engine: table.engineOf(service), account, method: request.method!, path, rawHeaders: request.rawHeaders, body: body.body,
-			components: componentsOf(fingerprintOf(path, account?.name, body.body), metadata), arrivedAtMs, deadlineAtMs,
+			components: componentsOf(fingerprintOf(path, account?.name, body.body), metadata), arrivedAtMs, deadlineAtMs, connectionRequest,
 		};
 		new RequestForwarder(context, answer, routedRequest).start(response);
 		return;
--- a/packages/gateway/src/request-forwarder.ts
+++ b/packages/gateway/src/request-forwarder.ts
@@ -141,6 +141,14 @@
 		this.#end('callerDoesNotRead', 0);
 	}
 
+	/** Ends the request without a whole answer: the process ends. */
+	cut(): void {
+		this.#running?.attempt.abandon();
+		this.#endAttempt('abandoned');
+		this.#answer.closeConnection();
+		this.#end('cut', 0, 'stopping');
+	}
+
 	/** Ends the request if it waits to be sent and its key was revoked. One that may have run before is not called unauthorized, since that would say it did not run. */
 	rejectIfRevoked(table: RouteTable): void {
 		if (this.#isFinished || this.#running !== undefined || !isRevoked(this.#request, table)) {
--- a/packages/gateway/src/request-record.ts
+++ b/packages/gateway/src/request-record.ts
@@ -29,7 +29,7 @@
 };
 
 /** Writes the log line of a request and counts its outcome, what refused callers are told, and what becomes of callers who are known to have tried before. */
-export function recordEnd({logger, metrics, nowMs}: GatewayContext, {metadata, route, service, arrivedAtMs}: RoutedRequest, end: RequestEnd): void {
+export function recordEnd({logger, metrics, nowMs, plannedStop}: GatewayContext, {metadata, route, service, arrivedAtMs, connectionRequest}: RoutedRequest, end: RequestEnd): void {
 	const {outcome, view, retryAfterMs, sinceFirstTryMs, suspectedComponents} = end;
 	const {firstByteAtMs, longestEventGapMs} = end.progress;
 	metrics.requests.inc({service, outcome});
@@ -67,6 +67,8 @@
 		firstByteMs: sinceMs(arrivedAtMs, firstByteAtMs),
 		pauseMs: sinceMs(0, longestEventGapMs),
 		tookMs: sinceMs(arrivedAtMs, nowMs()),
+		connectionRequest,
+		sinceStopMs: sinceMs(0, plannedStop.sinceBegunMs(arrivedAtMs)),
 	});
 }
 
--- a/packages/gateway/src/routed-request.ts
+++ b/packages/gateway/src/routed-request.ts
@@ -19,6 +19,8 @@
 	/** What the request consists of, as far as other requests may contain it too: the whole of it, and the shared parts of its prompt. */
 	readonly components: readonly string[];
 	readonly arrivedAtMs: number;
+	/** Number of the request among those that its connection has carried, from 1 on. */
+	readonly connectionRequest: number;
 	/** The earlier of the caller's and the route's deadline. */
 	readonly deadlineAtMs: number;
 };
--- a/packages/gateway/src/target-outcomes.test.ts
+++ b/packages/gateway/src/target-outcomes.test.ts
@@ -21,6 +21,7 @@
 import {FirstAttemptEstimator} from './first-attempt-estimator.js';
 import type {GatewayContext} from './gateway-context.js';
 import {serveRequest} from './request-flow.js';
+import {PlannedStop} from './planned-stop.js';
 import {StallWatch} from './stall-watch.js';
 import {TableWait} from './table-wait.js';
 import {TargetOutcomes} from './target-outcomes.js';
@@ -200,6 +201,7 @@
 			onTargetLimit: () => false,
 			onTargetLeaving: () => false,
 			permitRequests: {ask: () => undefined},
+			plannedStop: new PlannedStop(),
 		};
 		const server = new CallerServer({
 			host: '127.0.0.1', port, onRequest(request, response) {
