An entry that is being stopped refuses what it can't finish

Callers saw streams without a whole answer around SIGTERM: sent on connections over which a stream had spanned the signal, so that no Connection: close had come, they were passed on to a target and cut when the process ended (7.4 s of 8).

Cause: nothing asked how much time was left. Until its last moment the entry passed on every request that it read.

Now PlannedStop decides: all requests for as long as callers may hold addresses from before the stop (or half of a short stop), later only those whose deadline ends before the stop does; others get 503 stopping with the shortest Retry-After, so that their callers can go elsewhere, also those that wait for a target when that time is over.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,5 +1,6 @@
 /** An entry process: follows the control processes, serves callers, and lists the entries that callers may use. */
 
+import {setTimeout as sleep} from 'node:timers/promises';
 import {ShareOrder} from '@rattanspring/account-shares';
 import type {DocumentCodec, EngineProfile, RouteTable} from '@rattanspring/desired-state';
 import {
@@ -30,7 +31,7 @@
 import {PauseObjectives} from './pause-objectives.js';
 import {PermitReport} from './permit-report.js';
 import {PermitRequests} from './permit-requests.js';
-import {PlannedStop} from './planned-stop.js';
+import {PlannedStop, type StopSchedule} from './planned-stop.js';
 import {QueueTimer} from './queue-timer.js';
 import {serveRequest} from './request-flow.js';
 import {StallWatch} from './stall-watch.js';
@@ -44,6 +45,12 @@
 /** Interval at which the uses of client accounts are told to a control process. */
 const useIntervalMs = 1000;
 
+/** Time for which callers with old addresses still reach this entry, after it has begun to refuse them. */
+const listenAfterwardsMs = 500;
+
+/** Interval at which a stop looks whether requests are still in progress. */
+const stopPollMs = 50;
+
 /** Bytes of all responses that are not complete yet: a part of the memory that is left beside the program. */
 const maxResponseBytes = 50_331_648;
 
@@ -278,19 +285,31 @@
 		return this.#isInformed ? this.#entries.addressesFor(failureDomain) : undefined;
 	}
 
-	/** Reports not ready. Requests are still served, and each connection is closed after its next response. */
-	startDraining(): void {
+	/**
+	Stops in order: reports not ready and goes on serving while callers learn of other entries, then refuses what can't be answered before the limit, and ends when no
+	request is in progress, or at the limit. Each connection is closed after its next response.
+	*/
+	async stop(schedule: StopSchedule): Promise<void> {
+		const {nowMs, crashWatch} = this.#context;
+		const elapsedMs = () => this.#plannedStop.sinceBegunMs(nowMs())!;
 		this.#isLeaving = true;
-		this.#plannedStop.begin(this.#context.nowMs());
+		this.#plannedStop.begin(schedule, nowMs());
 		this.#logStop('drainStarted');
 		this.#links.sendHello();
 		this.#server.startDraining();
-	}
+		await sleep(this.#plannedStop.takingOnMs);
+		for (const request of crashWatch.forwarding) {
+			request.refuseUnsent();
+		}
 
-	/** Stops accepting connections. */
-	stopListening(): void {
+		await sleep(listenAfterwardsMs);
 		this.#logStop('listenerClosed');
 		this.#server.stopListening();
+		while (this.active > 0 && elapsedMs() < schedule.limitMs) {
+			await sleep(stopPollMs);
+		}
+
+		this.close();
 	}
 
 	/** Ends the requests in progress without an answer, and closes everything. */
--- a/packages/gateway/src/request-flow.ts
+++ b/packages/gateway/src/request-flow.ts
@@ -11,6 +11,7 @@
 import type {RequestMetadata} from './header-codec.js';
 import {readBody} from './read-body.js';
 import {RequestForwarder} from './request-forwarder.js';
+import {stoppingRetryAfterMs} from './planned-stop.js';
 import type {RoutedRequest} from './routed-request.js';
 
 /** `Retry-After` while no desired state is known: a fixed part from the arrival of the request, the least that is left of it after the wait, and a random part. */
@@ -35,14 +36,15 @@
 		await context.stallWatch.pendingReads();
 	}
 
-	const table = context.table() ?? await context.tableWait.wait(metadata.timeLeftMs);
+	const table = context.table() ?? (context.plannedStop.isBegun ? undefined : await context.tableWait.wait(metadata.timeLeftMs));
 	if (answer.hasCallerLeft) {
 		logUnsent(context, metadata);
 		return;
 	}
 
 	if (!table) {
-		refuseWhileStarting(context, metadata, {answer, arrivedAtMs});
+		const refuse = context.plannedStop.isBegun ? refuseWhileStopping : refuseWhileStarting;
+		refuse(context, metadata, {answer, arrivedAtMs});
 		return;
 	}
 
@@ -54,7 +56,17 @@
 
 	const {route, account} = match;
 	const deadlineAtMs = arrivedAtMs + Math.min(metadata.timeLeftMs ?? route.timeoutMs, route.timeoutMs);
+	if (!context.plannedStop.mayTakeOn({nowMs: context.nowMs(), deadlineAtMs})) {
+		refuseWhileStopping(context, metadata, {answer, arrivedAtMs});
+		return;
+	}
+
 	const body = await readBodyBeforeDeadline(request, table.state.limits.maxBodyBytes, deadlineAtMs - arrivedAtMs);
+	if (body.kind === 'whole' && !context.plannedStop.mayTakeOn({nowMs: context.nowMs(), deadlineAtMs})) {
+		refuseWhileStopping(context, metadata, {answer, arrivedAtMs});
+		return;
+	}
+
 	if (body.kind === 'whole') {
 		const path = request.url!;
 		const service = selectWeightedService(route.split, context.random());
@@ -80,6 +92,15 @@
 	metrics.requests.inc({service: 'none', outcome: 'callerLeft'});
 }
 
+/** The caller may go to another entry at once. */
+function refuseWhileStopping({logger, metrics, nowMs, plannedStop}: GatewayContext, {requestId}: RequestMetadata, {answer, arrivedAtMs}: {answer: CallerResponse; arrivedAtMs: number}): void {
+	logger.log('info', 'requestRefused', {
+		requestId, status: 503, reason: 'stopping', sinceStopMs: Math.round(plannedStop.sinceBegunMs(nowMs()) ?? 0), waitedMs: Math.round(nowMs() - arrivedAtMs),
+	});
+	metrics.requests.inc({service: 'none', outcome: 'refused'});
+	answer.refuse('stopping', stoppingRetryAfterMs);
+}
+
 function refuseWhileStarting({logger, metrics, random, nowMs}: GatewayContext, {requestId}: RequestMetadata, {answer, arrivedAtMs}: {answer: CallerResponse; arrivedAtMs: number}): void {
 	const waitedMs = nowMs() - arrivedAtMs;
 	const retryAfterMs = Math.max(minStartingRetryAfterMs, startingRetryAfterMs - waitedMs) + (random() * startingRetryJitterMs);
--- a/packages/gateway/src/request-forwarder.ts
+++ b/packages/gateway/src/request-forwarder.ts
@@ -18,6 +18,7 @@
 import type {TimeSinceFirstAttempt} from './first-attempt-estimator.js';
 import type {GatewayContext} from './gateway-context.js';
 import {isRevoked} from './key-revocation.js';
+import {stoppingRetryAfterMs} from './planned-stop.js';
 import {recordEnd} from './request-record.js';
 import {ResponseProgress} from './response-progress.js';
 import type {RoutedRequest} from './routed-request.js';
@@ -141,6 +142,14 @@
 		this.#end('callerDoesNotRead', 0);
 	}
 
+	/** Refuses the request if it waits to be sent and will not be answered before the process stops. */
+	refuseUnsent(): void {
+		const isSent = this.#running !== undefined || this.#sentCount > 0;
+		if (!this.#isFinished && !isSent && !this.#context.plannedStop.mayTakeOn({nowMs: this.#nowMs, deadlineAtMs: this.#request.deadlineAtMs})) {
+			this.#refuse('stopping', stoppingRetryAfterMs);
+		}
+	}
+
 	/** Ends the request without a whole answer: the process ends. */
 	cut(): void {
 		this.#running?.attempt.abandon();
