The end of a stop answers the requests that are still in progress

Callers whose requests waited or ran when the limit of a stop came saw their connections closed, and could not tell whether the requests had run. Cause: the stop ended by closing all connections and exiting in the same turn. Now each request ends with what is known of it: 503 if it was not sent to any target, a target's failure answer if there is one, else 502, which promises nothing; only answers that have begun are cut. The process then waits up to 0.3 s for these answers to be written.

Evidence: stopped-entry 'tells a caller whose request has not ended by then' failed before ('no whole answer, passed on') and passes.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -48,6 +48,9 @@
 /** Time for which callers with old addresses still reach this entry, after it has begun to refuse them. */
 const listenAfterwardsMs = 500;
 
+/** Time for the last answers to reach the callers' connections. */
+const flushMs = 300;
+
 /** Interval at which a stop looks whether requests are still in progress. */
 const stopPollMs = 50;
 
@@ -305,20 +308,18 @@
 		await sleep(listenAfterwardsMs);
 		this.#logStop('listenerClosed');
 		this.#server.stopListening();
-		while (this.active > 0 && elapsedMs() < schedule.limitMs) {
-			await sleep(stopPollMs);
+		await this.#waitUntilIdle(() => schedule.limitMs - elapsedMs());
+		for (const request of crashWatch.forwarding) {
+			request.endAtStop();
 		}
 
+		await this.#waitUntilIdle(() => schedule.limitMs + flushMs - elapsedMs());
 		this.close();
 	}
 
-	/** Ends the requests in progress without an answer, and closes everything. */
+	/** Closes everything at once. */
 	close(): void {
 		this.#logStop('connectionsClosed');
-		for (const request of this.#context.crashWatch.forwarding) {
-			request.cut();
-		}
-
 		for (const timer of this.#timers) {
 			clearInterval(timer);
 		}
@@ -331,6 +332,13 @@
 		this.#options.exchange.close();
 	}
 
+	/** Waits until no request is in progress, or no time is left. */
+	async #waitUntilIdle(timeLeftMs: () => number): Promise<void> {
+		while (this.active > 0 && timeLeftMs() > 0) {
+			await sleep(stopPollMs);
+		}
+	}
+
 	#logStop(step: string): void {
 		const {count, unusedCount, inProgress} = this.#server.connections;
 		const {logger, nowMs} = this.#context;
--- a/packages/gateway/src/planned-stop.ts
+++ b/packages/gateway/src/planned-stop.ts
@@ -9,8 +9,8 @@
 export type Stoppable = {
 	/** Refuses the request if it was not sent to any target. */
 	readonly refuseUnsent: () => void;
-	/** Ends the request without a whole answer. */
-	readonly cut: () => void;
+	/** Ends the request at the end of the stop. */
+	readonly endAtStop: () => void;
 };
 
 /** How a stop goes on. */
--- a/packages/gateway/src/request-forwarder.ts
+++ b/packages/gateway/src/request-forwarder.ts
@@ -150,12 +150,17 @@
 		}
 	}
 
-	/** Ends the request without a whole answer: the process ends. */
-	cut(): void {
+	/** Ends the request, as the process ends: its caller is told what is known of it, unless the answer has begun. */
+	endAtStop(): void {
+		this.#mayHaveRun ||= this.#running?.attempt.isSent === true;
 		this.#running?.attempt.abandon();
 		this.#endAttempt('abandoned');
-		this.#answer.closeConnection();
-		this.#end('cut', 0, 'stopping');
+		if (this.#answer.isStarted) {
+			this.#answer.closeConnection();
+			this.#end('cut', 0, 'stopping');
+		} else {
+			this.#giveUp('stopping', stoppingRetryAfterMs);
+		}
 	}
 
 	/** Ends the request if it waits to be sent and its key was revoked. One that may have run before is not called unauthorized, since that would say it did not run. */
