An entry that stops reads what the kernel holds for it before it closes sockets

Callers whose connection or request had reached the entry's kernel, but not the entry, were reset when it closed its listener and its idle connections 3.5 s after SIGTERM. It shows when the process is held up at that moment: its timers come before its reads. Cause: the HTTP server's close() ends the listener with its accept queue and all idle connections, whatever their receive buffers hold.

Now connections are taken over until a turn of the event loop brings none (one is accepted a turn), the listener is closed in that turn, and connections are closed only after a turn in which everything that had arrived was read, once they have been idle for 0.5 s. What comes on them until then is answered. The process ends when no connection is open, or at the limit.

What remains: a request that crosses the close of an idle connection (one way of the network), and the microseconds between the last look at the accept queue and its close.

--- a/packages/gateway/src/caller-connections.ts
+++ b/packages/gateway/src/caller-connections.ts
@@ -1,12 +1,26 @@
-/** The connections of callers: how many requests each has carried, and how many are in progress on it. */
+/**
+The connections of callers, and how many requests are in progress on each. A socket that is closed while the kernel holds bytes for it is reset, and whoever has just
+sent a request learns nothing; so a connection is closed only after all that has arrived was read.
+*/
 
-import type {Socket} from 'node:net';
 import type {ServerResponse} from 'node:http';
+import type {Socket} from 'node:net';
 
 /** One connection. */
 export class CallerConnection {
+	readonly #socket: Socket;
+	readonly #nowMs: () => number;
+	/** Responses that are not complete, the oldest first. */
+	readonly #responses: ServerResponse[] = [];
 	#requestCount = 0;
-	#inProgress = 0;
+	#idleSinceMs: number;
+	#bytesReadWhenIdle = 0;
+
+	constructor(socket: Socket, nowMs: () => number) {
+		this.#socket = socket;
+		this.#nowMs = nowMs;
+		this.#idleSinceMs = nowMs();
+	}
 
 	/** Requests that the connection has carried, those in progress included. */
 	get requestCount(): number {
@@ -15,28 +29,49 @@
 
 	/** Requests that have no complete answer yet. */
 	get inProgress(): number {
-		return this.#inProgress;
+		return this.#responses.length;
 	}
 
 	/** Notes a request until its response is complete or the connection is closed. */
 	begin(response: ServerResponse): void {
 		this.#requestCount++;
-		this.#inProgress++;
+		this.#responses.push(response);
 		response.on('close', () => {
-			this.#inProgress--;
+			this.#responses.splice(this.#responses.indexOf(response), 1);
+			this.#idleSinceMs = this.#nowMs();
+			this.#bytesReadWhenIdle = this.#socket.bytesRead;
 		});
 	}
+
+	/** Closes the connection if no request is in progress or being received, and none was for some time. */
+	endIfIdle(forMs: number): void {
+		const isIdle = this.inProgress === 0 && this.#socket.bytesRead === this.#bytesReadWhenIdle && this.#nowMs() - this.#idleSinceMs >= forMs;
+		if (isIdle) {
+			this.#socket.destroy();
+		}
+	}
 }
 
 /** All open connections of callers. */
 export class CallerConnections {
+	readonly #nowMs: () => number;
 	readonly #open = new Map<Socket, CallerConnection>();
+	#addedCount = 0;
+
+	constructor(nowMs: () => number) {
+		this.#nowMs = nowMs;
+	}
 
 	/** Number of open connections. */
 	get count(): number {
 		return this.#open.size;
 	}
 
+	/** Number of connections that were ever opened. */
+	get addedCount(): number {
+		return this.#addedCount;
+	}
+
 	/** Connections that have carried no request yet: the bytes of one may still be in the kernel. */
 	get unusedCount(): number {
 		return [...this.#open.values()].filter(({requestCount}) => requestCount === 0).length;
@@ -48,7 +83,8 @@
 	}
 
 	add(socket: Socket): void {
-		this.#open.set(socket, new CallerConnection());
+		this.#addedCount++;
+		this.#open.set(socket, new CallerConnection(socket, this.#nowMs));
 		socket.on('close', () => {
 			this.#open.delete(socket);
 		});
@@ -56,6 +92,13 @@
 
 	/** The connection of a socket that was added. */
 	of(socket: Socket): CallerConnection {
-		return this.#open.get(socket) ?? new CallerConnection();
+		return this.#open.get(socket) ?? new CallerConnection(socket, this.#nowMs);
+	}
+
+	/** Closes the connections that have been idle for some time. */
+	endIdle(forMs: number): void {
+		for (const connection of this.#open.values()) {
+			connection.endIfIdle(forMs);
+		}
 	}
 }
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -4,7 +4,9 @@
 */
 
 import http, {type IncomingMessage, type ServerResponse} from 'node:http';
+import net from 'node:net';
 import type {Duplex} from 'node:stream';
+import {setImmediate as nextTurn} from 'node:timers/promises';
 import type {CallLimits} from '@rattanspring/desired-state';
 import {CallerConnections} from './caller-connections.js';
 
@@ -17,6 +19,9 @@
 /** Idle connections are kept open this much longer than callers may reuse them. */
 const idleMarginMs = 1000;
 
+/** Longest time for which connections are taken over while ever more of them come. */
+const takeOverMs = 200;
+
 /** Options of the server. */
 export type CallerServerOptions = {
 	readonly host: string;
@@ -28,7 +33,7 @@
 export class CallerServer {
 	readonly #options: CallerServerOptions;
 	readonly #server: http.Server;
-	readonly #connections = new CallerConnections();
+	readonly #connections = new CallerConnections(() => performance.now());
 	#isLeaving = false;
 
 	constructor(options: CallerServerOptions) {
@@ -77,10 +82,22 @@
 		this.#isLeaving = true;
 	}
 
-	/** Stops accepting connections and closes idle ones. */
-	stopListening(): void {
-		this.#server.close();
-		this.#server.closeIdleConnections();
+	/** Stops accepting connections once those are taken over that the kernel has accepted: closing the listener resets them. Open ones stay open. */
+	async stopListening(): Promise<void> {
+		const endMs = performance.now() + takeOverMs;
+		for (let before = -1; before !== this.#connections.addedCount && performance.now() < endMs;) {
+			before = this.#connections.addedCount;
+			await nextTurn();
+		}
+
+		// The HTTP server's own method would close idle connections, which may hold a request that was not read yet.
+		net.Server.prototype.close.call(this.#server);
+	}
+
+	/** Closes connections that have been idle for some time, after reading what has arrived. */
+	async endIdle(forMs: number): Promise<void> {
+		await nextTurn();
+		this.#connections.endIdle(forMs);
 	}
 
 	/** Stops accepting connections and closes all open ones. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -48,6 +48,9 @@
 /** Time for which callers with old addresses still reach this entry, after it has begun to refuse them. */
 const listenAfterwardsMs = 500;
 
+/** Time without a request after which a connection is closed: a caller that goes on at once has sent its next request by then. */
+const idleMs = 500;
+
 /** Time for the last answers to reach the callers' connections. */
 const flushMs = 300;
 
@@ -290,7 +293,7 @@
 
 	/**
 	Stops in order: reports not ready and goes on serving while callers learn of other entries, then refuses what can't be answered before the limit, and ends when no
-	request is in progress, or at the limit. Each connection is closed after its next response.
+	connection is open, or at the limit. Each connection is closed after its next response, or once it is idle.
 	*/
 	async stop(schedule: StopSchedule): Promise<void> {
 		const {nowMs, crashWatch} = this.#context;
@@ -306,14 +309,14 @@
 		}
 
 		await sleep(listenAfterwardsMs);
+		await this.#server.stopListening();
 		this.#logStop('listenerClosed');
-		this.#server.stopListening();
-		await this.#waitUntilIdle(() => schedule.limitMs - elapsedMs());
+		await this.#waitUntilClosed(idleMs, () => schedule.limitMs - elapsedMs());
 		for (const request of crashWatch.forwarding) {
 			request.endAtStop();
 		}
 
-		await this.#waitUntilIdle(() => schedule.limitMs + flushMs - elapsedMs());
+		await this.#waitUntilClosed(0, () => schedule.limitMs + flushMs - elapsedMs());
 		this.close();
 	}
 
@@ -332,9 +335,10 @@
 		this.#options.exchange.close();
 	}
 
-	/** Waits until no request is in progress, or no time is left. */
-	async #waitUntilIdle(timeLeftMs: () => number): Promise<void> {
-		while (this.active > 0 && timeLeftMs() > 0) {
+	/** Closes connections that have been idle for some time, until none is open or no time is left. */
+	async #waitUntilClosed(idleForMs: number, timeLeftMs: () => number): Promise<void> {
+		while (this.#server.connections.count > 0 && timeLeftMs() > 0) {
+			await this.#server.endIdle(idleForMs);
 			await sleep(stopPollMs);
 		}
 	}
