A stopping entry says that it closes a connection wherever it still can, and takes on nothing behind that

Two gaps in how callers learn that their connection closes. Requests in progress at SIGTERM whose answers had not begun were answered without Connection: close, so that their callers went on using the connection. And of requests sent one behind the other, those behind the one answered with Connection: close were passed on to targets all the same, and dropped with the connection (LOST).

Cause: the close was decided once, when a request arrived, for that request alone. It is a property of the connection: its last response that has not begun is the one that says so, and a request behind a response that says so is not processed (RFC 9112, 9.3 and 9.6).

Evidence: two cases of stopped-entry that failed before ('does not match /connection: close/', and passed on: true).

--- a/packages/gateway/src/caller-connections.ts
+++ b/packages/gateway/src/caller-connections.ts
@@ -32,8 +32,12 @@
 		return this.#responses.length;
 	}
 
-	/** Notes a request until its response is complete or the connection is closed. */
-	begin(response: ServerResponse): void {
+	/** Notes a request until its response is complete or the connection is closed. Returns false for one behind a request after whose response the connection closes: it has no answer to come. */
+	begin(response: ServerResponse): boolean {
+		if (this.#responses.some(({shouldKeepAlive}) => !shouldKeepAlive)) {
+			return false;
+		}
+
 		this.#requestCount++;
 		this.#responses.push(response);
 		response.on('close', () => {
@@ -41,6 +45,15 @@
 			this.#idleSinceMs = this.#nowMs();
 			this.#bytesReadWhenIdle = this.#socket.bytesRead;
 		});
+		return true;
+	}
+
+	/** Closes the connection after the last response in progress, if that can still tell its caller. */
+	closeAfterResponse(): void {
+		const last = this.#responses.at(-1);
+		if (last && !last.headersSent) {
+			last.shouldKeepAlive = false;
+		}
 	}
 
 	/** Closes the connection if no request is in progress or being received, and none was for some time. */
@@ -95,6 +108,13 @@
 		return this.#open.get(socket) ?? new CallerConnection(socket, this.#nowMs);
 	}
 
+	/** Closes each connection after its last response in progress, where its caller can still be told. */
+	closeAfterResponses(): void {
+		for (const connection of this.#open.values()) {
+			connection.closeAfterResponse();
+		}
+	}
+
 	/** Closes the connections that have been idle for some time. */
 	endIdle(forMs: number): void {
 		for (const connection of this.#open.values()) {
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -41,12 +41,16 @@
 		this.#server = http.createServer({
 			maxHeaderSize: maxHeadBytes, connectionsCheckingInterval: checkIntervalMs, requestTimeout: 0, noDelay: true,
 		}, (request, response) => {
+			const connection = this.#connections.of(request.socket);
+			if (!connection.begin(response)) {
+				request.resume();
+				return;
+			}
+
 			if (this.#isLeaving) {
-				response.shouldKeepAlive = false;
+				connection.closeAfterResponse();
 			}
 
-			const connection = this.#connections.of(request.socket);
-			connection.begin(response);
 			options.onRequest(request, response, connection.requestCount);
 		});
 		this.#server.on('connection', socket => {
@@ -77,9 +81,10 @@
 		this.#server.keepAliveTimeout = limits.idleTimeoutMs + idleMarginMs;
 	}
 
-	/** Closes each connection after its next response. */
+	/** Closes each connection after its next response; one whose response has begun, after the one behind it. */
 	startDraining(): void {
 		this.#isLeaving = true;
+		this.#connections.closeAfterResponses();
 	}
 
 	/** Stops accepting connections once those are taken over that the kernel has accepted: closing the listener resets them. Open ones stay open. */
