A connection is closed one way behind its last answer, so that a reset can't take the end of that answer

A caller that was still sending its request when the answer came (404, 413, 503 starting or stopping) saw its connection reset and no answer, if the connection was to be closed: during a stop all are. Cause: the HTTP server closes the socket as soon as the answer is written; bytes that are unread then, or come later, make the kernel reset the connection, and a reset discards what the caller has not read yet (RFC 9112, 9.6).

Now the connection's end is sent behind the answer, what still comes is read and dropped, and the socket is given up when the caller has closed it, or after 1 s.

--- a/packages/gateway/src/caller-connections.ts
+++ b/packages/gateway/src/caller-connections.ts
@@ -1,11 +1,15 @@
 /**
 The connections of callers, and how many requests are in progress on each. A socket that is closed while the kernel holds bytes for it is reset, and whoever has just
-sent a request learns nothing; so a connection is closed only after all that has arrived was read.
+sent a request learns nothing; so a connection is closed only after all that has arrived was read. A reset can also take the end of an answer that was written before it;
+so a connection is closed one way behind its last answer, and the socket is given up once the caller has closed its side too, or some time later.
 */
 
 import type {ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 
+/** Time for a caller to read the last answer and to close its side. */
+const lingerMs = 1000;
+
 /** One connection. */
 export class CallerConnection {
 	readonly #socket: Socket;
@@ -15,11 +19,16 @@
 	#requestCount = 0;
 	#idleSinceMs: number;
 	#bytesReadWhenIdle = 0;
+	#isEnding = false;
 
 	constructor(socket: Socket, nowMs: () => number) {
 		this.#socket = socket;
 		this.#nowMs = nowMs;
 		this.#idleSinceMs = nowMs();
+		// The HTTP server closes a connection by this method behind its last answer.
+		socket.destroySoon = () => {
+			this.#end();
+		};
 	}
 
 	/** Requests that the connection has carried, those in progress included. */
@@ -34,7 +43,7 @@
 
 	/** Notes a request until its response is complete or the connection is closed. Returns false for one behind a request after whose response the connection closes: it has no answer to come. */
 	begin(response: ServerResponse): boolean {
-		if (this.#responses.some(({shouldKeepAlive}) => !shouldKeepAlive)) {
+		if (this.#isEnding || this.#responses.some(({shouldKeepAlive}) => !shouldKeepAlive)) {
 			return false;
 		}
 
@@ -58,11 +67,27 @@
 
 	/** Closes the connection if no request is in progress or being received, and none was for some time. */
 	endIfIdle(forMs: number): void {
-		const isIdle = this.inProgress === 0 && this.#socket.bytesRead === this.#bytesReadWhenIdle && this.#nowMs() - this.#idleSinceMs >= forMs;
+		const isIdle = !this.#isEnding && this.inProgress === 0 && this.#socket.bytesRead === this.#bytesReadWhenIdle && this.#nowMs() - this.#idleSinceMs >= forMs;
 		if (isIdle) {
 			this.#socket.destroy();
 		}
 	}
+
+	/** Closes the connection one way; what still comes is read and dropped. */
+	#end(): void {
+		if (this.#isEnding) {
+			return;
+		}
+
+		this.#isEnding = true;
+		this.#socket.end();
+		const timer = setTimeout(() => {
+			this.#socket.destroy();
+		}, lingerMs);
+		this.#socket.on('close', () => {
+			clearTimeout(timer);
+		});
+	}
 }
 
 /** All open connections of callers. */
