Bytes that are no request get no answer in the middle of another one

A caller that sent bytes behind its request which are no request found a whole HTTP head ('HTTP/1.1 400') in the middle of its stream, which then broke off.

Now the answers in progress are completed, and the connection is closed behind them; a 400 is written only if no whole request waits for its answer.

Evidence: stopped-entry 'writes nothing into an answer in progress' failed before ([200, false]) and passes.

--- a/packages/gateway/src/caller-connections.ts
+++ b/packages/gateway/src/caller-connections.ts
@@ -20,6 +20,7 @@
 	#idleSinceMs: number;
 	#bytesReadWhenIdle = 0;
 	#isEnding = false;
+	#endsAfterResponses = false;
 
 	constructor(socket: Socket, nowMs: () => number) {
 		this.#socket = socket;
@@ -53,10 +54,23 @@
 			this.#responses.splice(this.#responses.indexOf(response), 1);
 			this.#idleSinceMs = this.#nowMs();
 			this.#bytesReadWhenIdle = this.#socket.bytesRead;
+			if (this.#endsAfterResponses && this.inProgress === 0) {
+				this.#end();
+			}
 		});
 		return true;
 	}
 
+	/** Whether a request that was received whole has no complete answer yet, or an answer has begun. */
+	get hasAnswerToCome(): boolean {
+		return this.#responses.some(response => response.headersSent || response.req.complete);
+	}
+
+	/** Closes the connection once the responses in progress are complete: nothing else can be read from it. */
+	endAfterResponses(): void {
+		this.#endsAfterResponses = true;
+	}
+
 	/** Closes the connection after the last response in progress, if that can still tell its caller. */
 	closeAfterResponse(): void {
 		const last = this.#responses.at(-1);
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -57,7 +57,12 @@
 			this.#connections.add(socket);
 		});
 		this.#server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
-			rejectUnparsableRequest(error, socket);
+			const connection = this.#connections.of(socket as net.Socket);
+			if (connection.hasAnswerToCome && error.code !== 'ECONNRESET') {
+				connection.endAfterResponses();
+			} else {
+				rejectUnparsableRequest(error, socket);
+			}
 		});
 	}
 
