Log storage: what a restart recovers is synced before it counts as durable

What callers saw: an acknowledged change or vote could be gone after a loss of power, although a quorum had confirmed it.

Cause: a killed process may leave its last write in the kernel, or a rename without a sync of its folder. The next process read that back and took it for durable (the replica starts with the last recovered index as its durable one, and its vote and identity as read), so it confirmed entries and gave votes that no disk held. If the power failed after that, both were lost. The same held for the identity of the disk: a voter could come back under another name.

Evidence: three tests failed before, on files of which a killed process had synced only a part: "the value { 2 entries } is not equal to { 2 entries }" (indexes 1 to 4 were recovered after the kill, 1 and 2 after the loss of power); vote {term 2, b} after the kill, {term 1, a} after the loss of power; identity "a", then "c".

Nothing is confirmed before `recover` ends.

--- a/packages/log-storage/src/disk-identity.ts
+++ b/packages/log-storage/src/disk-identity.ts
@@ -16,6 +16,8 @@
 export async function loadOrCreateDiskIdentity(options: DiskIdentityOptions): Promise<string> {
 	const fileSystem = options.fileSystem ?? new NodeFileSystem();
 	await fileSystem.makeFolder(options.folder);
+	// A killed process may have left the file's name unsynced.
+	await fileSystem.syncFolder(options.folder);
 	const file = path.join(options.folder, 'identity');
 	const stored = await readRecordFile(fileSystem, file);
 	if (typeof stored === 'string') {
--- a/packages/log-storage/src/file-log-storage.test.ts
+++ b/packages/log-storage/src/file-log-storage.test.ts
@@ -19,6 +19,19 @@
 	}
 }
 
+/** Fails to sync folders on demand, as if the process were killed before it. */
+class UnsyncedFolders extends MemoryFileSystem {
+	failFolderSyncs = false;
+
+	override async syncFolder(folder: string): Promise<void> {
+		if (this.failFolderSyncs) {
+			throw new FailureError({type: 'syncFailed', message: 'input/output error'});
+		}
+
+		await super.syncFolder(folder);
+	}
+}
+
 const folder = '/data/log';
 const firstSegment = `${folder}/segment-0000000001.log`;
 
@@ -90,6 +103,30 @@
 		}
 	});
 
+	it('keeps through a loss of power the entries that a killed process left unsynced, once they were recovered', async () => {
+		const fileSystem = new MemoryFileSystem();
+		const killed = await openAndRecover(fileSystem);
+		await killed.append(entries(1, 2));
+		fileSystem.failSyncs = true;
+		await failureTypeOf(killed.append(entries(3, 2)));
+		fileSystem.failSyncs = false;
+		const restarted = await open(fileSystem).recover();
+		fileSystem.crash();
+		expect(await open(fileSystem).recover()).toEqual(restarted);
+	});
+
+	it('keeps through a loss of power the vote that a killed process left unsynced, once it was recovered', async () => {
+		const fileSystem = new UnsyncedFolders();
+		const killed = await openAndRecover(fileSystem);
+		await killed.saveVoteState({term: 1, votedFor: 'a'});
+		fileSystem.failFolderSyncs = true;
+		await failureTypeOf(killed.saveVoteState({term: 2, votedFor: 'b'}));
+		fileSystem.failFolderSyncs = false;
+		const restarted = await open(fileSystem).recover();
+		fileSystem.crash();
+		expect(await open(fileSystem).recover()).toEqual(restarted);
+	});
+
 	it('rejects a damaged record that is followed by a valid one, whether the header or the body is damaged', async () => {
 		for (const offset of [0, 5, 9, 20]) {
 			const fileSystem = new MemoryFileSystem();
@@ -165,4 +202,15 @@
 		const identify = async (name: string): Promise<string> => loadOrCreateDiskIdentity({folder: '/data', createId: () => name, fileSystem});
 		expect([await identify('a'), await identify('b')]).toEqual(['a', 'a']);
 	});
+
+	it('is kept through a loss of power if a killed process left it unsynced', async () => {
+		const fileSystem = new UnsyncedFolders();
+		const identify = async (name: string): Promise<string> => loadOrCreateDiskIdentity({folder: '/data', createId: () => name, fileSystem});
+		fileSystem.failFolderSyncs = true;
+		await failureTypeOf(identify('a'));
+		fileSystem.failFolderSyncs = false;
+		const restarted = await identify('b');
+		fileSystem.crash();
+		expect(await identify('c')).toEqual(restarted);
+	});
 });
--- a/packages/log-storage/src/file-log-storage.ts
+++ b/packages/log-storage/src/file-log-storage.ts
@@ -43,9 +43,11 @@
 		});
 	}
 
+	/** What is recovered counts as durable, so that it is synced first: a killed process may have left its last writes unsynced. */
 	async recover(): Promise<RecoveredLog> {
 		await this.#fileSystem.makeFolder(this.#folder);
 		await this.#fileSystem.syncFolder(path.dirname(this.#folder));
+		await this.#fileSystem.syncFolder(this.#folder);
 		const voteState = (await readRecordFile(this.#fileSystem, this.#voteFile)) as VoteState | undefined;
 		const snapshot = (await readRecordFile(this.#fileSystem, this.#snapshotFile)) as LogSnapshot | undefined;
 		this.#entries = await this.#segments.recover(snapshot);
--- a/packages/log-storage/src/segments.ts
+++ b/packages/log-storage/src/segments.ts
@@ -24,7 +24,7 @@
 		this.#options = options;
 	}
 
-	/** Replays all segments and truncates a torn record at the end of the last one. */
+	/** Replays all segments, truncates a torn record at the end of the last one, and syncs that one. */
 	async recover(snapshot: LogSnapshot | undefined): Promise<EntryList> {
 		const {fileSystem, folder} = this.#options;
 		const names = await fileSystem.list(folder);
@@ -108,7 +108,7 @@
 		while (offset < bytes.byteLength) {
 			const record = readRecord(bytes, offset);
 			if (!record.ok) {
-				await this.#truncateTornTail(segment, record.failure.type, offset);
+				this.#requireTornTail(segment, record.failure.type, offset);
 				break;
 			}
 
@@ -119,16 +119,25 @@
 		}
 
 		segment.sizeBytes = offset;
+		if (segment === this.#segments.at(-1)) {
+			await this.#syncThrough(segment.file, offset, bytes.byteLength);
+		}
 	}
 
-	/** Truncates a torn record. Only the last segment can have one, since every record is synced before the next segment is started. */
-	async #truncateTornTail(segment: Segment, type: 'torn' | 'damaged', offset: number): Promise<void> {
+	/** Only the last segment can have a torn record, since every record is synced before the next segment is started. */
+	#requireTornTail(segment: Segment, type: 'torn' | 'damaged', offset: number): void {
 		if (type === 'damaged' || segment !== this.#segments.at(-1)) {
 			throw new FailureError(damaged(segment.file, `the record at byte ${offset} is damaged`));
 		}
+	}
+
+	/** Truncates what follows the last whole record, and syncs the rest. */
+	async #syncThrough(file: string, endOffset: number, sizeBytes: number): Promise<void> {
+		const handle = await this.#options.fileSystem.openAppend(file);
+		if (endOffset < sizeBytes) {
+			await handle.truncate(endOffset);
+		}
 
-		const handle = await this.#options.fileSystem.openAppend(segment.file);
-		await handle.truncate(offset);
 		await handle.sync();
 		await handle.close();
 	}
