Calls to a control process are answered across a handover of the leadership

Cause: one attempt a call. A refusal during the transfer, the loss of the role and a read that nobody confirmed all ended in `undefined`, that is, 503.

That is safe: a document that was committed after all is already stored or overtaken by a higher version, and a repeated order names the revision that was read for it, so it finds its state or is overtaken.

--- a/packages/fleet-control/src/document-group.ts
+++ b/packages/fleet-control/src/document-group.ts
@@ -24,6 +24,7 @@
 import {documentCommand, DocumentStateMachine, domainCommand} from './document-state-machine.js';
 import {type ConfirmedRead, LeaderAccess, submitTimeoutMs} from './leader-access.js';
 import {MembershipMaintenance} from './membership-maintenance.js';
+import {whileLeaderChanges} from './while-leader-changes.js';
 import {withTimeout} from './with-timeout.js';
 
 /** Number of applied entries between snapshots. */
@@ -155,57 +156,35 @@
 		void this.#keepMembership();
 	}
 
+	/** A document that was committed by an earlier attempt after all is already stored, or overtaken. */
 	async replace(document: StoredDocument): Promise<ReplaceOutcome | undefined> {
 		const driver = this.#driver;
-		if (!driver) {
-			return undefined;
-		}
-
-		if (driver.state.role === 'leader') {
-			return commit(driver, documentCommand(document));
-		}
-
-		return this.#leaderAccess.submit(document, this.#leaderInContact(driver)?.address);
+		return driver && whileLeaderChanges(async () => this.#replaceOnce(document, driver));
 	}
 
 	async submit(document: StoredDocument): Promise<ReplaceOutcome | undefined> {
-		return this.isLeader ? this.replace(document) : undefined;
+		const driver = this.#driver;
+		return driver && this.isLeader ? this.#replaceOnce(document, driver) : undefined;
 	}
 
 	async read(): Promise<ConfirmedRead> {
 		const driver = this.#driver;
-		if (!driver) {
-			return {isConfirmed: false};
-		}
-
-		if (driver.state.role !== 'leader' && !this.#leaderInContact(driver)) {
-			return this.#leaderAccess.read();
-		}
-
-		const isConfirmed = await this.#confirmState(driver);
-		return {isConfirmed, document: isConfirmed ? this.#stateMachine.document : undefined};
+		const read = driver && await whileLeaderChanges(async () => {
+			const attempt = await this.#readOnce(driver);
+			return attempt.isConfirmed ? attempt : undefined;
+		});
+		return read ?? {isConfirmed: false};
 	}
 
 	async readRegister(): Promise<DomainRegister | undefined> {
 		const driver = this.#driver;
-		if (!driver) {
-			return undefined;
-		}
-
-		if (driver.state.role !== 'leader' && !this.#leaderInContact(driver)) {
-			return this.#leaderAccess.readRegister();
-		}
-
-		return await this.#confirmState(driver) ? this.#stateMachine.register : undefined;
+		return driver && whileLeaderChanges(async () => this.#readRegisterOnce(driver));
 	}
 
+	/** A repeated order finds its state, or is overtaken, since it names the revision that was read for it. */
 	async orderDomain(order: DomainOrder): Promise<DomainOrderOutcome | undefined> {
 		const driver = this.#driver;
-		if (driver?.state.role === 'leader') {
-			return await commit(driver, domainCommand(order)) as DomainOrderOutcome | undefined;
-		}
-
-		return driver && this.#leaderAccess.orderDomain(order, this.#leaderInContact(driver)?.address);
+		return driver && whileLeaderChanges(async () => this.#orderDomainOnce(order, driver));
 	}
 
 	/** The leader records the sender as a candidate and adds it if the group needs it; any other member returns the leader's address. */
@@ -247,6 +226,33 @@
 		this.#driver?.transferLeadership();
 	}
 
+	async #replaceOnce(document: StoredDocument, driver: ReplicaDriver<ReplaceOutcome>): Promise<ReplaceOutcome | undefined> {
+		return driver.state.role === 'leader' ? commit(driver, documentCommand(document)) : this.#leaderAccess.submit(document, this.#leaderInContact(driver)?.address);
+	}
+
+	async #readOnce(driver: ReplicaDriver<ReplaceOutcome>): Promise<ConfirmedRead> {
+		if (driver.state.role !== 'leader' && !this.#leaderInContact(driver)) {
+			return this.#leaderAccess.read();
+		}
+
+		const isConfirmed = await this.#confirmState(driver);
+		return {isConfirmed, document: isConfirmed ? this.#stateMachine.document : undefined};
+	}
+
+	async #readRegisterOnce(driver: ReplicaDriver<ReplaceOutcome>): Promise<DomainRegister | undefined> {
+		if (driver.state.role !== 'leader' && !this.#leaderInContact(driver)) {
+			return this.#leaderAccess.readRegister();
+		}
+
+		return await this.#confirmState(driver) ? this.#stateMachine.register : undefined;
+	}
+
+	async #orderDomainOnce(order: DomainOrder, driver: ReplicaDriver<ReplaceOutcome>): Promise<DomainOrderOutcome | undefined> {
+		return driver.state.role === 'leader'
+			? await commit(driver, domainCommand(order)) as DomainOrderOutcome | undefined
+			: this.#leaderAccess.orderDomain(order, this.#leaderInContact(driver)?.address);
+	}
+
 	async #recoverOrFormGroup(recovered: RecoveredLog): Promise<RecoveredLog | undefined> {
 		const {isFirstStart, seeds, linkAddress} = this.#options;
 		const isEmpty = !recovered.snapshot && recovered.entries.length === 0;
