A voter that has stopped answers what it is asked

What operators saw: commands, reads and changes of the membership that reached a control process between its stop of the log and the end of its listener got no answer; they were cut when their time or the listener's grace (1 s) was over.

Cause: a stopped driver ignores all events, so a request that was registered after the stop, or that waited to be appended, was never settled. The control role of the daemon stops its log first and goes on accepting calls.

Why this works: the driver refuses them as `notLeader`, which promises that nothing was appended and sends callers to another voter. Accepted ones still fail as `lost`.

--- a/packages/voter-group/src/replica-driver.ts
+++ b/packages/voter-group/src/replica-driver.ts
@@ -41,6 +41,9 @@
 
 const leadershipLostFailure: RequestFailure = {type: 'lost', message: 'This voter lost its leadership; the request may or may not have been accepted.'};
 
+/** Nothing was appended for the request. */
+const stoppedFailure: RequestFailure = {type: 'notLeader', message: 'This voter has stopped.'};
+
 export class ReplicaDriver<Answer> {
 	readonly #options: ReplicaDriverOptions<Answer>;
 	readonly #writeQueue: WriteQueue;
@@ -110,6 +113,11 @@
 	/** Commits a command and returns the state machine's result. */
 	async propose(command: Uint8Array): Promise<Result<Answer, RequestFailure>> {
 		const result = await new Promise<Result<Answer | undefined, RequestFailure>>(resolve => {
+			if (this.#isStopped) {
+				resolve(err(stoppedFailure));
+				return;
+			}
+
 			const requestId = this.#registerRequest(resolve);
 			this.#proposals.push({requestId, command});
 			if (this.#proposals.length === 1) {
@@ -123,18 +131,22 @@
 
 	/** Commits a membership change. */
 	async changeMembership(change: MembershipChange): Promise<Result<unknown, RequestFailure>> {
-		return new Promise(resolve => {
-			this.#step({type: 'changeMembership', requestId: this.#registerRequest(resolve), change});
-		});
+		return this.#isStopped
+			? err(stoppedFailure)
+			: new Promise(resolve => {
+				this.#step({type: 'changeMembership', requestId: this.#registerRequest(resolve), change});
+			});
 	}
 
 	/** Linearizable read: resolves once a quorum has confirmed that the applied state includes every command committed before the call. */
 	async read(): Promise<Result<number, RequestFailure>> {
-		return new Promise(resolve => {
-			const requestId = this.#nextRequestId++;
-			this.#reads.set(requestId, resolve);
-			this.#step({type: 'read', requestId});
-		});
+		return this.#isStopped
+			? err(stoppedFailure)
+			: new Promise(resolve => {
+				const requestId = this.#nextRequestId++;
+				this.#reads.set(requestId, resolve);
+				this.#step({type: 'read', requestId});
+			});
 	}
 
 	/** Starts a leadership transfer. */
@@ -153,11 +165,16 @@
 		return waitFor(() => this.#appliedIndex >= index, timeoutMs);
 	}
 
-	/** Stops the replica; accepted requests and reads fail as `lost`. */
+	/** Stops the replica; accepted requests and reads fail as `lost`, and what was not appended is refused. */
 	async stop(): Promise<void> {
 		this.#isStopped = true;
 		clearInterval(this.#timer);
 		this.#failPendingRequests();
+		for (const settle of this.#requests.values()) {
+			settle(err(stoppedFailure));
+		}
+
+		this.#requests.clear();
 		await this.#writeQueue.finish();
 	}
 
