The daemon's drain is not cut off by a second SIGTERM

What callers saw: answers in progress were cut if a draining daemon got SIGTERM again.

Cause: the handlers were installed with `once`, so the second signal met Node.js's default.

Why this works: the handler of SIGTERM stays, and the stop is started once. A second SIGINT still ends the process at once, since that is how an operator at a terminal gives up a drain. A stop that fails ended the process with 1 before and does so now.

--- a/packages/daemon/src/run-daemon.ts
+++ b/packages/daemon/src/run-daemon.ts
@@ -20,13 +20,15 @@
 	}
 }
 
-/** Calls `stop` on the first SIGTERM or SIGINT, then exits the process. */
+/** Calls `stop` on the first SIGTERM or SIGINT, then exits the process. Further SIGTERMs change nothing; a second SIGINT ends the process at once. */
 export function stopAtSignal(stop: () => Promise<unknown>): void {
-	for (const signal of ['SIGTERM', 'SIGINT'] as const) {
-		process.once(signal, () => {
-			void stop().then(() => {
-				process.exit(0);
-			});
+	let stopped: Promise<void> | undefined;
+	const onSignal = (): void => {
+		stopped ??= stop().then(() => {
+			process.exit(0);
 		});
-	}
+	};
+
+	process.on('SIGTERM', onSignal);
+	process.once('SIGINT', onSignal);
 }
