--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -52,7 +52,7 @@
 const idleMs = 500;
 
 /** Time for the last answers to reach the callers' connections. */
-const flushMs = 300;
+const flushMs = 200;
 
 /** Interval at which a stop looks whether requests are still in progress. */
 const stopPollMs = 50;
