An answer belongs to a request only if it carries the request's id: a refusal without one proves nothing

What callers saw: a target that wrote an answer once more, without its id, after the next request had been sent, had that answer taken for the next one's. A 503, 429 or 421 of an earlier request sent a request that may not be repeated to a second target while the first ran it; a 503 without the statement was passed on as "not run"; a 200, 404 or 500 was passed on as the answer. With an id, earlier or unknown, nothing of this happened, nor with bytes that came with the first answer, on the idle connection, or behind the next answer.

Cause: the attempt compared ids only if the answer had one.

Why this works: targets repeat the id in all their answers, so an answer without it is no proof of anything: it ends the attempt as broken, its connection is closed, and the request may have run. A request that has no id itself gets a connection that no other request has used.

target-outcomes.test.ts had targets that did not repeat the id; they do now, its checks are the same.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -1,6 +1,6 @@
 /**
 One exchange with one target. Reports a complete response, the complete events of a stream, or how the exchange failed.
-A response to another request or a truncated response is never reported as complete.
+A response that is not shown to belong to the request or a truncated response is never reported as complete, and a refusal in it proves nothing.
 */
 
 import {Buffer} from 'node:buffer';
@@ -12,7 +12,7 @@
 import type {HeaderCodec, ResponseMetadata} from './header-codec.js';
 
 /** Details of attempts that the entry itself has ended, so that they say nothing of the target's connection. */
-const ownEnds = ['silent', 'answerOfAnotherRequest', 'answerWithoutSignature', 'answerIsEncoded', 'eventTooLarge', 'answerTooLarge'] as const;
+const ownEnds = ['silent', 'answerOfAnotherRequest', 'answerWithoutId', 'answerWithoutSignature', 'answerIsEncoded', 'eventTooLarge', 'answerTooLarge'] as const;
 type OwnEnd = typeof ownEnds[number];
 
 /** Whether an attempt with this detail ended because its connection broke. */
@@ -42,6 +42,7 @@
 	readonly headerCodec: HeaderCodec;
 	readonly address: string;
 	readonly request: TargetRequest;
+	/** Only an answer with the same id belongs to the request. Without an id, it needs a connection that no other request has used. */
 	readonly requestId?: string;
 	/** Whether a successful response is a stream of events. */
 	readonly isStream: boolean;
@@ -66,10 +67,10 @@
 
 	constructor(options: AttemptOptions) {
 		this.#options = options;
-		const {exchange, address, isRetryable, request} = options;
+		const {exchange, address, isRetryable, request, requestId} = options;
 		this.#exchange = exchange.send({
 			address,
-			needsFreshConnection: !isRetryable,
+			needsFreshConnection: !isRetryable || requestId === undefined,
 			request,
 			listener: {
 				onSending: () => {
@@ -112,9 +113,8 @@
 
 	#onHead(head: ResponseHead): void {
 		const metadata = this.#options.headerCodec.readResponse(head);
-		const {requestId} = this.#options;
-		if (metadata.requestId !== undefined && requestId !== undefined && metadata.requestId !== requestId) {
-			this.#fail('answerOfAnotherRequest');
+		if (metadata.requestId !== this.#options.requestId) {
+			this.#fail(metadata.requestId === undefined ? 'answerWithoutId' : 'answerOfAnotherRequest');
 			return;
 		}
 
--- a/packages/gateway/src/header-codec.ts
+++ b/packages/gateway/src/header-codec.ts
@@ -34,6 +34,7 @@
 
 /** Data from the head of a target's response. */
 export type ResponseMetadata = {
+	/** Targets repeat the id of the request that they answer. */
 	readonly requestId?: string;
 	/** Whether the target guarantees that it did not run the request and never will. */
 	readonly isNotExecuted: boolean;
--- a/packages/gateway/src/target-outcomes.test.ts
+++ b/packages/gateway/src/target-outcomes.test.ts
@@ -35,12 +35,14 @@
 		return {requestId: headers['x-id'] as string};
 	}
 
-	targetHeaders(_rawHeaders: readonly string[], _metadata: ForwardingMetadata): string[] {
-		return [];
+	targetHeaders(rawHeaders: readonly string[], _metadata: ForwardingMetadata): string[] {
+		return rawHeaders.flatMap((name, index) => index % 2 === 0 && name.toLowerCase() === 'x-id' ? [name, rawHeaders[index + 1]] : []);
 	}
 
-	readResponse(_head: ResponseHead): ResponseMetadata {
-		return {isNotExecuted: false, isSigned: true, isLeaving: false};
+	readResponse({headers}: ResponseHead): ResponseMetadata {
+		return {
+			requestId: headers.get('x-id'), isNotExecuted: false, isSigned: true, isLeaving: false,
+		};
 	}
 
 	callerHeaders(): string[] {
@@ -80,7 +82,7 @@
 		this.count++;
 		const isFailing = Math.floor(this.count * this.failedShare) > Math.floor((this.count - 1) * this.failedShare);
 		setTimeout(() => {
-			response.writeHead(isFailing ? 500 : 200, {'content-length': 4}).end(Buffer.from('done'));
+			response.writeHead(isFailing ? 500 : 200, {'x-id': request.headers['x-id'] ?? '', 'content-length': 4}).end(Buffer.from('done'));
 		}, 20);
 	});
 
