A target's 503, 429 or 408 without a statement that the request did not run is no longer passed on to a request that may not be repeated

What callers saw: a target that had run such a request and answered 503, 429 or 408 without that statement had its answer passed on, signed. Callers take these statuses for a promise that the request did not run, and send it again.

Cause: a failure of a target was passed on whatever its status.

Why this works: what callers take for a promise depends on the status alone, so the header codec names these statuses, and an attempt whose answer has one without the statement ends as broken: the request may have run.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -12,7 +12,7 @@
 import type {HeaderCodec, ResponseMetadata} from './header-codec.js';
 
 /** Details of attempts that the entry itself has ended, so that they say nothing of the target's connection. */
-const ownEnds = ['silent', 'answerOfAnotherRequest', 'answerWithoutId', 'answerWithoutSignature', 'answerIsEncoded', 'eventTooLarge', 'answerTooLarge'] as const;
+const ownEnds = ['silent', 'answerOfAnotherRequest', 'answerWithoutId', 'refusalWithoutProof', 'answerWithoutSignature', 'answerIsEncoded', 'eventTooLarge', 'answerTooLarge'] as const;
 type OwnEnd = typeof ownEnds[number];
 
 /** Whether an attempt with this detail ended because its connection broke. */
@@ -120,6 +120,11 @@
 
 		this.#options.listener.onMetadata(metadata);
 		this.#isNotExecuted = metadata.isNotExecuted;
+		if (metadata.isTakenForNotExecuted && !metadata.isNotExecuted && !this.#options.isRetryable) {
+			this.#fail('refusalWithoutProof');
+			return;
+		}
+
 		if (!metadata.isSigned && !metadata.isNotExecuted && head.status < 300) {
 			this.#fail('answerWithoutSignature');
 			return;
--- a/packages/gateway/src/header-codec.ts
+++ b/packages/gateway/src/header-codec.ts
@@ -38,6 +38,8 @@
 	readonly requestId?: string;
 	/** Whether the target guarantees that it did not run the request and never will. */
 	readonly isNotExecuted: boolean;
+	/** Whether callers take the status for that guarantee, also if the target gives none. */
+	readonly isTakenForNotExecuted?: boolean;
 	/** Whether the response carries a target's signature. */
 	readonly isSigned: boolean;
 	/** Whether the target says that it is leaving, so that it wants no further requests. */
