A broken stream looks broken to callers of HTTP/1.0 too, and nothing is written into a response that has started

What callers saw: a stream that broke off ended for a caller of HTTP/1.0 with a plain close, which is the regular end of a response without chunks, so it looked complete. No path was found in which the entry writes a refusal or a failure into a response that has started, but nothing held that: a refusal or rejection threw "Cannot write headers after they are sent to the client" inside the process, and a whole answer or a second head left the connection open without an end.

Evidence: caller-response.test.ts, raw sockets, six ways in which a started response may go on, HTTP/1.1 and 1.0.

Why this works: every way to begin a response asks one place whether one may begin; a response that has started is broken off there. A connection whose close would be the end of the response is reset.

--- a/packages/gateway/src/caller-response.ts
+++ b/packages/gateway/src/caller-response.ts
@@ -8,7 +8,10 @@
 /** Whether a request ran, as far as the entry knows. */
 export type Execution = 'didNotRun' | 'unknown';
 
-/** Writes the response to one caller. Ignores writes after the end of the response and after the caller disconnected. */
+/**
+Writes the response to one caller. Ignores writes after the end of the response and after the caller disconnected.
+A response that has started is never followed by another one: it is broken off.
+*/
 export class CallerResponse {
 	readonly #response: ServerResponse;
 	readonly #headerCodec: HeaderCodec;
@@ -44,13 +47,9 @@
 		this.#sendProblem(503, reason, 'didNotRun', this.#headerCodec.refusalHeaders(retryAfterMs));
 	}
 
-	/** Reports that no target returned a response; the request may have run. Closes the connection if the response has started. */
+	/** Reports that no target returned a response; the request may have run. */
 	fail(status: 502 | 504, reason: string): void {
-		if (this.isStarted) {
-			this.closeConnection();
-		} else {
-			this.#sendProblem(status, reason, 'unknown');
-		}
+		this.#sendProblem(status, reason, 'unknown');
 	}
 
 	/** Rejects a request that is malformed or that the desired state does not allow. */
@@ -60,7 +59,8 @@
 
 	/** Forwards a complete response. */
 	pass(head: ResponseHead, body: Buffer): void {
-		if (this.#sendHead(head, ['Content-Length', String(body.byteLength)])) {
+		if (this.#canBegin()) {
+			this.#sendHead(head, ['Content-Length', String(body.byteLength)]);
 			this.#isFinished = true;
 			this.#response.end(body);
 		}
@@ -68,7 +68,9 @@
 
 	/** Forwards the head of a stream. */
 	startStream(head: ResponseHead): void {
-		this.#sendHead(head, []);
+		if (this.#canBegin()) {
+			this.#sendHead(head, []);
+		}
 	}
 
 	/** Forwards a part of a stream. */
@@ -86,23 +88,31 @@
 		}
 	}
 
-	/** Closes the connection, so that the caller can't take the response for complete. */
+	/** Closes the connection, so that the caller can't take the response for complete. A close is the regular end of a response without chunks, as for HTTP/1.0: that connection is reset. */
 	closeConnection(): void {
 		this.#isFinished = true;
+		if (this.isStarted && !this.#response.chunkedEncoding) {
+			this.#response.socket?.resetAndDestroy();
+		}
+
 		this.#response.destroy();
 	}
 
-	#sendHead(head: ResponseHead, framing: readonly string[]): boolean {
-		if (this.#isFinished || this.isStarted) {
-			return false;
+	/** Whether a response may begin. One that has started but not ended is broken off. */
+	#canBegin(): boolean {
+		if (!this.#isFinished && this.isStarted) {
+			this.closeConnection();
 		}
 
+		return !this.#isFinished;
+	}
+
+	#sendHead(head: ResponseHead, framing: readonly string[]): void {
 		this.#response.writeHead(head.status, [...this.#headerCodec.callerHeaders(head), ...framing]);
-		return true;
 	}
 
 	#sendProblem(status: number, reason: string, execution: Execution, headers: Readonly<Record<string, string>> = {}): void {
-		if (this.#isFinished) {
+		if (!this.#canBegin()) {
 			return;
 		}
 
