A resumed stream goes on only with an event stream whose first event has a later id; anything else ends it visibly broken

What callers saw: a stream broke off after two events, and the next target answered 200 with something else. Its bytes came in the middle of the stream: the text of an error of another content type, or without one, if it held a blank line; the stream once more from its start; the last event again; an event without an id. Without a body, the stream ended as if it were whole. A stream was also resumed after an event without an id, which the next target then sent again. Heads and problems of the entry or the target did not come into the stream, and answers with 503, 429, 421, 500, 404, 204 or 206, without signature or with another id ended it visibly broken.

Cause: every 200 on a streaming route was split at blank lines, whatever its type, and nothing compared the ids at the seam.

Why this works: the attempt that continues a stream knows the last id. It ends as broken, before anything is passed on, unless the answer says that it is an event stream, and unless its first event (comments aside) has a later id; ids that are no numbers must differ. The place of an event without an id can't be told, so after one a stream is not resumed. A first answer of another type is passed on like that of any other route, whole or not at all; one without a type still counts as a stream.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -6,13 +6,13 @@
 import {Buffer} from 'node:buffer';
 import type {AttemptOutcome} from '@rattanspring/placement';
 import {
-	EventSplitter, type Exchange, type ExchangeFailure, type ResponseHead, type TargetRequest, type TargetTransport,
+	type CompleteEvents, EventSplitter, type Exchange, type ExchangeFailure, type ResponseHead, StreamContinuation, type TargetRequest, type TargetTransport,
 } from '@rattanspring/target-connection';
 import type {ByteBudget} from './byte-budget.js';
 import type {HeaderCodec, ResponseMetadata} from './header-codec.js';
 
 /** Details of attempts that the entry itself has ended, so that they say nothing of the target's connection. */
-const ownEnds = ['silent', 'answerOfAnotherRequest', 'answerWithoutId', 'refusalWithoutProof', 'answerWithoutSignature', 'answerIsEncoded', 'eventTooLarge', 'answerTooLarge'] as const;
+const ownEnds = ['silent', 'answerOfAnotherRequest', 'answerWithoutId', 'refusalWithoutProof', 'answerWithoutSignature', 'answerIsEncoded', 'eventTooLarge', 'answerTooLarge', 'noStream', 'eventsOutOfOrder'] as const;
 type OwnEnd = typeof ownEnds[number];
 
 /** Whether an attempt with this detail ended because its connection broke. */
@@ -20,6 +20,8 @@
 	return !ownEnds.includes(detail as OwnEnd);
 }
 
+const eventStreamPattern = /^\s*text\/event-stream\s*(;|$)/i;
+
 /** Maximum size of a response that is buffered before it is forwarded. */
 const maxResponseBytes = 8_388_608;
 
@@ -31,7 +33,7 @@
 	/** Called with the head of every response to the request, also of one that counts as failed later. */
 	readonly onMetadata: (metadata: ResponseMetadata) => void;
 	readonly onResponse: (answer: CompleteResponse) => void;
-	readonly onEvents: (head: ResponseHead, bytes: Buffer, lastId: string | undefined) => void;
+	readonly onEvents: (head: ResponseHead, events: CompleteEvents) => void;
 	readonly onStreamEnd: (head: ResponseHead) => void;
 	readonly onOutcome: (outcome: AttemptOutcome, detail: string) => void;
 };
@@ -46,6 +48,8 @@
 	readonly requestId?: string;
 	/** Whether a successful response is a stream of events. */
 	readonly isStream: boolean;
+	/** Given if the response continues a stream that another target began, after the event with this id. */
+	readonly continuedAfter?: {readonly lastEventId: string | undefined};
 	/** Whether the request may run more than once. If not, it needs a connection that the target's idle timeout cannot close. */
 	readonly isRetryable: boolean;
 	/** Bytes that the responses of all attempts may take while they are buffered. */
@@ -58,6 +62,7 @@
 	readonly #options: AttemptOptions;
 	readonly #exchange: Exchange;
 	readonly #events = new EventSplitter();
+	readonly #continuation: StreamContinuation | undefined;
 	#chunks: Buffer[] = [];
 	#length = 0;
 	#head: ResponseHead | undefined;
@@ -67,7 +72,10 @@
 
 	constructor(options: AttemptOptions) {
 		this.#options = options;
-		const {exchange, address, isRetryable, request, requestId} = options;
+		const {
+			exchange, address, isRetryable, request, requestId, continuedAfter,
+		} = options;
+		this.#continuation = continuedAfter && new StreamContinuation(continuedAfter.lastEventId);
 		this.#exchange = exchange.send({
 			address,
 			needsFreshConnection: !isRetryable || requestId === undefined,
@@ -136,6 +144,9 @@
 		}
 
 		this.#head = head;
+		if (head.status === 200 && this.#continuation && !this.#isStreaming) {
+			this.#fail('noStream');
+		}
 	}
 
 	#onData(chunk: Buffer): void {
@@ -144,9 +155,14 @@
 		}
 
 		if (this.#isStreaming) {
-			const {bytes, lastId} = this.#events.push(chunk);
-			if (bytes.byteLength > 0) {
-				this.#options.listener.onEvents(this.#head, bytes, lastId);
+			const events = this.#events.push(chunk);
+			if (this.#continuation?.accepts(events.bytes) === false) {
+				this.#fail('eventsOutOfOrder');
+				return;
+			}
+
+			if (events.bytes.byteLength > 0) {
+				this.#options.listener.onEvents(this.#head, events);
 			}
 
 			if (this.#events.isOversized) {
@@ -165,8 +181,11 @@
 		this.#chunks.push(chunk);
 	}
 
+	/** A response of another type is no stream. One without a type may be, unless it has to continue one. */
 	get #isStreaming(): boolean {
-		return this.#options.isStream && this.#head?.status === 200;
+		const type = this.#head?.headers.get('content-type');
+		const isEvents = type === undefined ? !this.#continuation : eventStreamPattern.test(type);
+		return this.#options.isStream && this.#head?.status === 200 && isEvents;
 	}
 
 	/** A response without a length ends with its connection: it is whole if that was closed in order, and, as a stream, after a whole event. */
--- a/packages/gateway/src/request-forwarder.ts
+++ b/packages/gateway/src/request-forwarder.ts
@@ -3,7 +3,6 @@
 has passed. A request that ran or may have run is never reported as not executed.
 */
 
-import type {Buffer} from 'node:buffer';
 import type {ServerResponse} from 'node:http';
 import {type RequestWork, workOf} from '@rattanspring/account-shares';
 import {mayHaveCausedCrash} from '@rattanspring/crash-evidence';
@@ -11,7 +10,7 @@
 	type Admission, type AttemptOutcome, type ExchangeOutcome, isRetryable, nextStep, type TargetView, type PendingAdmission,
 } from '@rattanspring/placement';
 import type {RouteTable} from '@rattanspring/desired-state';
-import type {ResponseHead} from '@rattanspring/target-connection';
+import type {CompleteEvents, ResponseHead} from '@rattanspring/target-connection';
 import type {TargetReport} from '@rattanspring/target-table';
 import {Attempt, type CompleteResponse, isBrokenConnection} from './attempt.js';
 import type {CallerResponse} from './caller-response.js';
@@ -58,6 +57,8 @@
 	#admittedAtMs: number | undefined;
 	readonly #progress = new ResponseProgress();
 	#lastEventId: string | undefined;
+	/** Whether the caller has received an event without an id after the last one with an id, so that the stream can't be resumed. */
+	#isPositionUnknown = false;
 	/** Head of the stream that the caller received or will receive. */
 	#streamHead: ResponseHead | undefined;
 	/** Failure response of a target, forwarded if no other target succeeds. */
@@ -210,6 +211,10 @@
 		return this.#timeSinceFirstAttempt.atMostMs > minRetryDelayMs;
 	}
 
+	get #isResumable(): boolean {
+		return this.#request.route.isResumable && !this.#isPositionUnknown;
+	}
+
 	get #accountName(): string {
 		return this.#request.account?.name ?? '';
 	}
@@ -292,6 +297,7 @@
 			},
 			requestId: metadata.requestId,
 			isStream: route.kind === 'streaming',
+			continuedAfter: this.#streamHead && {lastEventId: this.#lastEventId},
 			isRetryable: isRetryable(route),
 			responseBytes: this.#context.responseBytes,
 			listener: {
@@ -303,8 +309,8 @@
 				onResponse: answer => {
 					this.#onResponse(answer);
 				},
-				onEvents: (head, bytes, lastId) => {
-					this.#onEvents(head, bytes, lastId);
+				onEvents: (head, events) => {
+					this.#onEvents(head, events);
 				},
 				onStreamEnd: head => {
 					this.#onStreamEnd(head);
@@ -340,7 +346,7 @@
 		this.#end('answered', answer.head.status);
 	}
 
-	#onEvents(head: ResponseHead, bytes: Buffer, lastId: string | undefined): void {
+	#onEvents(head: ResponseHead, {bytes, lastId, endsWithoutId}: CompleteEvents): void {
 		this.#recordResponseStart();
 		this.#context.outcomes.begun(this.#running!.exchange);
 		if (!this.#streamHead) {
@@ -351,6 +357,7 @@
 		this.#progress.recordEvents(this.#nowMs);
 		this.#silenceTimer?.recordEvent();
 		this.#lastEventId = lastId ?? this.#lastEventId;
+		this.#isPositionUnknown = endsWithoutId || (lastId === undefined && this.#isPositionUnknown);
 		this.#answer.write(bytes);
 		if (this.unsentBytes > maxUnsentBytes) {
 			this.endUnread();
@@ -418,7 +425,7 @@
 	#moveSilentStream(): boolean {
 		const {route, service, components} = this.#request;
 		const step = nextStep({
-			kind: route.kind, isResumable: route.isResumable, outcome: 'broken', sentCount: this.#sentCount + 1, unreachedCount: this.#unreachedCount, maxAttempts: route.maxAttempts, mayHaveRun: true,
+			kind: route.kind, isResumable: this.#isResumable, outcome: 'broken', sentCount: this.#sentCount + 1, unreachedCount: this.#unreachedCount, maxAttempts: route.maxAttempts, mayHaveRun: true,
 		});
 		const isAccused = this.#trialOf !== undefined || this.#context.crashWatch.guard.isAccused(components);
 		if (step !== 'tryAnother' || isAccused || !this.#running || !this.#context.retryBudget.isLeft(service, this.#nowMs, this.#context.entryCount())) {
@@ -434,7 +441,7 @@
 		const {logger, crashWatch} = this.#context;
 		const {route, service, components, metadata} = this.#request;
 		const step = nextStep({
-			kind: route.kind, isResumable: route.isResumable, outcome, sentCount: this.#sentCount, unreachedCount: this.#unreachedCount, maxAttempts: route.maxAttempts, mayHaveRun: this.#mayHaveRun,
+			kind: route.kind, isResumable: this.#isResumable, outcome, sentCount: this.#sentCount, unreachedCount: this.#unreachedCount, maxAttempts: route.maxAttempts, mayHaveRun: this.#mayHaveRun,
 		});
 		const isAccused = this.#trialOf !== undefined || crashWatch.guard.isAccused(components);
 		const mayRetry = step === 'tryAnother' && !isAccused
--- a/packages/target-connection/src/event-splitter.ts
+++ b/packages/target-connection/src/event-splitter.ts
@@ -3,7 +3,13 @@
 import {Buffer} from 'node:buffer';
 
 /** Complete events, and the id of the last one that has an id. */
-export type CompleteEvents = {readonly bytes: Buffer; readonly lastId?: string; readonly count: number};
+export type CompleteEvents = {
+	readonly bytes: Buffer;
+	readonly lastId?: string;
+	/** Whether an event without an id follows that one, so that the id does not tell where the events end. */
+	readonly endsWithoutId: boolean;
+	readonly count: number;
+};
 
 /** Maximum size of an incomplete event that is buffered. */
 const maxEventBytes = 1_048_576;
@@ -30,7 +36,7 @@
 		const end = endOfCompleteEvents(bytes);
 		this.#incompleteEvent = bytes.subarray(end);
 		const whole = bytes.subarray(0, end);
-		return {bytes: whole, lastId: lastEventIdOf(whole), count: countEvents(whole)};
+		return {bytes: whole, ...positionOf(whole), count: countEvents(whole)};
 	}
 }
 
@@ -41,18 +47,27 @@
 	return Math.max(plain === -1 ? 0 : plain + 2, crlfBoundary === -1 ? 0 : crlfBoundary + 3);
 }
 
-function lastEventIdOf(bytes: Buffer): string | undefined {
+function positionOf(bytes: Buffer): Pick<CompleteEvents, 'lastId' | 'endsWithoutId'> {
+	let endsWithoutId = false;
+	let hasFields = false;
 	for (let end = bytes.byteLength; end > 0;) {
 		const start = bytes.lastIndexOf(lineFeed, end - 2) + 1;
 		const line = bytes.toString('utf8', start, end).trim();
 		if (line.startsWith('id:')) {
-			return line.slice(3).trim();
+			return {lastId: line.slice(3).trim(), endsWithoutId};
+		}
+
+		if (line === '') {
+			endsWithoutId ||= hasFields;
+			hasFields = false;
+		} else {
+			hasFields ||= !line.startsWith(':');
 		}
 
 		end = start;
 	}
 
-	return undefined;
+	return {endsWithoutId: endsWithoutId || hasFields};
 }
 
 function countEvents(bytes: Buffer): number {
--- a/packages/target-connection/src/index.ts
+++ b/packages/target-connection/src/index.ts
@@ -2,4 +2,5 @@
 export * from './connection-pool.js';
 export * from './event-splitter.js';
 export * from './reachability.js';
+export * from './stream-continuation.js';
 export * from './target-transport.js';
