A request behind one that waits for its answer is answered during a stop

Cause: the request that was last when the stop began was marked as the last of its connection before anything had told its caller so.

Now the mark moves on: as long as the head that is to say Connection: close has not been sent, a further request is taken on and its answer says it. Only behind a head that was sent is a request dropped.

--- a/packages/gateway/src/caller-connections.ts
+++ b/packages/gateway/src/caller-connections.ts
@@ -21,6 +21,8 @@
 	#bytesReadWhenIdle = 0;
 	#isEnding = false;
 	#endsAfterResponses = false;
+	/** The response that is to say that the connection closes. */
+	#closing: ServerResponse | undefined;
 
 	constructor(socket: Socket, nowMs: () => number) {
 		this.#socket = socket;
@@ -42,8 +44,9 @@
 		return this.#responses.length;
 	}
 
-	/** Notes a request until its response is complete or the connection is closed. Returns false for one behind a request after whose response the connection closes: it has no answer to come. */
+	/** Notes a request until its response is complete or the connection is closed. Returns false for one behind a response that has said that the connection closes: it has no answer to come. */
 	begin(response: ServerResponse): boolean {
+		this.#takeBackClose();
 		if (this.#isEnding || this.#responses.some(({shouldKeepAlive}) => !shouldKeepAlive)) {
 			return false;
 		}
@@ -74,8 +77,9 @@
 	/** Closes the connection after the last response in progress, if that can still tell its caller. */
 	closeAfterResponse(): void {
 		const last = this.#responses.at(-1);
-		if (last && !last.headersSent) {
+		if (last?.shouldKeepAlive && !last.headersSent) {
 			last.shouldKeepAlive = false;
+			this.#closing = last;
 		}
 	}
 
@@ -87,6 +91,15 @@
 		}
 	}
 
+	/** A further request has come before the response that was to say so has begun: the response to the further one will. */
+	#takeBackClose(): void {
+		if (this.#closing && !this.#closing.headersSent) {
+			this.#closing.shouldKeepAlive = true;
+		}
+
+		this.#closing = undefined;
+	}
+
 	/** Closes the connection one way; what still comes is read and dropped. */
 	#end(): void {
 		if (this.#isEnding) {
