The end of a stop reads the answers that have arrived before it ends requests

Found by the review: a process that is held up from 6.6 to 7.5 s of its stop ended requests with 502, or cut them, whose whole answers had come meanwhile. Cause: the limit is a timer, and timers come before reads. Two turns of the event loop before it mend that.

--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -104,6 +104,12 @@
 		net.Server.prototype.close.call(this.#server);
 	}
 
+	/** Reads what has arrived on all sockets of the process: after it was held up, timers come before reads. */
+	async readArrived(): Promise<void> {
+		await nextTurn();
+		await nextTurn();
+	}
+
 	/** Closes connections that have been idle for some time, after reading what has arrived. */
 	async endIdle(forMs: number): Promise<void> {
 		await nextTurn();
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -312,6 +312,7 @@
 		await this.#server.stopListening();
 		this.#logStop('listenerClosed');
 		await this.#waitUntilClosed(idleMs, () => schedule.limitMs - elapsedMs());
+		await this.#server.readArrived();
 		for (const request of crashWatch.forwarding) {
 			request.endAtStop();
 		}
