--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -20,7 +20,7 @@
 const idleMarginMs = 1000;
 
 /** Longest time for which connections are taken over while ever more of them come. */
-const takeOverMs = 200;
+const takeOverMs = 2000;
 
 /** Options of the server. */
 export type CallerServerOptions = {
@@ -93,8 +93,8 @@
 	}
 
 	/** Stops accepting connections once those are taken over that the kernel has accepted: closing the listener resets them. Open ones stay open. */
-	async stopListening(): Promise<void> {
-		const endMs = performance.now() + takeOverMs;
+	async stopListening(timeLeftMs: number): Promise<void> {
+		const endMs = performance.now() + Math.min(takeOverMs, timeLeftMs);
 		for (let before = -1; before !== this.#connections.addedCount && performance.now() < endMs;) {
 			before = this.#connections.addedCount;
 			await nextTurn();
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -309,7 +309,7 @@
 		}
 
 		await sleep(listenAfterwardsMs);
-		await this.#server.stopListening();
+		await this.#server.stopListening(schedule.limitMs - elapsedMs());
 		this.#logStop('listenerClosed');
 		await this.#waitUntilClosed(idleMs, () => schedule.limitMs - elapsedMs());
 		await this.#server.readArrived();
