--- a/packages/gateway/src/caller-connections.ts
+++ b/packages/gateway/src/caller-connections.ts
@@ -87,7 +87,7 @@
 	endIfIdle(forMs: number): void {
 		const isIdle = !this.#isEnding && this.inProgress === 0 && this.#socket.bytesRead === this.#bytesReadWhenIdle && this.#nowMs() - this.#idleSinceMs >= forMs;
 		if (isIdle) {
-			this.#socket.destroy();
+			this.#end();
 		}
 	}
 
