All requests of a connection end when its caller leaves, also those behind the first

Cause: the HTTP server tells the close only to the response whose turn it is. Now the connection tells the others.

--- a/packages/gateway/src/caller-connections.ts
+++ b/packages/gateway/src/caller-connections.ts
@@ -28,6 +28,11 @@
 		this.#socket = socket;
 		this.#nowMs = nowMs;
 		this.#idleSinceMs = nowMs();
+		socket.on('close', () => {
+			setImmediate(() => {
+				this.#tellWaiting();
+			});
+		});
 		// The HTTP server closes a connection by this method behind its last answer.
 		socket.destroySoon = () => {
 			this.#end();
@@ -53,7 +58,7 @@
 
 		this.#requestCount++;
 		this.#responses.push(response);
-		response.on('close', () => {
+		response.once('close', () => {
 			this.#responses.splice(this.#responses.indexOf(response), 1);
 			this.#idleSinceMs = this.#nowMs();
 			this.#bytesReadWhenIdle = this.#socket.bytesRead;
@@ -100,6 +105,13 @@
 		this.#closing = undefined;
 	}
 
+	/** The HTTP server tells only the response whose turn it is that the connection has closed. */
+	#tellWaiting(): void {
+		for (const response of this.#responses.splice(0)) {
+			response.emit('close');
+		}
+	}
+
 	/** Closes the connection one way; what still comes is read and dropped. */
 	#end(): void {
 		if (this.#isEnding) {
