--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -56,6 +56,9 @@
 		this.#server.on('connection', socket => {
 			this.#connections.add(socket);
 		});
+		this.#server.on('timeout', (socket: net.Socket) => {
+			void this.#onIdleTimeout(socket);
+		});
 		this.#server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
 			const connection = this.#connections.of(socket as net.Socket);
 			if (connection.hasAnswerToCome && error.code !== 'ECONNRESET') {
@@ -121,6 +124,12 @@
 		this.#server.close();
 		this.#server.closeAllConnections();
 	}
+
+	/** A connection has been idle for longer than callers may reuse it. Without this listener the HTTP server would close it before it reads what has arrived. */
+	async #onIdleTimeout(socket: net.Socket): Promise<void> {
+		await this.readArrived();
+		this.#connections.of(socket).endIfIdle(0);
+	}
 }
 
 function rejectUnparsableRequest(error: NodeJS.ErrnoException, socket: Duplex): void {
