The lines of a process's stop are never left out, and cut requests are warnings

Found by the review: with more than 60 lines in the last second listenerClosed, connectionsClosed and stopped were missing, so that a clean stop looked like another end of the process.

--- a/packages/gateway/src/request-record.ts
+++ b/packages/gateway/src/request-record.ts
@@ -45,7 +45,7 @@
 		metrics.firstByteSeconds.observe({service}, (firstByteAtMs - arrivedAtMs) / 1000);
 	}
 
-	logger.log('info', 'requestEnded', {
+	logger.log(outcome === 'cut' ? 'warn' : 'info', 'requestEnded', {
 		requestId: metadata.requestId,
 		route: route.name,
 		objectiveMs: route.objectiveMs,
--- a/packages/logger/src/bounded-logger.test.ts
+++ b/packages/logger/src/bounded-logger.test.ts
@@ -30,6 +30,17 @@
 		expect(inner.lines.filter(({event}) => event === 'linesLeftOut').map(({fields}) => fields?.count)).toEqual([90, 90]);
 	});
 
+	it('never leaves out the lines of a stop, however many others there are', () => {
+		const inner = new CollectingLogger();
+		const logger = new BoundedLogger({
+			inner, nowMs: () => 0, maxLinesPerSecond: 1, maxWarningsPerSecond: 1, unlimitedEvents: ['stopped'],
+		});
+		logger.log('info', 'one');
+		logger.log('info', 'two');
+		logger.log('info', 'stopped');
+		expect(inner.lines.map(({event}) => event)).toEqual(['one', 'stopped']);
+	});
+
 	it('still logs warnings after other lines have reached their limit', () => {
 		const inner = new CollectingLogger();
 		const logger = new BoundedLogger({
--- a/packages/logger/src/bounded-logger.ts
+++ b/packages/logger/src/bounded-logger.ts
@@ -12,9 +12,11 @@
 	readonly maxLinesPerSecond?: number;
 	/** Limit of warnings and errors per second. They have a limit of their own, so that other lines cannot crowd them out. */
 	readonly maxWarningsPerSecond?: number;
+	/** Events that are never left out: the few lines of a process's start, reload and stop. */
+	readonly unlimitedEvents?: readonly string[];
 };
 
-const defaults = {maxLinesPerSecond: 60, maxWarningsPerSecond: 40};
+const defaults = {maxLinesPerSecond: 60, maxWarningsPerSecond: 40, unlimitedEvents: [] as readonly string[]};
 
 const spanMs = 1000;
 
@@ -33,7 +35,12 @@
 
 	log(level: LogLevel, event: string, fields?: LogFields): void {
 		this.#startWindowIfElapsed();
-		const {inner, maxLinesPerSecond, maxWarningsPerSecond} = this.#options;
+		const {inner, maxLinesPerSecond, maxWarningsPerSecond, unlimitedEvents} = this.#options;
+		if (unlimitedEvents.includes(event)) {
+			inner.log(level, event, fields);
+			return;
+		}
+
 		const isWarning = level === 'warn' || level === 'error';
 		const isWithinLimit = isWarning ? this.#warnings < maxWarningsPerSecond : this.#lines < maxLinesPerSecond;
 		if (!isWithinLimit) {
