--- a/packages/gateway/src/caller-connections.ts
+++ b/packages/gateway/src/caller-connections.ts
@@ -19,10 +19,10 @@
 	#requestCount = 0;
 	#idleSinceMs: number;
 	#bytesReadWhenIdle = 0;
-	#isEnding = false;
-	#endsAfterResponses = false;
+	#isClosing = false;
+	#closesWhenAnswered = false;
 	/** The response that is to say that the connection closes. */
-	#closing: ServerResponse | undefined;
+	#announcing: ServerResponse | undefined;
 
 	constructor(socket: Socket, nowMs: () => number) {
 		this.#socket = socket;
@@ -35,7 +35,7 @@
 		});
 		// The HTTP server closes a connection by this method behind its last answer.
 		socket.destroySoon = () => {
-			this.#end();
+			this.#close();
 		};
 	}
 
@@ -51,8 +51,8 @@
 
 	/** Notes a request until its response is complete or the connection is closed. Returns false for one behind a response that has said that the connection closes: it has no answer to come. */
 	begin(response: ServerResponse): boolean {
-		this.#takeBackClose();
-		if (this.#isEnding || this.#responses.some(({shouldKeepAlive}) => !shouldKeepAlive)) {
+		this.#withdrawAnnouncement();
+		if (this.#isClosing || this.#responses.some(({shouldKeepAlive}) => !shouldKeepAlive)) {
 			return false;
 		}
 
@@ -62,8 +62,8 @@
 			this.#responses.splice(this.#responses.indexOf(response), 1);
 			this.#idleSinceMs = this.#nowMs();
 			this.#bytesReadWhenIdle = this.#socket.bytesRead;
-			if (this.#endsAfterResponses && this.inProgress === 0) {
-				this.#end();
+			if (this.#closesWhenAnswered && this.inProgress === 0) {
+				this.#close();
 			}
 		});
 		return true;
@@ -75,34 +75,34 @@
 	}
 
 	/** Closes the connection once the responses in progress are complete: nothing else can be read from it. */
-	endAfterResponses(): void {
-		this.#endsAfterResponses = true;
+	closeWhenAnswered(): void {
+		this.#closesWhenAnswered = true;
 	}
 
 	/** Closes the connection after the last response in progress, if that can still tell its caller. */
-	closeAfterResponse(): void {
+	announceClose(): void {
 		const last = this.#responses.at(-1);
 		if (last?.shouldKeepAlive && !last.headersSent) {
 			last.shouldKeepAlive = false;
-			this.#closing = last;
+			this.#announcing = last;
 		}
 	}
 
 	/** Closes the connection if no request is in progress or being received, and none was for some time. */
-	endIfIdle(forMs: number): void {
-		const isIdle = !this.#isEnding && this.inProgress === 0 && this.#socket.bytesRead === this.#bytesReadWhenIdle && this.#nowMs() - this.#idleSinceMs >= forMs;
+	closeIfIdle(forMs: number): void {
+		const isIdle = !this.#isClosing && this.inProgress === 0 && this.#socket.bytesRead === this.#bytesReadWhenIdle && this.#nowMs() - this.#idleSinceMs >= forMs;
 		if (isIdle) {
-			this.#end();
+			this.#close();
 		}
 	}
 
 	/** A further request has come before the response that was to say so has begun: the response to the further one will. */
-	#takeBackClose(): void {
-		if (this.#closing && !this.#closing.headersSent) {
-			this.#closing.shouldKeepAlive = true;
+	#withdrawAnnouncement(): void {
+		if (this.#announcing && !this.#announcing.headersSent) {
+			this.#announcing.shouldKeepAlive = true;
 		}
 
-		this.#closing = undefined;
+		this.#announcing = undefined;
 	}
 
 	/** The HTTP server tells only the response whose turn it is that the connection has closed. */
@@ -113,12 +113,12 @@
 	}
 
 	/** Closes the connection one way; what still comes is read and dropped. */
-	#end(): void {
-		if (this.#isEnding) {
+	#close(): void {
+		if (this.#isClosing) {
 			return;
 		}
 
-		this.#isEnding = true;
+		this.#isClosing = true;
 		this.#socket.end();
 		const timer = setTimeout(() => {
 			this.#socket.destroy();
@@ -173,16 +173,16 @@
 	}
 
 	/** Closes each connection after its last response in progress, where its caller can still be told. */
-	closeAfterResponses(): void {
+	announceCloses(): void {
 		for (const connection of this.#open.values()) {
-			connection.closeAfterResponse();
+			connection.announceClose();
 		}
 	}
 
 	/** Closes the connections that have been idle for some time. */
-	endIdle(forMs: number): void {
+	closeIdle(forMs: number): void {
 		for (const connection of this.#open.values()) {
-			connection.endIfIdle(forMs);
+			connection.closeIfIdle(forMs);
 		}
 	}
 }
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -48,7 +48,7 @@
 			}
 
 			if (this.#isLeaving) {
-				connection.closeAfterResponse();
+				connection.announceClose();
 			}
 
 			options.onRequest(request, response, connection.requestCount);
@@ -62,7 +62,7 @@
 		this.#server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
 			const connection = this.#connections.of(socket as net.Socket);
 			if (connection.hasAnswerToCome && error.code !== 'ECONNRESET') {
-				connection.endAfterResponses();
+				connection.closeWhenAnswered();
 			} else {
 				rejectUnparsableRequest(error, socket);
 			}
@@ -92,7 +92,7 @@
 	/** Closes each connection after its next response; one whose response has begun, after the one behind it. */
 	startDraining(): void {
 		this.#isLeaving = true;
-		this.#connections.closeAfterResponses();
+		this.#connections.announceCloses();
 	}
 
 	/** Stops accepting connections once those are taken over that the kernel has accepted: closing the listener resets them. Open ones stay open. */
@@ -114,9 +114,9 @@
 	}
 
 	/** Closes connections that have been idle for some time, after reading what has arrived. */
-	async endIdle(forMs: number): Promise<void> {
+	async closeIdle(forMs: number): Promise<void> {
 		await nextTurn();
-		this.#connections.endIdle(forMs);
+		this.#connections.closeIdle(forMs);
 	}
 
 	/** Stops accepting connections and closes all open ones. */
@@ -128,7 +128,7 @@
 	/** A connection has been idle for longer than callers may reuse it. Without this listener the HTTP server would close it before it reads what has arrived. */
 	async #onIdleTimeout(socket: net.Socket): Promise<void> {
 		await this.readArrived();
-		this.#connections.of(socket).endIfIdle(0);
+		this.#connections.of(socket).closeIfIdle(0);
 	}
 }
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -269,11 +269,6 @@
 		return this.#isInformed && !this.#isLeaving;
 	}
 
-	/** Number of requests in progress. */
-	get active(): number {
-		return this.#server.connections.inProgress;
-	}
-
 	/** Starts listening for callers. */
 	async start(): Promise<void> {
 		await this.#server.start();
@@ -344,7 +339,7 @@
 	/** Closes connections that have been idle for some time, until none is open or no time is left. */
 	async #waitUntilClosed(idleForMs: number, timeLeftMs: () => number): Promise<void> {
 		while (this.#server.connections.count > 0 && timeLeftMs() > 0) {
-			await this.#server.endIdle(idleForMs);
+			await this.#server.closeIdle(idleForMs);
 			await sleep(stopPollMs);
 		}
 	}
