--- a/packages/voter-group/src/earlier-build.test.ts
+++ b/packages/voter-group/src/earlier-build.test.ts
@@ -117,6 +117,7 @@
 	}
 
 	it('cannot lack a field that running control processes of the earlier build send', async () => {
+		expect(Object.keys(recorded.frames).toSorted()).toEqual(Object.keys(samples).toSorted());
 		for (const [type, frame] of Object.entries(recorded.frames)) {
 			const {message} = await receive(frame);
 			expect(Object.keys(message).toSorted()).toEqual(Object.keys(samples[type as PeerMessage['type']]).toSorted());
