--- a/packages/gateway/src/gateway.test.ts
+++ b/packages/gateway/src/gateway.test.ts
@@ -707,6 +707,15 @@
 			expect(performance.now() - startedAtMs).toBeLessThan(2000);
 		});
 
+		it('passes on a first answer of another type whole, whatever blank lines it has', async () => {
+			const body = '{"reason": 1}\n\n{}';
+			setHandlers((request, response) => {
+				answer(request, response, 200, body, {'content-type': 'application/json'});
+			});
+			const result = await call('/draft/x');
+			expect([result.isWhole, result.body, result.headers['content-length'], sent()]).toEqual([true, body, String(body.length), 1]);
+		});
+
 		it('closes the connection if the next target begins it again, so that it does not look complete, and passes on no event twice', async () => {
 			setHandlers((request, response) => {
 				response.writeHead(200, head(request));
