The daemon's entry ends its drain although callers go on

What callers saw: an entry that drained under steady load never ended its drain: it went on taking connections and requests for ten minutes, and then cut the ones in progress.

Cause: the drain ended only at a moment without any request, and nothing made the requests fewer: connections were kept after their answers, and new ones were accepted until the end. A request whose body was still being read didn't count.

Why this works: a draining entry closes each connection after its answer; after the addresses' lifetime it accepts what the kernel holds and then stops listening; it ends once no request has been open for 300 ms, counted from the request's head to the end of its response.

--- a/packages/daemon/src/roles/entry/entry-role.ts
+++ b/packages/daemon/src/roles/entry/entry-role.ts
@@ -3,6 +3,8 @@
 */
 
 import {Buffer} from 'node:buffer';
+import {Server as NetServer} from 'node:net';
+import {setImmediate, setTimeout as sleep} from 'node:timers/promises';
 import type {Server as TlsServer} from 'node:tls';
 import {type ControlAccess, GrpcClientPool, fromJsonBytes} from '@rattanspring/control-client';
 import {
@@ -48,6 +50,9 @@
 
 const drainPollIntervalMs = 50;
 
+/** A drain ends after this time without a request, since requests may be on their way on open connections. */
+const calmBeforeEndMs = 300;
+
 /** Path of model requests. */
 const chatPath = '/v1/chat/completions';
 
@@ -79,7 +84,7 @@
 	readonly #addresses: EntryAddresses;
 	readonly #suspects = new SuspectListCache();
 	readonly #streams: Array<{stop(): void}> = [];
-	#inProgress = 0;
+	#openRequests = 0;
 	#isDraining = false;
 	#expireTimer: NodeJS.Timeout | undefined;
 
@@ -110,6 +115,7 @@
 		this.#followSuspects();
 		this.#addresses.start();
 		this.#addRoutes();
+		this.#watchRequests();
 		await this.#server.start();
 		this.#streams.push({stop: watchCallerTls(this.#options.settings.transport, this.#server.listener as unknown as TlsServer)});
 		this.#expireTimer = setInterval(() => {
@@ -126,12 +132,12 @@
 		this.#isDraining = true;
 		this.#addresses.withdraw();
 		const {clock} = this.#options;
-		const earliestEndMs = clock.monotonicMs() + entriesMaxAgeMs;
 		const latestEndMs = clock.monotonicMs() + maxDrainMs;
-		while (clock.monotonicMs() < latestEndMs && (clock.monotonicMs() < earliestEndMs || this.#inProgress > 0)) {
-			await new Promise(resolve => {
-				setTimeout(resolve, drainPollIntervalMs);
-			});
+		await sleep(entriesMaxAgeMs);
+		await this.#stopListening();
+		for (let calmSinceMs = clock.monotonicMs(); clock.monotonicMs() < Math.min(calmSinceMs + calmBeforeEndMs, latestEndMs);) {
+			await sleep(drainPollIntervalMs);
+			calmSinceMs = this.#openRequests > 0 ? clock.monotonicMs() : calmSinceMs;
 		}
 	}
 
@@ -147,6 +153,23 @@
 		this.#directoryClients.close();
 	}
 
+	/** Accepts no more connections; those that are open are served on. What the kernel holds is accepted first, since it resets the rest. */
+	async #stopListening(): Promise<void> {
+		await setImmediate();
+		NetServer.prototype.close.call(this.#server.listener);
+	}
+
+	/** Counts the requests whose response is not closed yet. While the entry drains, a connection ends with its response, so that there are fewer and fewer. */
+	#watchRequests(): void {
+		this.#server.listener.prependListener('request', (_request, response) => {
+			this.#openRequests++;
+			response.shouldKeepAlive &&= !this.#isDraining;
+			response.on('close', () => {
+				this.#openRequests--;
+			});
+		});
+	}
+
 	#watchDirectory(): void {
 		const {daemonId, failureDomain, settings} = this.#options;
 		const follower = new ReconnectingStream<directoryProtocol.DirectoryUpdate>({
@@ -242,7 +265,7 @@
 			deadlineMs: clock.monotonicMs() + (Number.isFinite(remainingMs) ? remainingMs : defaultMs),
 		};
 		const measured = new MeasuredResponse(answer, clock);
-		void this.#count(answer, async () => {
+		void this.#answer(answer, async () => {
 			await this.#runner.run(admitted, measured);
 			this.#serviceLevelMonitor.record(admitted, measured.measurements);
 		});
@@ -259,7 +282,7 @@
 		const {requestId} = request.params as {requestId: string};
 		const lastEventId = singleHeader(request, 'last-event-id') ?? '';
 		const answer = new HttpCallerResponse(request.raw.res);
-		void this.#count(answer, async () => this.#runner.resume({requestId, clientAccount: account.value, lastEventId}, answer));
+		void this.#answer(answer, async () => this.#runner.resume({requestId, clientAccount: account.value, lastEventId}, answer));
 		return toolkit.abandon;
 	}
 
@@ -300,8 +323,7 @@
 	}
 
 	/** Counts a request as in progress until its final response has been written. */
-	async #count(answer: HttpCallerResponse, run: () => Promise<void>): Promise<void> {
-		this.#inProgress++;
+	async #answer(answer: HttpCallerResponse, run: () => Promise<void>): Promise<void> {
 		try {
 			await run();
 			await answer.finished();
@@ -309,8 +331,6 @@
 			// It is unknown whether the request ran. The error is handled here so that it does not end the process with its other requests.
 			this.#options.logger.log('error', 'requestFault', {reason: String(error)});
 			answer.fail({type: 'internal', message: 'The entry failed.', execution: 'unknown'});
-		} finally {
-			this.#inProgress--;
 		}
 	}
 }
