An agent that stops leaves no group held, and answers what it was asked

What callers saw: streams of a whole group stood still after a planned stop of its coordinator's agent: if SIGTERM came between the order to hold the group and the one to go on, nobody let it go on until another agent took it for abandoned.

Cause: the agent left and closed in one turn. The switch in progress, and orders and questions of other agents, were cut there.

--- a/packages/rank-agent/src/map-rebalancer.ts
+++ b/packages/rank-agent/src/map-rebalancer.ts
@@ -23,6 +23,8 @@
 	/** Waits between polls of a switch; by default on a timer. */
 	readonly sleep?: MapSwitchOptions['sleep'];
 	readonly versions: MapVersionAllocator;
+	/** Whether a switch may hold the group now; always by default. */
+	readonly mayHold?: MapSwitchOptions['mayHold'];
 	readonly logger: Logger;
 	/** Published performance figures of the engines. */
 	readonly engine: Pick<EngineProfile, 'stepsPerPass' | 'expertsPerSet' | 'placesPerRank' | 'newPlacesPerRank' | 'stepMs' | 'perSequenceMs' | 'expertShare' | 'megabytesPerExpert' | 'linkMegabitsPerSecond'>;
@@ -239,13 +241,15 @@
 	}
 
 	async #switch(ranks: GroupRanks, holdingRank: number, plan: StagedPlan, earlierPhases: LogFields): Promise<void> {
-		const {nowMs, sleep, logger} = this.#options;
+		const {
+			nowMs, sleep, logger, mayHold,
+		} = this.#options;
 		const version = this.#options.versions.next();
 		const startedAtMs = nowMs();
 		const changedAtMs = this.#demand.unansweredChangeAtMs;
 		const formation = formationOf(ranks);
 		const mapSwitch = new MapSwitch({
-			ranks, holdingRank, nowMs, sleep, stepMs: this.#passMs(plan.skewBefore), heldFencing: this.#held?.formation === formation ? this.#held.fencing : undefined,
+			ranks, holdingRank, nowMs, sleep, mayHold, stepMs: this.#passMs(plan.skewBefore), heldFencing: this.#held?.formation === formation ? this.#held.fencing : undefined,
 		});
 		const outcome = await mapSwitch.run(version, plan.lists);
 		logger.log('info', 'mapSwitch', {
--- a/packages/rank-agent/src/map-switch.ts
+++ b/packages/rank-agent/src/map-switch.ts
@@ -58,6 +58,8 @@
 	readonly stepMs?: number;
 	/** Waits between polls; by default on a timer. */
 	readonly sleep?: (durationMs: number) => Promise<void>;
+	/** Whether the group may be held now; always by default. */
+	readonly mayHold?: () => boolean;
 	/**
 	The fencing number of this coordinator's last switch, if that succeeded in the same formation: the ranks refuse it once another coordinator has taken a higher one. Without it a new
 	number is taken.
@@ -78,13 +80,14 @@
 	readonly #holdingEngine: EngineClient;
 	readonly #nowMs: () => number;
 	readonly #sleep: (durationMs: number) => Promise<void>;
+	readonly #mayHold: () => boolean;
 	readonly #armMarginSteps: number;
 	#fencing = 0;
 	#firstRefusal: string | undefined;
 	#phaseTimes: SwitchPhaseTimes = {};
 
 	constructor({
-		ranks, holdingRank, nowMs, stepMs = 0, sleep = sleepOnTimer, heldFencing = 0,
+		ranks, holdingRank, nowMs, stepMs = 0, sleep = sleepOnTimer, heldFencing = 0, mayHold = () => true,
 	}: MapSwitchOptions) {
 		this.#fencing = heldFencing;
 		this.#armMarginSteps = Math.min(maxArmMarginSteps, Math.max(minArmMarginSteps, Math.ceil(armLeadMs / Math.max(1, stepMs))));
@@ -92,6 +95,7 @@
 		this.#holdingEngine = ranks.engines[holdingRank];
 		this.#nowMs = nowMs;
 		this.#sleep = sleep;
+		this.#mayHold = mayHold;
 	}
 
 	/** The fencing number of this switch; 0 before it has one. */
@@ -119,6 +123,10 @@
 			return 'notPrepared';
 		}
 
+		if (!this.#mayHold()) {
+			return 'notHeld';
+		}
+
 		const hold = await this.#timed('holding', async () => this.#holdBeforeStep(version));
 		if (typeof hold === 'string') {
 			return hold;
--- a/packages/rank-agent/src/rank-agent.ts
+++ b/packages/rank-agent/src/rank-agent.ts
@@ -3,6 +3,7 @@
 the control processes, and applies orders to its rank. The agent of a group's first rank also rebalances the group's expert map.
 */
 
+import {setTimeout as sleep} from 'node:timers/promises';
 import {
 	type handleUnaryCall, type sendUnaryData, Server, status,
 } from '@grpc/grpc-js';
@@ -51,6 +52,8 @@
 /** A group held for longer than this was abandoned by its coordinator; the agent of the holding rank releases it. */
 const abandonedAfterMs = 600;
 
+const stopPollMs = 5;
+
 /** Options of an agent. */
 export type RankAgentOptions = {
 	readonly nodeId: string;
@@ -95,6 +98,7 @@
 	#lastReportedLoad: TargetLoad | undefined;
 	#lastReportAtMs = Number.NEGATIVE_INFINITY;
 	#reportCount = 0;
+	readonly #handledRequests = new Set<Promise<void>>();
 	#isLeaving = false;
 
 	constructor(options: RankAgentOptions) {
@@ -146,6 +150,19 @@
 		this.#links.sendHello();
 	}
 
+	/** Stops within the time: begins nothing more, ends a switch that holds the group, answers what other agents have asked, and closes. */
+	async stop(timeoutMs: number): Promise<void> {
+		const untilMs = performance.now() + timeoutMs;
+		this.leave();
+		clearInterval(this.#rebalanceTimer);
+		while (this.#mapChange.isRunning && performance.now() < untilMs) {
+			await sleep(stopPollMs);
+		}
+
+		await Promise.race([Promise.allSettled(this.#handledRequests), sleep(Math.max(0, untilMs - performance.now()))]);
+		this.close();
+	}
+
 	close(): void {
 		this.#isClosed = true;
 		clearTimeout(this.#measureTimer);
@@ -195,7 +212,11 @@
 			calls: this.#calls,
 		});
 		return (call, done) => {
-			void this.#handleRankRequest(handler, call.request, done);
+			const handled = this.#handleRankRequest(handler, call.request, done);
+			this.#handledRequests.add(handled);
+			void handled.finally(() => {
+				this.#handledRequests.delete(handled);
+			});
 		};
 	}
 
@@ -212,7 +233,7 @@
 	/** Runs one rebalancing round if this agent is the coordinator, or takes a sample of the demand while the previous round is in progress. */
 	async #rebalanceMap(): Promise<void> {
 		const engine = this.#options.engine();
-		if (!engine || this.#place?.rank !== coordinatorRank) {
+		if (!engine || this.#place?.rank !== coordinatorRank || this.#isLeaving) {
 			return;
 		}
 
@@ -223,7 +244,7 @@
 			await this.#rebalancer?.sample(ranks);
 		} else if (ranks && (this.#rebalancer?.isDue ?? true)) {
 			this.#rebalancer ??= new MapRebalancer({
-				engine, nowMs: () => this.#suspendAwareClock.nowMs(), versions: this.#versions, logger,
+				engine, nowMs: () => this.#suspendAwareClock.nowMs(), versions: this.#versions, logger, mayHold: () => !this.#isLeaving,
 			});
 			const rebalancer = this.#rebalancer;
 			await this.#mapChange.run('rebalancing', async () => rebalancer.round(ranks, Math.min(holdingRank, ranks.engines.length - 1)));
@@ -234,7 +255,7 @@
 	async #releaseIfAbandoned({heldStep, rankPlace}: EngineState): Promise<void> {
 		const nowMs = this.#options.clock.monotonicMs();
 		this.#heldSinceMs = heldStep === undefined ? undefined : this.#heldSinceMs ?? nowMs;
-		if (this.#heldSinceMs === undefined || heldStep === undefined || this.#mapChange.isRunning || nowMs - this.#heldSinceMs < abandonedAfterMs) {
+		if (this.#heldSinceMs === undefined || heldStep === undefined || this.#isLeaving || this.#mapChange.isRunning || nowMs - this.#heldSinceMs < abandonedAfterMs) {
 			return;
 		}
 
@@ -272,7 +293,7 @@
 	/** Starts or ends rebalancing rounds: only the coordinator wakes up for them. */
 	#setCoordinating(isCoordinator: boolean): void {
 		clearInterval(this.#rebalanceTimer);
-		this.#rebalanceTimer = isCoordinator && !this.#isClosed
+		this.#rebalanceTimer = isCoordinator && !this.#isLeaving && !this.#isClosed
 			? setInterval(() => {
 				void this.#rebalanceMap();
 			}, rebalanceIntervalMs)
