Calls across a handover are repeated for longer than a handover that is given up

A leader refuses commands until its handover succeeds or its election timeout (600 ms) has passed; 700 ms covers both.

--- a/packages/fleet-control/src/while-leader-changes.ts
+++ b/packages/fleet-control/src/while-leader-changes.ts
@@ -2,8 +2,8 @@
 
 import {setTimeout as sleep} from 'node:timers/promises';
 
-/** A handover takes a few round trips and two writes; an election after a failure takes longer, and callers go on elsewhere meanwhile. */
-const handoverTimeoutMs = 400;
+/** A handover takes a few round trips and two writes; the leader gives one up that takes longer than its election timeout, which is shorter than this. */
+const handoverTimeoutMs = 700;
 const retryPauseMs = 10;
 
 /** Repeats an attempt, which must be safe to repeat, until it has a result or the time of a handover has passed since the first one began. */
