--- a/packages/gateway/src/header-codec.ts
+++ b/packages/gateway/src/header-codec.ts
@@ -34,9 +34,12 @@
 
 /** Data from the head of a target's response. */
 export type ResponseMetadata = {
+	/** Targets repeat the id of the request that they answer. */
 	readonly requestId?: string;
 	/** Whether the target guarantees that it did not run the request and never will. */
 	readonly isNotExecuted: boolean;
+	/** Whether callers take the status for that guarantee, also if the target gives none. */
+	readonly isTakenForNotExecuted?: boolean;
 	/** Whether the response carries a target's signature. */
 	readonly isSigned: boolean;
 	/** Whether the target says that it is leaving, so that it wants no further requests. */
