--- a/packages/gateway/src/gateway.test.ts
+++ b/packages/gateway/src/gateway.test.ts
@@ -470,6 +470,25 @@
 		}
 	});
 
+	describe('that is being stopped', () => {
+		it('refuses a request that waits for a target, and that it would not answer in time, without waiting for a slot', async () => {
+			for (const targetId of ['t0', 't0', 't0', 't0', 't1', 't1', 't1', 't1']) {
+				context.selector.sent(targetId, performance.now());
+			}
+
+			const result = call('/draft/a');
+			await waitUntil(() => context.admission.waitingCount === 1);
+			context.plannedStop.begin({addressLifetimeMs: 3000, limitMs: 1000}, performance.now() - 900);
+			for (const request of context.crashWatch.forwarding) {
+				request.refuseUnsent();
+			}
+
+			const {status, body} = await result;
+			expect([status, JSON.parse(body)]).toEqual([503, {type: 'urn:rattanspring:stopping', status: 503, execution: 'didNotRun'}]);
+			expect([context.admission.waitingCount, sent()]).toEqual([0, 0]);
+		});
+	});
+
 	describe('with a target that breaks the connection', () => {
 		it('sends a non-repeatable request once, and does not report it as not executed', async () => {
 			setHandlers((_request, response) => {
