A group that a killed coordinator's agent holds is released while that agent is gone

What callers saw: all streams of a group stood still until the agent of its first rank was back, if its process was killed between the order to hold the group and the one to go on.

Cause: the agent of the holding rank releases an abandoned group after 0.6 s, but only if it knows the cards of all ranks. Control processes withdraw the card of a process whose stream has ended, so the case that the release is made for left it without the first rank's card. A coordinator that was only frozen kept its card, which is what the tests covered.

Evidence: a group of four ranks whose coordinator's process is gone as soon as a rank has the order to hold.

Why this works: the holding rank's agent keeps the cards of the present formation (group and epoch), and uses them for the release only. The agent that is gone doesn't answer, so its engine is read and ordered directly, as with a frozen one; states of another formation end the release as before.

--- a/packages/rank-agent/src/rank-agent.ts
+++ b/packages/rank-agent/src/rank-agent.ts
@@ -99,6 +99,7 @@
 	#lastReportAtMs = Number.NEGATIVE_INFINITY;
 	#reportCount = 0;
 	readonly #handledRequests = new Set<Promise<void>>();
+	readonly #groupCards = new Map<string, NodeCard>();
 	#isLeaving = false;
 
 	constructor(options: RankAgentOptions) {
@@ -253,18 +254,35 @@
 
 	/** Releases the group if its coordinator left it held at this rank. */
 	async #releaseIfAbandoned({heldStep, rankPlace}: EngineState): Promise<void> {
+		this.#noteGroupCards(rankPlace);
 		const nowMs = this.#options.clock.monotonicMs();
 		this.#heldSinceMs = heldStep === undefined ? undefined : this.#heldSinceMs ?? nowMs;
 		if (this.#heldSinceMs === undefined || heldStep === undefined || this.#isLeaving || this.#mapChange.isRunning || nowMs - this.#heldSinceMs < abandonedAfterMs) {
 			return;
 		}
 
-		const ranks = this.#ranks();
+		const ranks = this.#place?.isOpen ? this.#engineClients.ranks(this.#place, [...this.#groupCards.values(), ...this.#links.nodes.values()]) : undefined;
 		if (ranks && rankPlace) {
 			await this.#mapChange.run('release', async () => this.#release(ranks, rankPlace.rank, heldStep));
 		}
 	}
 
+	/** Keeps the cards of the other ranks at the holding rank, since the card of a coordinator goes with its process. Its engine is then reached directly. */
+	#noteGroupCards(place: RankPlace | undefined): void {
+		const isSame = (card: NodeCard): boolean => card.rankPlace?.group === place?.group && card.rankPlace?.epoch === place?.epoch;
+		if ([...this.#groupCards.values()].some(card => !isSame(card))) {
+			this.#groupCards.clear();
+		}
+
+		if (place?.rank === holdingRank) {
+			for (const card of this.#links.nodes.values()) {
+				if (card.role === 'agent' && isSame(card)) {
+					this.#groupCards.set(card.nodeId, card);
+				}
+			}
+		}
+	}
+
 	async #release(ranks: GroupRanks, ownRank: number, heldStep: number): Promise<void> {
 		const mapSwitch = new MapSwitch({ranks, holdingRank: ownRank, nowMs: () => this.#suspendAwareClock.nowMs()});
 		const outcome = await mapSwitch.recover(heldStep, () => this.#versions.next());
--- a/packages/rank-agent/src/stopped-coordinator.test.ts
+++ b/packages/rank-agent/src/stopped-coordinator.test.ts
@@ -74,7 +74,7 @@
 	}
 }
 
-describe('a group whose coordinator stops while it holds the group', () => {
+describe('a group whose coordinator ends while it holds the group', () => {
 	let group: FakeRankGroup;
 	let agents: RankAgent[];
 	let links: LinkServer;
@@ -118,7 +118,6 @@
 			logger: new SilentLogger(),
 		}));
 		await Promise.all(agents.map(async agent => agent.start()));
-		watchGroup();
 	});
 	afterEach(async () => {
 		clearInterval(timer);
@@ -135,8 +134,8 @@
 		return new ProcessEngineClient(group.unfencedEngines[rank], () => processRank === 0 && hasEnded);
 	}
 
-	/** Lets the group run with a demand that changes, stops the coordinator as soon as it has given a rank the order to hold, and measures how long the group stands. */
-	function watchGroup(): void {
+	/** Lets the group run with a demand that changes, ends the coordinator as soon as it has given a rank the order to hold, and measures how long the group stands. */
+	function watchGroup(endCoordinator: () => Promise<void>): void {
 		const counts = Array.from({length: expertCount}, () => 0);
 		const startedAtMs = performance.now();
 		let heldSinceMs: number | undefined;
@@ -158,14 +157,25 @@
 			heldSinceMs = group.isHeld ? heldSinceMs ?? nowMs : undefined;
 			longestHeldMs = Math.max(longestHeldMs, heldSinceMs === undefined ? 0 : nowMs - heldSinceMs);
 			if (group.state(1).heldStep !== undefined) {
-				stopped ??= agents[0].stop(stopTimeoutMs).then(() => {
+				stopped ??= endCoordinator().then(() => {
 					hasEnded = true;
 				});
 			}
 		}, 1);
 	}
 
-	it('goes on at once, with one map', async () => {
+	it('is released by the agent of the holding rank if the process of the coordinator is gone', async () => {
+		watchGroup(async () => {
+			agents[0].close();
+		});
+		await waitUntil(() => stopped !== undefined, {timeoutMs: 30_000});
+		await waitUntil(() => longestHeldMs > maxHeldMs, {timeoutMs: 5000});
+		await waitUntil(() => !group.isHeld, {timeoutMs: 5000});
+		expect([group.mixedSteps, new Set(group.versions).size]).toEqual([0, 1]);
+	});
+
+	it('goes on at once, with one map, if the coordinator was told to stop', async () => {
+		watchGroup(async () => agents[0].stop(stopTimeoutMs));
 		await waitUntil(() => stopped !== undefined, {timeoutMs: 30_000});
 		await stopped;
 		await sleep(1500);
