Test of a draining entry: a refused connection is refused, also if its local port was used before

The test failed once ("the value ["ECONNREFUSED"] is not equal to []"): it told accepted connections by their local ports, and the kernel gave the refused one a port of an earlier, accepted one. ECONNREFUSED means that nobody accepted it. Any other end of a connection whose port was accepted still fails the test.

--- a/packages/daemon/src/draining-entry.test.ts
+++ b/packages/daemon/src/draining-entry.test.ts
@@ -52,7 +52,8 @@
 				});
 			});
 			request.on('error', (error: NodeJS.ErrnoException) => {
-				resolve(localPort !== undefined && accepted.has(localPort) ? error.code ?? error.message : refused);
+				const isAccepted = error.code !== 'ECONNREFUSED' && localPort !== undefined && accepted.has(localPort);
+				resolve(isAccepted ? error.code ?? error.message : refused);
 			});
 			request.on('socket', socket => {
 				localPort = socket.localPort;
