One way to close a listener, for entries, control processes and the daemon: stop-accepting

Three roles closed their listeners after one look at the accept queue, or with a fixed time: one connection is accepted a turn of the event loop, so all but the first were reset, and on a busy machine the kernel completes connections a little later than connect() returns.

--- a/packages/daemon/src/roles/entry/entry-role.ts
+++ b/packages/daemon/src/roles/entry/entry-role.ts
@@ -3,8 +3,7 @@
 */
 
 import {Buffer} from 'node:buffer';
-import {Server as NetServer} from 'node:net';
-import {setImmediate, setTimeout as sleep} from 'node:timers/promises';
+import {setTimeout as sleep} from 'node:timers/promises';
 import type {Server as TlsServer} from 'node:tls';
 import {type ControlAccess, GrpcClientPool, fromJsonBytes} from '@rattanspring/control-client';
 import {
@@ -21,6 +20,7 @@
 } from '@rattanspring/protocol';
 import {SuspectListCache} from '@rattanspring/routing';
 import type {EntrySettings} from '@rattanspring/settings';
+import {stopAccepting} from '@rattanspring/stop-accepting';
 import {
 	err, type ClientAccountId, type Clock, type IdempotencyClass, type RequestFailure, type Result,
 } from '@rattanspring/types';
@@ -134,7 +134,7 @@
 		const {clock} = this.#options;
 		const latestEndMs = clock.monotonicMs() + maxDrainMs;
 		await sleep(entriesMaxAgeMs);
-		await this.#stopListening();
+		await stopAccepting(this.#server.listener, maxDrainMs);
 		for (let calmSinceMs = clock.monotonicMs(); clock.monotonicMs() < Math.min(calmSinceMs + calmBeforeEndMs, latestEndMs);) {
 			await sleep(drainPollIntervalMs);
 			calmSinceMs = this.#openRequests > 0 ? clock.monotonicMs() : calmSinceMs;
@@ -153,12 +153,6 @@
 		this.#directoryClients.close();
 	}
 
-	/** Accepts no more connections; those that are open are served on. What the kernel holds is accepted first, since it resets the rest. */
-	async #stopListening(): Promise<void> {
-		await setImmediate();
-		NetServer.prototype.close.call(this.#server.listener);
-	}
-
 	/** Counts the requests whose response is not closed yet. While the entry drains, a connection ends with its response, so that there are fewer and fewer. */
 	#watchRequests(): void {
 		this.#server.listener.prependListener('request', (_request, response) => {
--- a/packages/gateway/src/caller-connections.ts
+++ b/packages/gateway/src/caller-connections.ts
@@ -133,7 +133,6 @@
 export class CallerConnections {
 	readonly #nowMs: () => number;
 	readonly #open = new Map<Socket, CallerConnection>();
-	#addedCount = 0;
 
 	constructor(nowMs: () => number) {
 		this.#nowMs = nowMs;
@@ -144,11 +143,6 @@
 		return this.#open.size;
 	}
 
-	/** Number of connections that were ever opened. */
-	get addedCount(): number {
-		return this.#addedCount;
-	}
-
 	/** Connections that have carried no request yet: the bytes of one may still be in the kernel. */
 	get unusedCount(): number {
 		return [...this.#open.values()].filter(({requestCount}) => requestCount === 0).length;
@@ -160,7 +154,6 @@
 	}
 
 	add(socket: Socket): void {
-		this.#addedCount++;
 		this.#open.set(socket, new CallerConnection(socket, this.#nowMs));
 		socket.on('close', () => {
 			this.#open.delete(socket);
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -4,9 +4,10 @@
 */
 
 import http, {type IncomingMessage, type ServerResponse} from 'node:http';
-import net from 'node:net';
+import type net from 'node:net';
 import type {Duplex} from 'node:stream';
 import {setImmediate as nextTurn} from 'node:timers/promises';
+import {stopAccepting} from '@rattanspring/stop-accepting';
 import type {CallLimits} from '@rattanspring/desired-state';
 import {CallerConnections} from './caller-connections.js';
 
@@ -19,9 +20,6 @@
 /** Idle connections are kept open this much longer than callers may reuse them. */
 const idleMarginMs = 1000;
 
-/** Longest time for which connections are taken over while ever more of them come. */
-const takeOverMs = 2000;
-
 /** Options of the server. */
 export type CallerServerOptions = {
 	readonly host: string;
@@ -95,16 +93,9 @@
 		this.#connections.announceCloses();
 	}
 
-	/** Stops accepting connections once those are taken over that the kernel has accepted: closing the listener resets them. Open ones stay open. */
+	/** Accepts what the kernel holds, then no more connections. Open ones stay open. */
 	async stopListening(timeLeftMs: number): Promise<void> {
-		const endMs = performance.now() + Math.min(takeOverMs, timeLeftMs);
-		for (let before = -1; before !== this.#connections.addedCount && performance.now() < endMs;) {
-			before = this.#connections.addedCount;
-			await nextTurn();
-		}
-
-		// The HTTP server's own method would close idle connections, which may hold a request that was not read yet.
-		net.Server.prototype.close.call(this.#server);
+		await stopAccepting(this.#server, timeLeftMs);
 	}
 
 	/** Reads what has arrived on all sockets of the process: after it was held up, timers come before reads. */
