--- a/packages/gateway/src/request-forwarder.ts
+++ b/packages/gateway/src/request-forwarder.ts
@@ -18,6 +18,7 @@
 import type {TimeSinceFirstAttempt} from './first-attempt-estimator.js';
 import type {GatewayContext} from './gateway-context.js';
 import {isRevoked} from './key-revocation.js';
+import {stoppingRetryAfterMs} from './planned-stop.js';
 import {recordEnd} from './request-record.js';
 import {ResponseProgress} from './response-progress.js';
 import type {RoutedRequest} from './routed-request.js';
@@ -141,12 +142,25 @@
 		this.#end('callerDoesNotRead', 0);
 	}
 
-	/** Ends the request without a whole answer: the process ends. */
-	cut(): void {
+	/** Refuses the request if it waits to be sent and will not be answered before the process stops. */
+	refuseUnsent(): void {
+		const isSent = this.#running !== undefined || this.#sentCount > 0;
+		if (!this.#isFinished && !isSent && !this.#context.plannedStop.mayTakeOn({nowMs: this.#nowMs, deadlineAtMs: this.#request.deadlineAtMs})) {
+			this.#refuse('stopping', stoppingRetryAfterMs);
+		}
+	}
+
+	/** Ends the request, as the process ends: its caller is told what is known of it, unless the answer has begun. */
+	endAtStop(): void {
+		this.#mayHaveRun ||= this.#running?.attempt.isSent === true;
 		this.#running?.attempt.abandon();
 		this.#endAttempt('abandoned');
-		this.#answer.closeConnection();
-		this.#end('cut', 0, 'stopping');
+		if (this.#answer.isStarted) {
+			this.#answer.closeConnection();
+			this.#end('cut', 0, 'stopping');
+		} else {
+			this.#giveUp('stopping', stoppingRetryAfterMs);
+		}
 	}
 
 	/** Ends the request if it waits to be sent and its key was revoked. One that may have run before is not called unauthorized, since that would say it did not run. */
