--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -20,7 +20,7 @@
 const idleMarginMs = 1000;
 
 /** Longest time for which connections are taken over while ever more of them come. */
-const takeOverMs = 200;
+const takeOverMs = 2000;
 
 /** Options of the server. */
 export type CallerServerOptions = {
@@ -48,7 +48,7 @@
 			}
 
 			if (this.#isLeaving) {
-				connection.closeAfterResponse();
+				connection.announceClose();
 			}
 
 			options.onRequest(request, response, connection.requestCount);
@@ -56,10 +56,13 @@
 		this.#server.on('connection', socket => {
 			this.#connections.add(socket);
 		});
+		this.#server.on('timeout', (socket: net.Socket) => {
+			void this.#onIdleTimeout(socket);
+		});
 		this.#server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
 			const connection = this.#connections.of(socket as net.Socket);
 			if (connection.hasAnswerToCome && error.code !== 'ECONNRESET') {
-				connection.endAfterResponses();
+				connection.closeWhenAnswered();
 			} else {
 				rejectUnparsableRequest(error, socket);
 			}
@@ -89,12 +92,12 @@
 	/** Closes each connection after its next response; one whose response has begun, after the one behind it. */
 	startDraining(): void {
 		this.#isLeaving = true;
-		this.#connections.closeAfterResponses();
+		this.#connections.announceCloses();
 	}
 
 	/** Stops accepting connections once those are taken over that the kernel has accepted: closing the listener resets them. Open ones stay open. */
-	async stopListening(): Promise<void> {
-		const endMs = performance.now() + takeOverMs;
+	async stopListening(timeLeftMs: number): Promise<void> {
+		const endMs = performance.now() + Math.min(takeOverMs, timeLeftMs);
 		for (let before = -1; before !== this.#connections.addedCount && performance.now() < endMs;) {
 			before = this.#connections.addedCount;
 			await nextTurn();
@@ -104,10 +107,16 @@
 		net.Server.prototype.close.call(this.#server);
 	}
 
+	/** Reads what has arrived on all sockets of the process: after it was held up, timers come before reads. */
+	async readArrived(): Promise<void> {
+		await nextTurn();
+		await nextTurn();
+	}
+
 	/** Closes connections that have been idle for some time, after reading what has arrived. */
-	async endIdle(forMs: number): Promise<void> {
+	async closeIdle(forMs: number): Promise<void> {
 		await nextTurn();
-		this.#connections.endIdle(forMs);
+		this.#connections.closeIdle(forMs);
 	}
 
 	/** Stops accepting connections and closes all open ones. */
@@ -115,6 +124,12 @@
 		this.#server.close();
 		this.#server.closeAllConnections();
 	}
+
+	/** A connection has been idle for longer than callers may reuse it. Without this listener the HTTP server would close it before it reads what has arrived. */
+	async #onIdleTimeout(socket: net.Socket): Promise<void> {
+		await this.readArrived();
+		this.#connections.of(socket).closeIfIdle(0);
+	}
 }
 
 function rejectUnparsableRequest(error: NodeJS.ErrnoException, socket: Duplex): void {
