--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,6 +1,5 @@
 /** An entry process: follows the control processes, serves callers, and lists the entries that callers may use. */
 
-import {setTimeout as sleep} from 'node:timers/promises';
 import {ShareOrder} from '@rattanspring/account-shares';
 import type {DocumentCodec, EngineProfile, RouteTable} from '@rattanspring/desired-state';
 import {
@@ -26,6 +25,7 @@
 import {EntryDirectory} from './entry-directory.js';
 import {FirstAttemptEstimator} from './first-attempt-estimator.js';
 import type {GatewayContext} from './gateway-context.js';
+import {GracefulStop} from './graceful-stop.js';
 import type {HeaderCodec} from './header-codec.js';
 import {rejectRevoked} from './key-revocation.js';
 import {PauseObjectives} from './pause-objectives.js';
@@ -45,18 +45,6 @@
 /** Interval at which the uses of client accounts are told to a control process. */
 const useIntervalMs = 1000;
 
-/** Time for which callers with old addresses still reach this entry, after it has begun to refuse them. */
-const listenAfterwardsMs = 800;
-
-/** Time without a request after which a connection is closed: a caller that goes on at once has sent its next request by then. */
-const idleMs = 500;
-
-/** Time for the last answers to reach the callers' connections. */
-const flushMs = 200;
-
-/** Interval at which a stop looks whether requests are still in progress. */
-const stopPollMs = 50;
-
 /** Bytes of all responses that are not complete yet: a part of the memory that is left beside the program. */
 const maxResponseBytes = 50_331_648;
 
@@ -286,37 +274,20 @@
 		return this.#isInformed ? this.#entries.addressesFor(failureDomain) : undefined;
 	}
 
-	/**
-	Stops in order: reports not ready and goes on serving while callers learn of other entries, then refuses what can't be answered before the limit, and ends when no
-	connection is open, or at the limit. Each connection is closed after its next response, or once it is idle.
-	*/
+	/** Reports not ready, goes on serving while callers learn of other entries, takes on only what it can finish, and ends when no connection is open, or at the limit. */
 	async stop(schedule: StopSchedule): Promise<void> {
-		const {nowMs, crashWatch} = this.#context;
-		const elapsedMs = () => this.#plannedStop.sinceBegunMs(nowMs())!;
+		const {nowMs, logger, crashWatch} = this.#context;
 		this.#isLeaving = true;
-		this.#plannedStop.begin(schedule, nowMs());
-		this.#logStop('drainStarted');
 		this.#links.sendHello();
-		this.#server.startDraining();
-		await sleep(this.#plannedStop.takingOnMs);
-		this.#refuseUnsent();
-		await sleep(listenAfterwardsMs);
-		this.#refuseUnsent();
-		await this.#server.stopListening(schedule.limitMs - elapsedMs());
-		this.#logStop('listenerClosed');
-		await this.#waitUntilClosed(idleMs, () => schedule.limitMs - elapsedMs());
-		await this.#server.readArrived();
-		for (const request of crashWatch.forwarding) {
-			request.endAtStop();
-		}
-
-		await this.#waitUntilClosed(0, () => schedule.limitMs + flushMs - elapsedMs());
+		const stop = new GracefulStop({
+			plannedStop: this.#plannedStop, server: this.#server, requests: crashWatch.forwarding, logger, nowMs,
+		});
+		await stop.run(schedule);
 		this.close();
 	}
 
 	/** Closes everything at once. */
 	close(): void {
-		this.#logStop('connectionsClosed');
 		for (const timer of this.#timers) {
 			clearInterval(timer);
 		}
@@ -329,30 +300,6 @@
 		this.#options.exchange.close();
 	}
 
-	/** Twice in a stop, since a timer may fire a little early. */
-	#refuseUnsent(): void {
-		for (const request of this.#context.crashWatch.forwarding) {
-			request.refuseUnsent();
-		}
-	}
-
-	/** Closes connections that have been idle for some time, until none is open or no time is left. */
-	async #waitUntilClosed(idleForMs: number, timeLeftMs: () => number): Promise<void> {
-		while (this.#server.connections.count > 0 && timeLeftMs() > 0) {
-			await this.#server.closeIdle(idleForMs);
-			await sleep(stopPollMs);
-		}
-	}
-
-	#logStop(step: string): void {
-		const {count, unusedCount, inProgress} = this.#server.connections;
-		const {logger, nowMs} = this.#context;
-		const sinceStopMs = this.#plannedStop.sinceBegunMs(nowMs());
-		logger.log('info', 'stopStep', {
-			step, connections: count, unusedConnections: unusedCount, requests: inProgress, ...(sinceStopMs !== undefined && {sinceStopMs: Math.round(sinceStopMs)}),
-		});
-	}
-
 	/** Processes the admission queue; returns whether requests still wait. */
 	#processWaiting(): boolean {
 		const {admission, nowMs} = this.#context;
