Logs: when an entry hears of a version, and who serves it

Change: versionAnnounced at entries (from whom, what is held, whom it asks now), role and number of followers in documentInForce of control.

--- a/packages/fleet-control/src/fleet-control.ts
+++ b/packages/fleet-control/src/fleet-control.ts
@@ -12,7 +12,7 @@
 	ControlLinks, type DocumentRequest, DocumentSender, type DownMessage, type JoinRequest, LinkServer, linkService, listen, type NodeCard, type NodeRole, type RankReply,
 	type RankRequest, type TrialReply, type TrialRequest, type UpMessage,
 } from '@rattanspring/fleet-link';
-import type {FatalErrorHandler} from '@rattanspring/log-storage';
+import type {FatalErrorHandler, FileSystem} from '@rattanspring/log-storage';
 import {describeError, type Logger} from '@rattanspring/logger';
 import {serverOptions} from '@rattanspring/protocol';
 import {
@@ -43,6 +43,8 @@
 	readonly linkAddress: string;
 	/** Folder of the replicated log and the identity of its disk. A process without one does not vote. */
 	readonly dataFolder?: string;
+	/** The file system of that folder; that of the operating system by default. */
+	readonly fileSystem?: FileSystem;
 	/** Number of VMs whose loss at the same time has to be tolerated; 0 by default. */
 	readonly faultTolerance?: number;
 	readonly seeds: () => readonly string[];
@@ -105,14 +107,14 @@
 				this.#linkServer.broadcast(message, receivers);
 			},
 		});
-		const {dataFolder, logger} = options;
+		const {dataFolder, fileSystem, logger} = options;
 		this.#permits = new Permits({
 			nowMs, ownAddress: options.linkAddress, seeds: options.seeds, nodes: () => this.#controlLinks.nodes.values(), isLeaving: () => this.#isLeaving,
 		});
 		this.#facts = new RelayedFacts({
 			targets: this.#targets,
 			nowMs,
-			...(dataFolder !== undefined && {convictions: new ConvictionStore({folder: dataFolder, logger})}),
+			...(dataFolder !== undefined && {convictions: new ConvictionStore({folder: dataFolder, logger, ...(fileSystem && {fileSystem})})}),
 			broadcast: (message, receivers) => {
 				this.#linkServer.broadcast(message, receivers);
 			},
@@ -154,6 +156,11 @@
 		return this.#group.isVoter;
 	}
 
+	/** Whether this process believes that it leads the group. */
+	get isLeader(): boolean {
+		return this.#group.isLeader;
+	}
+
 	/** Commits a document. Returns undefined if the outcome is unknown. */
 	async replace(document: StoredDocument): Promise<ReplaceOutcome | undefined> {
 		const current = this.#group.document;
@@ -255,7 +262,9 @@
 				this.#domains.applied(register);
 			},
 			onDocument: document => {
-				logger.log('info', 'documentInForce', {version: document.version, bytes: document.text.length});
+				logger.log('info', 'documentInForce', {
+					version: document.version, bytes: document.text.length, isLeader: this.isLeader, isVoter: this.isVoter, followers: this.#linkServer.cards.length - 1,
+				});
 				this.#documentSender.publish(document);
 				this.#linkServer.broadcast({type: 'version', version: document.version}, {roles: ['entry', 'agent']});
 			},
--- a/packages/gateway/src/document-follower.ts
+++ b/packages/gateway/src/document-follower.ts
@@ -47,6 +47,8 @@
 	#table: RouteTable | undefined;
 	#newestVersion = -1;
 	#isFetching = false;
+	/** The source that is asked now. */
+	#fetchingFrom: string | undefined;
 	#isClosed = false;
 
 	constructor(options: DocumentFollowerOptions) {
@@ -74,6 +76,7 @@
 		this.#failures.delete(address);
 		if (version > this.#newestVersion) {
 			this.#newestVersion = version;
+			this.#options.logger.log('info', 'versionAnnounced', {version, source: address, heldVersion: this.version, fetchingFrom: this.#fetchingFrom});
 			this.#options.onNewestVersion?.(version);
 		}
 
@@ -102,6 +105,7 @@
 				break;
 			}
 
+			this.#fetchingFrom = source;
 			const result = await this.#fetchPart(source, startedAtMs);
 			if (result === 'progress' || result === 'inForce') {
 				this.#failures.delete(source);
@@ -113,6 +117,7 @@
 		}
 
 		this.#isFetching = false;
+		this.#fetchingFrom = undefined;
 	}
 
 	async #fetchPart(source: string, startedAtMs: number): Promise<PartResult> {
