--- a/packages/fleet-control/src/document-group.ts
+++ b/packages/fleet-control/src/document-group.ts
@@ -11,7 +11,9 @@
 import type {ReplaceOutcome, StoredDocument} from '@rattanspring/desired-state';
 import type {DomainOrder, DomainOrderOutcome, DomainRegister} from '@rattanspring/domain-drain';
 import type {JoinReply, JoinRequest} from '@rattanspring/fleet-link';
-import {type FatalErrorHandler, FileLogStorage, loadOrCreateDiskIdentity} from '@rattanspring/log-storage';
+import {
+	type FatalErrorHandler, FileLogStorage, type FileSystem, loadOrCreateDiskIdentity,
+} from '@rattanspring/log-storage';
 import type {Logger} from '@rattanspring/logger';
 import {
 	currentMembership, findMember, initialLog, isVoter, type Membership, type RecoveredLog, type Voter,
@@ -60,6 +62,8 @@
 	readonly nodeId: string;
 	readonly linkAddress: string;
 	readonly dataFolder: string;
+	/** The file system of that folder; that of the operating system by default. */
+	readonly fileSystem?: FileSystem;
 	/** Link addresses of the initial members on the first start, otherwise of any members. */
 	readonly seeds: () => readonly string[];
 	/** Link addresses of the other control processes discovered so far. */
@@ -101,7 +105,9 @@
 		this.#options = options;
 		this.#membership = new MembershipMaintenance(options);
 		this.#leaderAccess = new LeaderAccess({linkAddress: options.linkAddress, addresses: () => this.#otherAddresses});
-		this.#storage = new FileLogStorage({folder: path.join(options.dataFolder, 'log'), fatalErrorHandler: options.fatalErrorHandler});
+		this.#storage = new FileLogStorage({
+			folder: path.join(options.dataFolder, 'log'), fatalErrorHandler: options.fatalErrorHandler, ...(options.fileSystem && {fileSystem: options.fileSystem}),
+		});
 		this.service = peerService({
 			voterId: () => this.#voterId === '' ? undefined : this.#voterId,
 			membership: () => this.#driver && currentMembership(this.#driver.state),
@@ -135,8 +141,8 @@
 
 	/** Recovers the log from disk, or forms or joins the group, and starts the replica. */
 	async start(): Promise<void> {
-		const {dataFolder, nodeId, logger} = this.#options;
-		const diskId = await loadOrCreateDiskIdentity({folder: dataFolder, createId: () => randomUUID().slice(0, 8)});
+		const {dataFolder, fileSystem, nodeId, logger} = this.#options;
+		const diskId = await loadOrCreateDiskIdentity({folder: dataFolder, createId: () => randomUUID().slice(0, 8), ...(fileSystem && {fileSystem})});
 		const recovered = await this.#storage.recover();
 		this.#voterId = `${nodeId}.${diskId}`;
 		const start = await this.#recoverOrFormGroup(recovered);
--- a/packages/fleet-control/src/test-group.ts
+++ b/packages/fleet-control/src/test-group.ts
@@ -4,7 +4,7 @@
 import {tmpdir} from 'node:os';
 import path from 'node:path';
 import {setTimeout as sleep} from 'node:timers/promises';
-import {FatalErrorHandler} from '@rattanspring/log-storage';
+import {AppendFile, FatalErrorHandler, NodeFileSystem} from '@rattanspring/log-storage';
 import {Logger, type LogLevel} from '@rattanspring/logger';
 import {freePorts, waitUntil} from '@rattanspring/test-kit';
 import {SystemClock} from '@rattanspring/voter-group';
@@ -25,6 +25,63 @@
 	}
 }
 
+/** A disk that can be full: it then refuses every write. */
+class TestDisk extends NodeFileSystem {
+	isFull = false;
+
+	override async makeFolder(folder: string): Promise<void> {
+		this.#checkRoom();
+		await super.makeFolder(folder);
+	}
+
+	override async openAppend(file: string): Promise<AppendFile> {
+		return new TestAppendFile(await super.openAppend(file), () => {
+			this.#checkRoom();
+		});
+	}
+
+	#checkRoom(): void {
+		if (this.isFull) {
+			throw Object.assign(new Error('no space left on device'), {code: 'ENOSPC'});
+		}
+	}
+}
+
+/** A file on such a disk. A refused write leaves its first half. */
+class TestAppendFile extends AppendFile {
+	readonly #file: AppendFile;
+	readonly #checkRoom: () => void;
+
+	constructor(file: AppendFile, checkRoom: () => void) {
+		super();
+		this.#file = file;
+		this.#checkRoom = checkRoom;
+	}
+
+	async write(bytes: Uint8Array): Promise<void> {
+		try {
+			this.#checkRoom();
+		} catch (error) {
+			await this.#file.write(bytes.subarray(0, bytes.length / 2));
+			throw error;
+		}
+
+		await this.#file.write(bytes);
+	}
+
+	async sync(): Promise<void> {
+		await this.#file.sync();
+	}
+
+	async truncate(lengthBytes: number): Promise<void> {
+		await this.#file.truncate(lengthBytes);
+	}
+
+	async close(): Promise<void> {
+		await this.#file.close();
+	}
+}
+
 /** Counts the lines of each event. */
 class CountingLogger extends Logger {
 	readonly #counts = new Map<string, number>();
@@ -58,6 +115,7 @@
 	readonly #addresses: readonly string[];
 	readonly #logger = new CountingLogger();
 	readonly #running = new Map<number, FleetControl>();
+	readonly #disks = new Map<number, TestDisk>();
 
 	private constructor(options: TestGroupOptions, folder: string, addresses: readonly string[]) {
 		this.#options = options;
@@ -75,6 +133,11 @@
 		return this.#logger.linesOf(event);
 	}
 
+	/** Position of the process that leads; -1 while there is none. */
+	get leader(): number {
+		return this.positions.find(index => this.#running.get(index)?.isLeader) ?? -1;
+	}
+
 	addressOf(index: number): string {
 		return this.#addresses[index];
 	}
@@ -98,7 +161,7 @@
 			nodeId: `n${index}`,
 			failureDomain: `z${index % failureDomainCount}`,
 			linkAddress: this.#addresses[index],
-			...(!diskless.includes(index) && {dataFolder: this.#diskOf(index)}),
+			...(!diskless.includes(index) && {dataFolder: this.#folderOf(index), fileSystem: this.#diskOf(index)}),
 			seeds: () => this.#addresses.slice(0, seedCount),
 			faultTolerance,
 			isFirstStart,
@@ -118,9 +181,14 @@
 		}));
 	}
 
+	/** Fills the disk of a process, or gives it room again. */
+	setDiskFull(index: number, isFull: boolean): void {
+		this.#diskOf(index).isFull = isFull;
+	}
+
 	/** Empties the disks of stopped processes. */
 	async wipe(...indices: readonly number[]): Promise<void> {
-		await Promise.all(indices.map(async index => rm(this.#diskOf(index), {recursive: true, force: true})));
+		await Promise.all(indices.map(async index => rm(this.#folderOf(index), {recursive: true, force: true})));
 	}
 
 	/** Offers a document to a process until it is acknowledged. */
@@ -144,11 +212,21 @@
 	}
 
 	async close(): Promise<void> {
+		for (const disk of this.#disks.values()) {
+			disk.isFull = false;
+		}
+
 		await this.stop(...this.#running.keys());
 		await rm(this.#folder, {recursive: true, force: true});
 	}
 
-	#diskOf(index: number): string {
+	#folderOf(index: number): string {
 		return path.join(this.#folder, `disk-${index}`);
 	}
+
+	#diskOf(index: number): TestDisk {
+		const disk = this.#disks.get(index) ?? new TestDisk();
+		this.#disks.set(index, disk);
+		return disk;
+	}
 }
--- a/packages/gateway/src/document-follower.ts
+++ b/packages/gateway/src/document-follower.ts
@@ -76,7 +76,9 @@
 		this.#failures.delete(address);
 		if (version > this.#newestVersion) {
 			this.#newestVersion = version;
-			this.#options.logger.log('info', 'versionAnnounced', {version, source: address, heldVersion: this.version, fetchingFrom: this.#fetchingFrom});
+			this.#options.logger.log('info', 'versionAnnounced', {
+				version, source: address, heldVersion: this.version, fetchingFrom: this.#fetchingFrom,
+			});
 			this.#options.onNewestVersion?.(version);
 		}
 
