A write that a full disk refuses waits for room

Cause: any failed write ended the voter (exit code 74), which then started anew each 0.7 s, could not even start while its disk was full, and lost its connections each time. A full disk refuses a write and keeps what it has, so the state on disk is known. Change: the log and the identity repeat the refused write from its start (a partial record is cut off first) until there is room, the stop of a process or the storage's end; any other failure is fatal as before.

--- a/packages/fleet-control/src/document-group.ts
+++ b/packages/fleet-control/src/document-group.ts
@@ -12,7 +12,7 @@
 import type {DomainOrder, DomainOrderOutcome, DomainRegister} from '@rattanspring/domain-drain';
 import type {JoinReply, JoinRequest} from '@rattanspring/fleet-link';
 import {
-	type FatalErrorHandler, FileLogStorage, type FileSystem, loadOrCreateDiskIdentity,
+	type DiskSpaceOptions, type FatalErrorHandler, FileLogStorage, type FileSystem, loadOrCreateDiskIdentity,
 } from '@rattanspring/log-storage';
 import type {Logger} from '@rattanspring/logger';
 import {
@@ -106,7 +106,7 @@
 		this.#membership = new MembershipMaintenance(options);
 		this.#leaderAccess = new LeaderAccess({linkAddress: options.linkAddress, addresses: () => this.#otherAddresses});
 		this.#storage = new FileLogStorage({
-			folder: path.join(options.dataFolder, 'log'), fatalErrorHandler: options.fatalErrorHandler, ...(options.fileSystem && {fileSystem: options.fileSystem}),
+			folder: path.join(options.dataFolder, 'log'), fatalErrorHandler: options.fatalErrorHandler, diskSpace: this.#diskSpaceLog, ...(options.fileSystem && {fileSystem: options.fileSystem}),
 		});
 		this.service = peerService({
 			voterId: () => this.#voterId === '' ? undefined : this.#voterId,
@@ -142,7 +142,9 @@
 	/** Recovers the log from disk, or forms or joins the group, and starts the replica. */
 	async start(): Promise<void> {
 		const {dataFolder, fileSystem, nodeId, logger} = this.#options;
-		const diskId = await loadOrCreateDiskIdentity({folder: dataFolder, createId: () => randomUUID().slice(0, 8), ...(fileSystem && {fileSystem})});
+		const diskId = await loadOrCreateDiskIdentity({
+			folder: dataFolder, createId: () => randomUUID().slice(0, 8), diskSpace: this.#diskSpaceLog, ...(fileSystem && {fileSystem}),
+		});
 		const recovered = await this.#storage.recover();
 		this.#voterId = `${nodeId}.${diskId}`;
 		const start = await this.#recoverOrFormGroup(recovered);
@@ -219,6 +221,7 @@
 		const driver = this.#driver;
 		if (driver) {
 			await driver.transferLeadershipAndWait(transferTimeoutMs);
+			this.#storage.stopWaiting();
 			await driver.stop();
 		}
 
@@ -232,6 +235,18 @@
 		this.#driver?.transferLeadership();
 	}
 
+	get #diskSpaceLog(): DiskSpaceOptions {
+		const {logger} = this.#options;
+		return {
+			onFull(message) {
+				logger.log('error', 'diskFull', {message});
+			},
+			onRoom(waitedMs) {
+				logger.log('info', 'diskHasRoom', {waitedMs: Math.round(waitedMs)});
+			},
+		};
+	}
+
 	async #replaceOnce(document: StoredDocument, driver: ReplicaDriver<ReplaceOutcome>): Promise<ReplaceOutcome | undefined> {
 		return driver.state.role === 'leader' ? commit(driver, documentCommand(document)) : this.#leaderAccess.submit(document, this.#leaderInContact(driver)?.address);
 	}
--- a/packages/fleet-control/src/full-disks.known-red.test.ts
+++ b/packages/fleet-control/src/full-disks.test.ts
@@ -23,7 +23,7 @@
 	['the leader each time, of six', six, ['leader', 'leader', 'leader', 'leader']],
 ];
 
-describe('disks that are full in turn', {concurrency: 3}, () => {
+describe('disks that are full in turn', {concurrency: 6}, () => {
 	for (const [name, options, order] of orders) {
 		it(`leave no process that refuses changes or does not answer: ${name}`, withGroup(options, async group => {
 			let version = 1;
--- a/packages/log-storage/src/disk-identity.ts
+++ b/packages/log-storage/src/disk-identity.ts
@@ -1,6 +1,7 @@
 /** Persistent identity of a data folder. It distinguishes a voter that lost its disk from the voter it was before. */
 
 import path from 'node:path';
+import {DiskSpace, type DiskSpaceOptions} from './disk-space.js';
 import type {FileSystem} from './file-system.js';
 import {NodeFileSystem} from './node-file-system.js';
 import {readRecordFile, replaceRecordFile} from './record-file.js';
@@ -10,21 +11,26 @@
 	/** Generates a new unique identity. */
 	readonly createId: () => string;
 	readonly fileSystem?: FileSystem;
+	/** Told when the disk is full and when it has room again. */
+	readonly diskSpace?: DiskSpaceOptions;
 };
 
-/** Reads the identity of a data folder, or creates and stores a new one. */
+/** Reads the identity of a data folder, or creates and stores a new one. Waits while the disk is full. */
 export async function loadOrCreateDiskIdentity(options: DiskIdentityOptions): Promise<string> {
-	const fileSystem = options.fileSystem ?? new NodeFileSystem();
-	await fileSystem.makeFolder(options.folder);
+	return new DiskSpace(options.diskSpace).use(async () => loadOrCreate(options));
+}
+
+async function loadOrCreate({folder, fileSystem = new NodeFileSystem(), createId}: DiskIdentityOptions): Promise<string> {
+	await fileSystem.makeFolder(folder);
 	// A killed process may have left the file's name unsynced.
-	await fileSystem.syncFolder(options.folder);
-	const file = path.join(options.folder, 'identity');
+	await fileSystem.syncFolder(folder);
+	const file = path.join(folder, 'identity');
 	const stored = await readRecordFile(fileSystem, file);
 	if (typeof stored === 'string') {
 		return stored;
 	}
 
-	const created = options.createId();
+	const created = createId();
 	await replaceRecordFile(fileSystem, file, created);
 	return created;
 }
--- a/packages/log-storage/src/file-log-storage.ts
+++ b/packages/log-storage/src/file-log-storage.ts
@@ -5,7 +5,8 @@
 	EntryList, type LogEntry, type LogSnapshot, LogStorage, type RecoveredLog, type VoteState,
 } from '@rattanspring/replicated-log';
 import {FailureError} from '@rattanspring/types';
-import {type FatalErrorHandler, writeFailed} from './failures.js';
+import {DiskSpace, type DiskSpaceOptions, isFull} from './disk-space.js';
+import {diskFull, type FatalErrorHandler, writeFailed} from './failures.js';
 import type {FileSystem} from './file-system.js';
 import {NodeFileSystem} from './node-file-system.js';
 import {Segments} from './segments.js';
@@ -19,17 +20,20 @@
 	readonly fatalErrorHandler: FatalErrorHandler;
 	readonly fileSystem?: FileSystem;
 	readonly maxSegmentBytes?: number;
+	/** Told when the disk is full and when it has room again. */
+	readonly diskSpace?: DiskSpaceOptions;
 };
 
 /**
-Stores the log on disk. Writes run sequentially in the order of the calls. After a failed write, the fatal error
-handler is called, the promise is rejected, and every later write is rejected as well.
+Stores the log on disk. Writes run sequentially in the order of the calls. A write that a full disk refuses waits, and all later ones with it, until the disk has room. After
+any other failed write, the fatal error handler is called, the promise is rejected, and every later write is rejected as well.
 */
 export class FileLogStorage extends LogStorage {
 	readonly #folder: string;
 	readonly #fatalErrorHandler: FatalErrorHandler;
 	readonly #fileSystem: FileSystem;
 	readonly #segments: Segments;
+	readonly #space: DiskSpace;
 	#entries = new EntryList(0, 0);
 	#lastWrite: Promise<void> = Promise.resolve();
 
@@ -38,6 +42,7 @@
 		this.#folder = options.folder;
 		this.#fatalErrorHandler = options.fatalErrorHandler;
 		this.#fileSystem = options.fileSystem ?? new NodeFileSystem();
+		this.#space = new DiskSpace(options.diskSpace);
 		this.#segments = new Segments({
 			fileSystem: this.#fileSystem, folder: options.folder, maxSegmentBytes: options.maxSegmentBytes ?? defaultMaxSegmentBytes,
 		});
@@ -45,14 +50,7 @@
 
 	/** What is recovered counts as durable, so that it is synced first: a killed process may have left its last writes unsynced. */
 	async recover(): Promise<RecoveredLog> {
-		await this.#fileSystem.makeFolder(this.#folder);
-		await this.#fileSystem.syncFolder(path.dirname(this.#folder));
-		await this.#fileSystem.syncFolder(this.#folder);
-		const voteState = (await readRecordFile(this.#fileSystem, this.#voteFile)) as VoteState | undefined;
-		const snapshot = (await readRecordFile(this.#fileSystem, this.#snapshotFile)) as LogSnapshot | undefined;
-		this.#entries = await this.#segments.recover(snapshot);
-		const entries = this.#entries.slice(this.#entries.baseIndex + 1);
-		return {voteState: voteState ?? {term: 0}, ...(snapshot && {snapshot}), entries};
+		return this.#space.use(async () => this.#recover());
 	}
 
 	async append(entries: readonly LogEntry[]): Promise<void> {
@@ -87,11 +85,28 @@
 		});
 	}
 
+	/** Ends waits for room on the disk: writes that it still refuses are rejected, without a call of the fatal error handler. */
+	stopWaiting(): void {
+		this.#space.stopWaiting();
+	}
+
 	async close(): Promise<void> {
+		this.stopWaiting();
 		await this.#lastWrite.catch(() => undefined);
 		await this.#segments.close();
 	}
 
+	async #recover(): Promise<RecoveredLog> {
+		await this.#fileSystem.makeFolder(this.#folder);
+		await this.#fileSystem.syncFolder(path.dirname(this.#folder));
+		await this.#fileSystem.syncFolder(this.#folder);
+		const voteState = (await readRecordFile(this.#fileSystem, this.#voteFile)) as VoteState | undefined;
+		const snapshot = (await readRecordFile(this.#fileSystem, this.#snapshotFile)) as LogSnapshot | undefined;
+		this.#entries = await this.#segments.recover(snapshot);
+		const entries = this.#entries.slice(this.#entries.baseIndex + 1);
+		return {voteState: voteState ?? {term: 0}, ...(snapshot && {snapshot}), entries};
+	}
+
 	get #voteFile(): string {
 		return path.join(this.#folder, 'vote');
 	}
@@ -109,8 +124,12 @@
 	async #writeAfter(previous: Promise<void>, work: () => Promise<void>): Promise<void> {
 		await previous;
 		try {
-			await work();
+			await this.#space.use(work);
 		} catch (error) {
+			if (isFull(error)) {
+				throw new FailureError(diskFull(this.#folder, error));
+			}
+
 			const failure = writeFailed(this.#folder, error);
 			this.#fatalErrorHandler.end(failure);
 			throw new FailureError(failure);
--- a/packages/log-storage/src/segments.ts
+++ b/packages/log-storage/src/segments.ts
@@ -19,6 +19,8 @@
 	readonly #options: SegmentsOptions;
 	#segments: Segment[] = [];
 	#open: AppendFile | undefined;
+	/** Whether the last segment may end with a part of a record that the disk refused. */
+	#hasPartialRecord = false;
 
 	constructor(options: SegmentsOptions) {
 		this.#options = options;
@@ -29,6 +31,7 @@
 		const {fileSystem, folder} = this.#options;
 		const names = await fileSystem.list(folder);
 		const replay = new LogReplay(snapshot);
+		this.#segments = [];
 		for (const name of names.filter(candidate => segmentNamePattern.test(candidate)).toSorted()) {
 			this.#segments.push({
 				file: path.join(folder, name), number: Number(segmentNamePattern.exec(name)![1]), lastIndex: 0, sizeBytes: 0,
@@ -42,8 +45,9 @@
 		return replay.result(folder);
 	}
 
-	/** Appends one record and syncs it to disk. */
+	/** Appends one record and syncs it to disk. May be repeated after the disk has refused it. */
 	async append(content: SegmentRecord): Promise<void> {
+		await this.#removePartialRecord();
 		const last = this.#segments.at(-1);
 		if (!last || last.sizeBytes >= this.#options.maxSegmentBytes) {
 			await this.#startSegment();
@@ -52,8 +56,10 @@
 		const segment = this.#segments.at(-1)!;
 		this.#open ??= await this.#options.fileSystem.openAppend(segment.file);
 		const record = encodeRecord(content);
+		this.#hasPartialRecord = true;
 		await this.#open.write(record);
 		await this.#open.sync();
+		this.#hasPartialRecord = false;
 		segment.sizeBytes += record.byteLength;
 		segment.lastIndex = Math.max(segment.lastIndex, lastIndexOf(content));
 	}
@@ -66,6 +72,7 @@
 
 	/** Restarts the log at the position of a snapshot that conflicts with it, and removes all earlier segments. */
 	async reset(baseIndex: number, baseTerm: number): Promise<void> {
+		await this.#removePartialRecord();
 		await this.#startSegment();
 		await this.append({kind: 'reset', baseIndex, baseTerm});
 		await this.#removeOldest(this.#segments.length - 1);
@@ -76,6 +83,13 @@
 		this.#open = undefined;
 	}
 
+	async #removePartialRecord(): Promise<void> {
+		if (this.#hasPartialRecord) {
+			await this.#open!.truncate(this.#segments.at(-1)!.sizeBytes);
+			this.#hasPartialRecord = false;
+		}
+	}
+
 	async #startSegment(): Promise<void> {
 		const {fileSystem, folder} = this.#options;
 		await this.close();
@@ -134,11 +148,14 @@
 	/** Truncates what follows the last whole record, and syncs the rest. */
 	async #syncThrough(file: string, endOffset: number, sizeBytes: number): Promise<void> {
 		const handle = await this.#options.fileSystem.openAppend(file);
-		if (endOffset < sizeBytes) {
-			await handle.truncate(endOffset);
-		}
+		try {
+			if (endOffset < sizeBytes) {
+				await handle.truncate(endOffset);
+			}
 
-		await handle.sync();
-		await handle.close();
+			await handle.sync();
+		} finally {
+			await handle.close();
+		}
 	}
 }
