An entry no longer waits for a dead source when a live one announces a version

Change: a source that has failed is waited for only until another one announces a newer version, or its stream is lost or is back; a failed source delays nobody but itself: the pause comes before it is asked again, not after the failure. What an abandoned call brings is ignored, and its connection is dropped.

--- a/packages/gateway/src/document-follower.ts
+++ b/packages/gateway/src/document-follower.ts
@@ -1,6 +1,7 @@
 /**
 Keeps the newest desired-state document. Fetches it when a control process announces a newer version, and goes on until it has
-one, however often a control process does not answer. Never returns to an older version.
+one, however often a control process does not answer. A source that has failed is waited for only until another one announces a newer
+version, or the stream to the source is lost. Never returns to an older version.
 */
 
 import {
@@ -10,17 +11,18 @@
 	DocumentReceiver, type DocumentReply, LinkCalls, linkService,
 } from '@rattanspring/fleet-link';
 import type {Logger} from '@rattanspring/logger';
+import {interrupted, InterruptibleWait} from './interruptible-wait.js';
 
 /** Time limit of a part of the document, doubled after each failure in a row at a source: many daemons may share its link. */
 const partTimeoutMs = 800;
 const maxPartTimeoutMs = 1600;
 
-/** Pause after a failure, doubled with each further one at that source. A random part of the same length is added, since all daemons fail at the same time. */
+/** Pause before a source that has failed is asked again, doubled with each further failure. A random part of the same length is added, since all daemons fail at the same time. */
 const retryPauseMs = 50;
 const maxRetryPauseMs = 400;
 
 /** What came of a request for a part. */
-type PartResult = 'progress' | 'inForce' | 'noReply' | 'notServed' | 'damaged' | 'unreadable' | 'notNewer';
+type PartResult = 'progress' | 'inForce' | 'noReply' | 'notServed' | 'damaged' | 'unreadable' | 'notNewer' | 'interrupted';
 
 /** Options of the follower. */
 export type DocumentFollowerOptions = {
@@ -44,9 +46,12 @@
 	readonly #announcedVersions = new Map<string, number>();
 	/** Failures in a row of each source that has failed since it last served a part or was heard of. */
 	readonly #failures = new Map<string, number>();
+	/** Sources whose stream was lost since they were last heard of. */
+	readonly #lostSources = new Set<string>();
 	#table: RouteTable | undefined;
 	#newestVersion = -1;
 	#isFetching = false;
+	readonly #wait = new InterruptibleWait();
 	/** The source that is asked now. */
 	#fetchingFrom: string | undefined;
 	#isClosed = false;
@@ -72,8 +77,10 @@
 
 	/** Records the version that a control process has, and fetches it if it is newer. */
 	recordVersion(address: string, version: number): void {
+		const isBetterSource = this.#hasFailed(this.#fetchingFrom) && (address !== this.#fetchingFrom || this.#lostSources.has(address));
 		this.#announcedVersions.set(address, version);
 		this.#failures.delete(address);
+		this.#lostSources.delete(address);
 		if (version > this.#newestVersion) {
 			this.#newestVersion = version;
 			this.#options.logger.log('info', 'versionAnnounced', {
@@ -82,19 +89,31 @@
 			this.#options.onNewestVersion?.(version);
 		}
 
-		if (version > this.version && !this.#isFetching) {
+		if (version <= this.version) {
+			return;
+		}
+
+		if (!this.#isFetching) {
 			this.#isFetching = true;
 			void this.#fetch();
+		} else if (isBetterSource) {
+			this.#wait.interrupt();
 		}
 	}
 
 	/** Drops the connection to a control process whose stream was lost, since it may be dead without a sign. */
 	dropConnection(address: string): void {
 		this.#calls.discard(address);
+		this.#lostSources.add(address);
+		if (address === this.#fetchingFrom) {
+			this.#noteFailure(address);
+			this.#wait.interrupt();
+		}
 	}
 
 	close(): void {
 		this.#isClosed = true;
+		this.#wait.interrupt();
 		this.#calls.close();
 	}
 
@@ -108,13 +127,12 @@
 			}
 
 			this.#fetchingFrom = source;
-			const result = await this.#fetchPart(source, startedAtMs);
+			const result = await this.#ask(source, startedAtMs);
 			if (result === 'progress' || result === 'inForce') {
 				this.#failures.delete(source);
 				startedAtMs = result === 'inForce' ? performance.now() : startedAtMs;
 			} else {
 				this.#logFailure(source, result, startedAtMs);
-				await this.#pauseAfterFailure(source);
 			}
 		}
 
@@ -122,19 +140,39 @@
 		this.#fetchingFrom = undefined;
 	}
 
-	async #fetchPart(source: string, startedAtMs: number): Promise<PartResult> {
+	/** Requests a part from a source; after failures there, only after a pause. */
+	async #ask(source: string, startedAtMs: number): Promise<PartResult> {
+		if (this.#hasFailed(source) && await this.#wait.for(this.#pause(source)) === interrupted) {
+			return 'interrupted';
+		}
+
 		const announced = this.#announcedVersions.get(source);
 		const timeoutMs = Math.min(maxPartTimeoutMs, partTimeoutMs * (2 ** this.#failuresOf(source)));
-		const reply = await this.#calls.call(source, linkService.document, this.#receiver.request(this.version), timeoutMs);
-		if (!reply) {
-			return 'noReply';
+		const reply = await this.#wait.for(this.#calls.call(source, linkService.document, this.#receiver.request(this.version), timeoutMs));
+		if (reply === interrupted) {
+			// The abandoned call would end its connection later, and with it the calls of that time.
+			this.#calls.discard(source);
+			return 'interrupted';
 		}
 
-		if (this.#announcedVersions.get(source) === announced) {
+		if (reply && this.#announcedVersions.get(source) === announced) {
 			this.#announcedVersions.set(source, reply.version);
 		}
 
-		return this.#onReply(source, reply, startedAtMs);
+		const result = reply ? this.#onReply(source, reply, startedAtMs) : 'noReply';
+		if (result !== 'progress' && result !== 'inForce') {
+			this.#noteFailure(source);
+		}
+
+		return result;
+	}
+
+	#noteFailure(source: string): void {
+		this.#failures.set(source, this.#failuresOf(source) + 1);
+	}
+
+	#hasFailed(source: string | undefined): boolean {
+		return source !== undefined && this.#failures.has(source);
 	}
 
 	#failuresOf(source: string): number {
@@ -193,11 +231,9 @@
 		});
 	}
 
-	async #pauseAfterFailure(source: string): Promise<void> {
-		const failures = this.#failuresOf(source);
-		this.#failures.set(source, failures + 1);
+	async #pause(source: string): Promise<void> {
 		const random = this.#options.random ?? Math.random;
-		const pauseMs = Math.min(maxRetryPauseMs, retryPauseMs * (2 ** failures));
+		const pauseMs = Math.min(maxRetryPauseMs, retryPauseMs * (2 ** (this.#failuresOf(source) - 1)));
 		await new Promise(resolve => {
 			setTimeout(resolve, pauseMs * (1 + random()));
 		});
