A document whose processing throws does not end the following of later ones

Change: the error is logged and counts as a failure of the source. Measured: the new case of document-follower failed before (unhandled error, version 2 never in force), passes now.

--- a/packages/gateway/src/document-follower.test.ts
+++ b/packages/gateway/src/document-follower.test.ts
@@ -11,6 +11,7 @@
 describe('DocumentFollower', () => {
 	let sources: TestSource[] = [];
 	let follower: DocumentFollower;
+	let onState: () => void;
 
 	afterEach(() => {
 		follower.close();
@@ -20,11 +21,14 @@
 	});
 
 	async function start(count: number): Promise<void> {
+		onState = () => undefined;
 		const ports = await freePorts(count);
 		sources = ports.map(port => new TestSource(`127.0.0.1:${port}`));
 		await Promise.all(sources.map(async source => source.start()));
 		follower = new DocumentFollower({
-			codec: new VersionCodec(), logger: new SilentLogger(), sources: () => sources.map(({address}) => address), onState: () => undefined,
+			codec: new VersionCodec(), logger: new SilentLogger(), sources: () => sources.map(({address}) => address), onState() {
+				onState();
+			},
 		});
 	}
 
@@ -46,6 +50,22 @@
 		await waitForVersion(2);
 	});
 
+	it('follows on after a document whose processing throws', async () => {
+		await start(1);
+		const [source] = sources;
+		source.sender.publish({version: 1, text: '1'});
+		onState = () => {
+			throw new Error('first document');
+		};
+
+		follower.recordVersion(source.address, 1);
+		await waitForVersion(1);
+		onState = () => undefined;
+		source.sender.publish({version: 2, text: '2'});
+		follower.recordVersion(source.address, 2);
+		await waitForVersion(2);
+	});
+
 	it('stays with the source that answers while the nearest one is silent', async () => {
 		await start(2);
 		const [silent, other] = sources;
--- a/packages/gateway/src/document-follower.ts
+++ b/packages/gateway/src/document-follower.ts
@@ -10,7 +10,7 @@
 import {
 	DocumentReceiver, type DocumentReply, LinkCalls, linkService,
 } from '@rattanspring/fleet-link';
-import type {Logger} from '@rattanspring/logger';
+import {describeError, type Logger} from '@rattanspring/logger';
 import {interrupted, InterruptibleWait} from './interruptible-wait.js';
 
 /** Time limit of a part of the document, doubled after each failure in a row at a source: many daemons may share its link. */
@@ -22,7 +22,7 @@
 const maxRetryPauseMs = 400;
 
 /** What came of a request for a part. */
-type PartResult = 'progress' | 'inForce' | 'noReply' | 'notServed' | 'damaged' | 'unreadable' | 'notNewer' | 'interrupted';
+type PartResult = 'progress' | 'inForce' | 'noReply' | 'notServed' | 'damaged' | 'unreadable' | 'notNewer' | 'notProcessed' | 'interrupted';
 
 /** Options of the follower. */
 export type DocumentFollowerOptions = {
@@ -159,7 +159,7 @@
 			this.#announcedVersions.set(source, reply.version);
 		}
 
-		const result = reply ? this.#onReply(source, reply, startedAtMs) : 'noReply';
+		const result = reply ? this.#process(source, reply, startedAtMs) : 'noReply';
 		if (result !== 'progress' && result !== 'inForce') {
 			this.#noteFailure(source);
 		}
@@ -192,6 +192,16 @@
 		return [...new Set([...connected, ...newer])];
 	}
 
+	/** An error in what follows from a document must not end the following of later ones. */
+	#process(source: string, reply: DocumentReply, startedAtMs: number): PartResult {
+		try {
+			return this.#onReply(source, reply, startedAtMs);
+		} catch (error) {
+			this.#options.logger.log('error', 'documentNotProcessed', {source, version: this.version, ...describeError(error)});
+			return 'notProcessed';
+		}
+	}
+
 	#onReply(source: string, reply: DocumentReply, startedAtMs: number): PartResult {
 		if (!reply.part) {
 			return 'notServed';
