Reports out of bounds name no target, at every reader

Cause: the decoder of reports took ports out of range, addresses that are none, absurd numbers of slots, ranks and sizes, starts in the far future and names as long as the report; entries passed requests on to such addresses (some failed), and a group's size goes into an array's length at agents. A build that checks less may pass such entries on.

--- a/packages/fleet-control/src/fan-out.test.ts
+++ b/packages/fleet-control/src/fan-out.test.ts
@@ -24,7 +24,7 @@
 
 function reportOf(targetId: string, sequence: number): TargetReport {
 	return {
-		targetId, bornMs: 100, sequence, service: 's', address: `${targetId}:80`, failureDomain: 'a', slots: 8, state: 'ready', coldLeftMs: 0,
+		targetId, bornMs: 100, sequence, service: 's', address: `10.0.0.${targetId.slice(1)}:80`, failureDomain: 'a', slots: 8, state: 'ready', coldLeftMs: 0,
 	};
 }
 
--- a/packages/fleet-link/src/link-service.test.ts
+++ b/packages/fleet-link/src/link-service.test.ts
@@ -47,6 +47,38 @@
 	});
 });
 
+describe('messages about targets', () => {
+	const report = {
+		targetId: 't', bornMs: 1, sequence: 1, service: 's', address: '10.0.0.1:80', failureDomain: 'a', slots: 8, state: 'ready',
+	};
+	const odd = [
+		{...report, address: '10.0.0.1:65536'},
+		{...report, slots: 1e308},
+		{...report, bornMs: Number.MAX_SAFE_INTEGER},
+		{...report, state: 'lost'},
+		{...report, targetId: ''},
+		{...report, service: undefined},
+		{
+			...report, rankPlace: {
+				group: 'g', epoch: 1, rank: 0, size: 2 ** 32, isOpen: true,
+			},
+		},
+		1,
+		null,
+		[],
+	];
+	const parse = (message: object) => linkService.follow.responseDeserialize(Buffer.from(JSON.stringify(message)));
+
+	it('hold but for odd entries, which a build that checks less may pass on', () => {
+		expect(parse({type: 'targets', reports: [...odd, report]})).toEqual({type: 'targets', reports: [report as never]});
+		const heartbeat = {targetId: 't', bornMs: 1, sequence: 1};
+		expect(parse({type: 'heartbeats', targets: [{...heartbeat, sequence: 1e300}, {...heartbeat, bornMs: -1}, null, heartbeat]})).toEqual({type: 'heartbeats', targets: [heartbeat]});
+		const row = ['10.0.0.1:80', 1, 1, 0, 0, 0, 1];
+		const loads = parse({type: 'loads', rows: [row.slice(1), [...row, 'g', 1, 0, 2 ** 32, 1, null], null, row]});
+		expect(loads.type === 'loads' ? loads.loads.map(({address}) => address) : []).toEqual(['10.0.0.1:80']);
+	});
+});
+
 describe('calls of the method rank', () => {
 	const server = new Server();
 	const calls = new LinkCalls();
--- a/packages/fleet-link/src/link-service.ts
+++ b/packages/fleet-link/src/link-service.ts
@@ -14,6 +14,7 @@
 import {
 	type PermitDecision, type PermitRequest, readColdWord, readPermitDecision, readTargetLimit,
 } from '@rattanspring/target-limits';
+import {isReadableHeartbeat, isReadableReport, type TargetLoad} from '@rattanspring/target-table';
 import {fromLoadRow, toLoadRow} from './load-rows.js';
 import type {DownMessage, UpMessage} from './messages.js';
 
@@ -150,7 +151,7 @@
 /** Throws if the bytes are not a message; the library then ends the stream. */
 function parseDown(bytes: Buffer): DownMessage {
 	const message = withCheckedLists(parseObject(bytes) as DownMessage & {readonly rows?: unknown});
-	return message.type === 'loads' ? {type: 'loads', loads: rowsOf(message.rows).map(row => fromLoadRow(row))} : message;
+	return message.type === 'loads' ? {type: 'loads', loads: rowsOf(message.rows).flatMap(row => readableLoad(row))} : message;
 }
 
 function serializeUp(message: UpMessage): Buffer {
@@ -181,6 +182,15 @@
 		return {...message, register: readDomainRegister(message.register)};
 	}
 
+	// What targets say reaches every daemon, so that an odd entry is left out and the others hold.
+	if (message.type === 'targets') {
+		return {...message, reports: message.reports.filter(report => isReadableReport(report))};
+	}
+
+	if (message.type === 'heartbeats') {
+		return {...message, targets: message.targets.filter(target => isReadableHeartbeat(target))};
+	}
+
 	return message.type === 'limits'
 		? {...message, limits: message.limits.map(limit => readTargetLimit(limit)), ...(message.cold && {cold: message.cold.map(word => readColdWord(word))})}
 		: message;
@@ -200,6 +210,15 @@
 	return {component};
 }
 
+/** The figures of a row; none if they are not those of a target. */
+function readableLoad(row: unknown): TargetLoad[] {
+	try {
+		return [fromLoadRow(row)];
+	} catch {
+		return [];
+	}
+}
+
 function rowsOf(value: unknown): unknown[] {
 	if (!Array.isArray(value)) {
 		throw new TypeError('The message has no load figures.');
--- a/packages/fleet-link/src/load-rows.ts
+++ b/packages/fleet-link/src/load-rows.ts
@@ -3,7 +3,7 @@
 daemons tell each other.
 */
 
-import type {RankPlace, TargetLoad} from '@rattanspring/target-table';
+import {isReadablePlace, type RankPlace, type TargetLoad} from '@rattanspring/target-table';
 
 /**
 Values of a target: address, `bornMs`, sequence, active, queued, memory share and pace; then group, epoch, rank, size, 1 or 0 for open or not, and skew, if it is a rank; then the
@@ -59,14 +59,15 @@
 }
 
 function toRankPlace([group, ...numbers]: readonly unknown[]): RankPlace {
-	if (typeof group !== 'string' || !areNumbers(numbers)) {
-		throw new TypeError('The load figures name no rank.');
-	}
-
 	const [epoch, rank, size, isOpen] = numbers;
-	return {
+	const place = {
 		group, epoch, rank, size, isOpen: isOpen === 1,
 	};
+	if (typeof isOpen !== 'number' || !isReadablePlace(place)) {
+		throw new TypeError('The load figures name no rank.');
+	}
+
+	return place;
 }
 
 function areNumbers(values: readonly unknown[]): values is readonly number[] {
