Daemons follow voters, not processes that only have a disk

Change: servesDocument on the card follows the leader's word on whether the process votes; the others are told within half a second. Daemons choose as before (three that serve). Old builds read the same field.

--- a/packages/fleet-control/src/control-group.ts
+++ b/packages/fleet-control/src/control-group.ts
@@ -22,6 +22,12 @@
 	/** Whether this process is a voter in its latest known membership. */
 	abstract get isVoter(): boolean;
 
+	/** Whether this process is a voter that leads, or hears from the leader. */
+	abstract get isSettledVoter(): boolean;
+
+	/** Whether followers learn of new documents here: false where the leader has said that this process is no voter. */
+	abstract get servesDocument(): boolean;
+
 	abstract start(): Promise<void>;
 
 	/** Commits a document, forwarding it to the leader if necessary. Returns undefined if the outcome is unknown. */
--- a/packages/fleet-control/src/diskless-group.ts
+++ b/packages/fleet-control/src/diskless-group.ts
@@ -62,6 +62,14 @@
 		return false;
 	}
 
+	get isSettledVoter(): boolean {
+		return false;
+	}
+
+	get servesDocument(): boolean {
+		return false;
+	}
+
 	async start(): Promise<void> {
 		this.#options.logger.log('warn', 'votingRefused', votingRefused);
 		void this.#followLeader();
--- a/packages/fleet-control/src/document-group.ts
+++ b/packages/fleet-control/src/document-group.ts
@@ -139,6 +139,16 @@
 		return this.#driver !== undefined && isVoter(currentMembership(this.#driver.state), this.#voterId);
 	}
 
+	/** Whether this process is a voter as far as the leader tells it; a voter that was replaced meanwhile no longer hears from the leader. */
+	get isSettledVoter(): boolean {
+		const driver = this.#driver;
+		return this.isVoter && driver !== undefined && (driver.state.role === 'leader' || this.#leaderInContact(driver) !== undefined);
+	}
+
+	get servesDocument(): boolean {
+		return this.isSettledVoter || this.#leaderAccess.isMember !== false;
+	}
+
 	/** Recovers the log from disk, or forms or joins the group, and starts the replica. */
 	async start(): Promise<void> {
 		const {dataFolder, fileSystem, nodeId, logger} = this.#options;
@@ -397,24 +407,19 @@
 		return isRecent && state.role === 'follower' ? findMember(currentMembership(state), state.leaderId) : undefined;
 	}
 
-	/** Whether this process is a voter as far as the leader tells it; a voter that was replaced meanwhile no longer hears from the leader. */
-	get #isSettled(): boolean {
-		const driver = this.#driver;
-		return this.isVoter && driver !== undefined && (driver.state.role === 'leader' || this.#leaderInContact(driver) !== undefined);
-	}
-
 	/** Asks to join whenever this process is not a voter. */
 	async #keepMembership(): Promise<void> {
 		let askedCount = 0;
 		while (!this.#isStopped) {
-			if (this.#isSettled) {
+			if (this.isSettledVoter) {
 				askedCount = 0;
+				this.#leaderAccess.noteMember();
 			} else {
 				askedCount++;
 				await this.#leaderAccess.ask(this.#voterId);
 			}
 
-			await sleep(this.#isSettled || askedCount > quickJoinCount ? longJoinPauseMs : joinPauseMs);
+			await sleep(this.isSettledVoter || askedCount > quickJoinCount ? longJoinPauseMs : joinPauseMs);
 		}
 	}
 
--- a/packages/fleet-control/src/fleet-control.ts
+++ b/packages/fleet-control/src/fleet-control.ts
@@ -73,9 +73,12 @@
 	readonly #permits: Permits;
 	readonly #uses: UseRelay;
 	#isLeaving = false;
+	/** As the other daemons were told. */
+	#servesDocument: boolean;
 
 	constructor(options: FleetControlOptions) {
 		this.#options = options;
+		this.#servesDocument = options.dataFolder !== undefined;
 		const nowMs = () => options.clock.monotonicMs();
 		this.#linkServer = new LinkServer({
 			nowMs,
@@ -147,6 +150,7 @@
 		});
 		this.#addInterval(rankIntervalMs, () => {
 			this.#permits.refreshRank();
+			this.#refreshCard();
 		});
 		await this.#group.start();
 	}
@@ -156,6 +160,11 @@
 		return this.#group.isVoter;
 	}
 
+	/** Whether this process is a voter that leads, or hears from the leader. */
+	get isSettledVoter(): boolean {
+		return this.#group.isSettledVoter;
+	}
+
 	/** Whether this process believes that it leads the group. */
 	get isLeader(): boolean {
 		return this.#group.isLeader;
@@ -271,6 +280,17 @@
 		});
 	}
 
+	/** Tells the other daemons when this process begins or ends to serve the document. */
+	#refreshCard(): void {
+		const {servesDocument} = this.#group;
+		if (servesDocument !== this.#servesDocument) {
+			this.#servesDocument = servesDocument;
+			this.#options.logger.log('info', 'servesDocument', {servesDocument, isVoter: this.isVoter});
+			this.#controlLinks.sendHello();
+			this.#linkServer.scheduleNodesUpdate();
+		}
+	}
+
 	#failureDomainOf(address: string): string | undefined {
 		const {linkAddress, failureDomain} = this.#options;
 		return address === linkAddress ? failureDomain : [...this.#controlLinks.nodes.values()].find(card => card.linkAddress === address)?.failureDomain;
@@ -447,7 +467,7 @@
 	#card(): NodeCard {
 		const {nodeId, failureDomain, linkAddress} = this.#options;
 		return {
-			nodeId, role: 'control', failureDomain, linkAddress, isLeaving: this.#isLeaving, servesDocument: this.#options.dataFolder !== undefined,
+			nodeId, role: 'control', failureDomain, linkAddress, isLeaving: this.#isLeaving, servesDocument: this.#servesDocument,
 		};
 	}
 }
--- a/packages/fleet-control/src/leader-access.ts
+++ b/packages/fleet-control/src/leader-access.ts
@@ -38,6 +38,7 @@
 	readonly #peerCalls = new PeerCalls(undefined);
 	#leaderAddress: string | undefined;
 	#isLeaderConfirmed = false;
+	#isMember: boolean | undefined;
 	/** The newest document that was fetched from a leader. */
 	#fetched: StoredDocument | undefined;
 
@@ -55,6 +56,16 @@
 		return this.#isLeaderConfirmed ? this.#leaderAddress : undefined;
 	}
 
+	/** Whether the local process is a voter, as the leader said last; undefined if no leader has said. */
+	get isMember(): boolean | undefined {
+		return this.#isMember;
+	}
+
+	/** Records that the local process hears from the leader as a voter. */
+	noteMember(): void {
+		this.#isMember = true;
+	}
+
 	/** Asks the leader, or all known control processes while there is none, to be added to the group; without a voter ID, asks for the leader only. */
 	async ask(voterId?: string): Promise<void> {
 		const request: JoinRequest = {address: this.#options.linkAddress, ...(voterId !== undefined && {voterId})};
@@ -62,6 +73,7 @@
 		const reply = known === undefined ? undefined : await this.#join(known, request);
 		if (known !== undefined && reply?.leaderAddress === known) {
 			this.#isLeaderConfirmed = true;
+			this.#isMember = reply.isMember;
 			return;
 		}
 
