--- a/packages/fleet-control/src/document-group.ts
+++ b/packages/fleet-control/src/document-group.ts
@@ -29,8 +29,9 @@
 import {whileLeaderChanges} from './while-leader-changes.js';
 import {withTimeout} from './with-timeout.js';
 
-/** Number of applied entries between snapshots. */
+/** Number of applied entries between snapshots, and their size if that is reached before: each may hold a document of megabytes. */
 const snapshotEveryEntries = 64;
+const snapshotEveryBytes = 8_388_608;
 
 /** How long a read waits for the local state machine to apply the index that the leader confirmed. */
 const catchUpTimeoutMs = 800;
@@ -355,6 +356,7 @@
 			replica: replicaOptions,
 			tickIntervalMs,
 			snapshotEveryEntries,
+			snapshotEveryBytes,
 			onApplied: () => {
 				this.#publish();
 			},
--- a/packages/replicated-log/src/options.ts
+++ b/packages/replicated-log/src/options.ts
@@ -17,6 +17,8 @@
 	readonly maxBytesInFlight: number;
 	/** Number of entries before the last snapshot that are retained in memory for members that are slightly behind. */
 	readonly trailingEntries: number;
+	/** Size of these entries at most, since each may hold a whole document. */
+	readonly trailingBytes: number;
 };
 
 export const defaultReplicaOptions: ReplicaOptions = {
@@ -28,6 +30,7 @@
 	maxEntriesInFlight: 2048,
 	maxBytesInFlight: 8_388_608,
 	trailingEntries: 1000,
+	trailingBytes: 8_388_608,
 };
 
 /**
--- a/packages/replicated-log/src/step.ts
+++ b/packages/replicated-log/src/step.ts
@@ -5,6 +5,7 @@
 import {onContact, onContactReply} from './contact.js';
 import {advanceCommit} from './commit.js';
 import type {Context} from './context.js';
+import {entryBytes} from './entry-bytes.js';
 import {
 	checkElectionDeadline, checkQuorum, onPreVote, onPreVoteReply, onTimeoutNow, onVote, onVoteReply,
 } from './election.js';
@@ -198,6 +199,18 @@
 		lastIndex: index, lastTerm, voters, learners, state: machineState,
 	};
 	state.memberships = [membershipAt(state, index), ...state.memberships.filter(membership => membership.index > index)];
-	state.entries.dropThrough(Math.max(state.entries.baseIndex, index - state.options.trailingEntries));
+	state.entries.dropThrough(lastDroppedIndex(state, index));
 	context.effects.push({type: 'saveSnapshot', snapshot: state.snapshot});
 }
+
+/** The last entry that need not be retained after a snapshot up to `index`. */
+function lastDroppedIndex({entries, options}: ReplicaState, index: number): number {
+	const oldest = Math.max(entries.baseIndex, index - options.trailingEntries);
+	const trailing = entries.slice(oldest + 1, index - oldest);
+	let bytes = 0;
+	const beyond = trailing.findLastIndex(entry => {
+		bytes += entryBytes(entry);
+		return bytes > options.trailingBytes;
+	});
+	return oldest + beyond + 1;
+}
--- a/packages/voter-group/src/replica-driver.ts
+++ b/packages/voter-group/src/replica-driver.ts
@@ -31,6 +31,8 @@
 	readonly tickIntervalMs?: number;
 	/** Number of applied entries between snapshots. */
 	readonly snapshotEveryEntries: number;
+	/** Size of the applied commands after which a snapshot is due before that; none by default. */
+	readonly snapshotEveryBytes?: number;
 	/** Called after entries have been applied or a snapshot has been restored. */
 	readonly onApplied: () => void;
 	readonly onRoleChanged: (role: ReplicaState['role'], term: number) => void;
@@ -57,6 +59,7 @@
 	#nextRequestId = 1;
 	#appliedIndex: number;
 	#snapshotIndex: number;
+	#bytesSinceSnapshot = 0;
 	#timer: NodeJS.Timeout | undefined;
 	#isStopped = false;
 
@@ -232,6 +235,7 @@
 				this.#options.stateMachine.restore(effect.snapshot.state);
 				this.#appliedIndex = effect.snapshot.lastIndex;
 				this.#snapshotIndex = effect.snapshot.lastIndex;
+				this.#bytesSinceSnapshot = 0;
 				this.#options.onApplied();
 				break;
 			}
@@ -267,6 +271,7 @@
 	#apply(entries: readonly LogEntry[]): void {
 		for (const {index, term, payload} of entries) {
 			const answer = payload.kind === 'command' ? this.#options.stateMachine.apply(payload.command) : undefined;
+			this.#bytesSinceSnapshot += payload.kind === 'command' ? payload.command.byteLength : 0;
 			this.#appliedIndex = index;
 			const request = getAndDelete(this.#acceptedRequests, index);
 			request?.settle(request.term === term ? ok(answer) : err(leadershipLostFailure));
@@ -276,11 +281,13 @@
 	}
 
 	#snapshotIfDue(): void {
-		if (this.#appliedIndex - this.#snapshotIndex < this.#options.snapshotEveryEntries) {
+		const {snapshotEveryEntries, snapshotEveryBytes = Number.POSITIVE_INFINITY} = this.#options;
+		if (this.#appliedIndex - this.#snapshotIndex < snapshotEveryEntries && this.#bytesSinceSnapshot < snapshotEveryBytes) {
 			return;
 		}
 
 		this.#snapshotIndex = this.#appliedIndex;
+		this.#bytesSinceSnapshot = 0;
 		this.#step({type: 'compact', index: this.#appliedIndex, state: this.#options.stateMachine.serialize()});
 	}
 
