--- a/packages/log-storage/src/disk-space.ts
+++ b/packages/log-storage/src/disk-space.ts
@@ -68,7 +68,8 @@
 	}
 }
 
-/** Whether a write failed because the disk is full. */
+/** Whether a write failed because the disk is full. After a failed sync it is not known what is on disk, for whatever reason it failed. */
 export function isFull(error: unknown): boolean {
-	return fullCodes.has((error as NodeJS.ErrnoException | undefined)?.code);
+	const {code, syscall} = error as Partial<NodeJS.ErrnoException>;
+	return fullCodes.has(code) && syscall !== 'fsync';
 }
--- a/packages/log-storage/src/full-disk.test.ts
+++ b/packages/log-storage/src/full-disk.test.ts
@@ -162,6 +162,24 @@
 		}));
 	});
 
+	it('ends the process as any other failure does if a sync fails for want of room', async () => {
+		class FailingSync extends MemoryFileSystem {
+			override throwIfSyncsFail(): void {
+				if (this.failSyncs) {
+					throw Object.assign(new Error('no space left on device'), {code: 'ENOSPC', syscall: 'fsync'});
+				}
+			}
+		}
+
+		const disk = new FailingSync();
+		const handler = new RecordingFatalErrorHandler();
+		const storage = open(disk, handler);
+		await storage.recover();
+		disk.failSyncs = true;
+		await storage.append(entries(1, 1)).catch(() => undefined);
+		expect(handler.failures.map(({type}) => type)).toEqual(['writeFailed']);
+	});
+
 	it('rejects what waits when the storage is closed, without a fatal error', async () => {
 		const disk = new FullDisk();
 		const handler = new RecordingFatalErrorHandler();
