Voters that restart together split their votes less often

Change: it is drawn from 30 to 270 ms (was 120 to 240), and a voter that grants a pre-vote starts none of its own for 150 ms. A range of 60 to 600 ms was tried: it breaks the check that a leader is there within 300 ms on fast links.

--- a/packages/replicated-log/src/election.ts
+++ b/packages/replicated-log/src/election.ts
@@ -12,6 +12,9 @@
 import {currentMembership, canStartElection, type ReplicaState} from './replica-state.js';
 import {becomeLeader} from './replication.js';
 
+/** Part of the election timeout for which a voter that has granted a pre-vote leaves the election to the other one; less than any pause between two pre-votes, so that it gets its own turn. */
+const deferralRatio = 0.25;
+
 /** Starts a pre-vote once the election timeout has elapsed without contact from a leader. */
 export function checkElectionDeadline(context: Context): void {
 	const {state, nowMs} = context;
@@ -35,10 +38,14 @@
 	}
 }
 
-/** Replies to a pre-vote request without changing the state. */
+/** Replies to a pre-vote request. A voter that grants it starts no election of its own for a moment, so that the votes are not split. */
 export function onPreVote(context: Context, from: VoterId, message: PreVoteMessage): void {
-	const {state} = context;
+	const {state, nowMs} = context;
 	const granted = message.term > state.voteState.term && isUpToDate(state, message) && !hasRecentLeaderContact(context);
+	if (granted) {
+		state.electionDeadlineMs = Math.max(state.electionDeadlineMs, nowMs + (state.options.electionTimeoutMs * deferralRatio));
+	}
+
 	sendAfterSync(context, from, {type: 'preVoteReply', term: granted ? message.term : state.voteState.term, granted});
 }
 
--- a/packages/replicated-log/src/replica-state.ts
+++ b/packages/replicated-log/src/replica-state.ts
@@ -88,8 +88,9 @@
 	};
 }
 
-/** Without leases, the first election timeout after a start is this fraction of the configured one, randomized up to twice the value. */
-const firstElectionTimeoutRatio = 0.2;
+/** Without leases, the first election timeout after a start is within this range, as fractions of the configured one: with a narrow range, voters that start together split their votes. */
+const minFirstElectionTimeoutRatio = 0.05;
+const maxFirstElectionTimeoutRatio = 0.45;
 
 /**
 Creates a replica from its recovered log. With leases, it assumes contact with a leader at the time of its start: it may
@@ -102,7 +103,6 @@
 	const {snapshot, entries, voteState} = start.recovered;
 	const list = new EntryList(snapshot?.lastIndex ?? 0, snapshot?.lastTerm ?? 0, entries);
 	const hasLeases = leaseDurationMs(options) > 0;
-	const firstElectionTimeoutMs = options.electionTimeoutMs * (hasLeases ? 1 : firstElectionTimeoutRatio);
 	const base: IndexedMembership = {index: list.baseIndex, voters: snapshot?.voters ?? [], learners: snapshot?.learners ?? []};
 	return {
 		id: start.id,
@@ -116,12 +116,16 @@
 		commitIndex: list.baseIndex,
 		durableIndex: list.lastIndex,
 		lastContactMs: hasLeases ? start.nowMs : start.nowMs - options.electionTimeoutMs,
-		electionDeadlineMs: start.nowMs + (firstElectionTimeoutMs * (1 + start.random)),
+		electionDeadlineMs: start.nowMs + (options.electionTimeoutMs * firstElectionTimeoutRatio(hasLeases, start.random)),
 		votes: new Set(),
 		leader: undefined,
 	};
 }
 
+function firstElectionTimeoutRatio(hasLeases: boolean, random: number): number {
+	return hasLeases ? 1 + random : minFirstElectionTimeoutRatio + ((maxFirstElectionTimeoutRatio - minFirstElectionTimeoutRatio) * random);
+}
+
 /** The latest membership in the log, which is in effect even before it is committed. */
 export function currentMembership(state: ReplicaState): IndexedMembership {
 	return state.memberships.at(-1)!;
