A stop of a control process that waits for room at its start is no failed start

The start failed with the disk's error when the storage was closed, which could end the process with code 70 during a planned stop. Measured: the new case of full-disks fails without the change, passes with it.

--- a/packages/fleet-control/src/document-group.ts
+++ b/packages/fleet-control/src/document-group.ts
@@ -156,9 +156,9 @@
 		const diskId = await loadOrCreateDiskIdentity({
 			folder: dataFolder, createId: () => randomUUID().slice(0, 8), diskSpace: this.#diskSpaceLog, ...(fileSystem && {fileSystem}),
 		});
-		const recovered = await this.#storage.recover();
+		const recovered = await this.#recoverUnlessStopped();
 		this.#voterId = `${nodeId}.${diskId}`;
-		const start = await this.#recoverOrFormGroup(recovered);
+		const start = recovered && await this.#recoverOrFormGroup(recovered);
 		if (!start || this.#isStopped) {
 			return;
 		}
@@ -285,6 +285,19 @@
 			: this.#leaderAccess.orderDomain(order, this.#leaderInContact(driver)?.address);
 	}
 
+	/** Undefined if this process is stopped while it waits for room on its disk. */
+	async #recoverUnlessStopped(): Promise<RecoveredLog | undefined> {
+		try {
+			return await this.#storage.recover();
+		} catch (error) {
+			if (this.#isStopped) {
+				return undefined;
+			}
+
+			throw error;
+		}
+	}
+
 	async #recoverOrFormGroup(recovered: RecoveredLog): Promise<RecoveredLog | undefined> {
 		const {isFirstStart, seeds, linkAddress} = this.#options;
 		const isEmpty = !recovered.snapshot && recovered.entries.length === 0;
--- a/packages/fleet-control/src/full-disks.test.ts
+++ b/packages/fleet-control/src/full-disks.test.ts
@@ -61,6 +61,18 @@
 		expect(await group.confirmedVersion(0)).toEqual(3);
 	}));
 
+	it('do not fail a start that is stopped while it waits for room', withGroup(three, async group => {
+		await group.stop(0);
+		group.setDiskFull(0, true);
+		const started = group.start(0);
+		await sleep(500);
+		await group.stop(0);
+		group.setDiskFull(0, false);
+		await started;
+		await group.start(0);
+		expect(await changeTakesMs(group, 0, 2)).toBeLessThan(acknowledgedWithinMs);
+	}));
+
 	it('do not hold up a planned stop', withGroup(three, async group => {
 		group.setDiskFull(1, true);
 		await group.replace(0, 2);
