One wait for room for identity and log of a disk

Change: identity and log share one wait, which a stop ends; a start that is stopped so is no failed start.

--- a/packages/fleet-control/src/document-group.ts
+++ b/packages/fleet-control/src/document-group.ts
@@ -12,7 +12,7 @@
 import type {DomainOrder, DomainOrderOutcome, DomainRegister} from '@rattanspring/domain-drain';
 import type {JoinReply, JoinRequest} from '@rattanspring/fleet-link';
 import {
-	type DiskSpaceOptions, type FatalErrorHandler, FileLogStorage, type FileSystem, loadOrCreateDiskIdentity,
+	DiskSpace, type FatalErrorHandler, FileLogStorage, type FileSystem, loadOrCreateDiskIdentity,
 } from '@rattanspring/log-storage';
 import type {Logger} from '@rattanspring/logger';
 import {
@@ -88,6 +88,7 @@
 	readonly service: GrpcService;
 	readonly #options: DocumentGroupOptions;
 	readonly #stateMachine = new DocumentStateMachine();
+	readonly #diskSpace: DiskSpace;
 	readonly #storage: FileLogStorage;
 	readonly #transport = new GrpcPeerTransport({});
 	readonly #peerCalls = new PeerCalls(undefined);
@@ -106,8 +107,17 @@
 		this.#options = options;
 		this.#membership = new MembershipMaintenance(options);
 		this.#leaderAccess = new LeaderAccess({linkAddress: options.linkAddress, addresses: () => this.#otherAddresses});
+		const {logger} = options;
+		this.#diskSpace = new DiskSpace({
+			onFull(message) {
+				logger.log('error', 'diskFull', {message});
+			},
+			onRoom(waitedMs) {
+				logger.log('info', 'diskHasRoom', {waitedMs: Math.round(waitedMs)});
+			},
+		});
 		this.#storage = new FileLogStorage({
-			folder: path.join(options.dataFolder, 'log'), fatalErrorHandler: options.fatalErrorHandler, diskSpace: this.#diskSpaceLog, ...(options.fileSystem && {fileSystem: options.fileSystem}),
+			folder: path.join(options.dataFolder, 'log'), fatalErrorHandler: options.fatalErrorHandler, diskSpace: this.#diskSpace, ...(options.fileSystem && {fileSystem: options.fileSystem}),
 		});
 		this.service = peerService({
 			voterId: () => this.#voterId === '' ? undefined : this.#voterId,
@@ -152,12 +162,8 @@
 
 	/** Recovers the log from disk, or forms or joins the group, and starts the replica. */
 	async start(): Promise<void> {
-		const {dataFolder, fileSystem, nodeId, logger} = this.#options;
-		const diskId = await loadOrCreateDiskIdentity({
-			folder: dataFolder, createId: () => randomUUID().slice(0, 8), diskSpace: this.#diskSpaceLog, ...(fileSystem && {fileSystem}),
-		});
-		const recovered = await this.#recoverUnlessStopped();
-		this.#voterId = `${nodeId}.${diskId}`;
+		const {logger} = this.#options;
+		const recovered = await this.#readDisk();
 		const start = recovered && await this.#recoverOrFormGroup(recovered);
 		if (!start || this.#isStopped) {
 			return;
@@ -230,9 +236,9 @@
 		this.#isStopped = true;
 		clearInterval(this.#timer);
 		const driver = this.#driver;
+		await driver?.transferLeadershipAndWait(transferTimeoutMs);
+		this.#diskSpace.stopWaiting();
 		if (driver) {
-			await driver.transferLeadershipAndWait(transferTimeoutMs);
-			this.#storage.stopWaiting();
 			await driver.stop();
 		}
 
@@ -246,18 +252,6 @@
 		this.#driver?.transferLeadership();
 	}
 
-	get #diskSpaceLog(): DiskSpaceOptions {
-		const {logger} = this.#options;
-		return {
-			onFull(message) {
-				logger.log('error', 'diskFull', {message});
-			},
-			onRoom(waitedMs) {
-				logger.log('info', 'diskHasRoom', {waitedMs: Math.round(waitedMs)});
-			},
-		};
-	}
-
 	async #replaceOnce(document: StoredDocument, driver: ReplicaDriver<ReplaceOutcome>): Promise<ReplaceOutcome | undefined> {
 		return driver.state.role === 'leader' ? commit(driver, documentCommand(document)) : this.#leaderAccess.submit(document, this.#leaderInContact(driver)?.address);
 	}
@@ -285,10 +279,16 @@
 			: this.#leaderAccess.orderDomain(order, this.#leaderInContact(driver)?.address);
 	}
 
-	/** Undefined if this process is stopped while it waits for room on its disk. */
-	async #recoverUnlessStopped(): Promise<RecoveredLog | undefined> {
+	/** Reads the identity and the log of the disk; undefined if this process is stopped while it waits for room on it. */
+	async #readDisk(): Promise<RecoveredLog | undefined> {
+		const {dataFolder, fileSystem, nodeId} = this.#options;
 		try {
-			return await this.#storage.recover();
+			const diskId = await loadOrCreateDiskIdentity({
+				folder: dataFolder, createId: () => randomUUID().slice(0, 8), diskSpace: this.#diskSpace, ...(fileSystem && {fileSystem}),
+			});
+			const recovered = await this.#storage.recover();
+			this.#voterId = `${nodeId}.${diskId}`;
+			return recovered;
 		} catch (error) {
 			if (this.#isStopped) {
 				return undefined;
--- a/packages/log-storage/src/disk-identity.ts
+++ b/packages/log-storage/src/disk-identity.ts
@@ -1,7 +1,7 @@
 /** Persistent identity of a data folder. It distinguishes a voter that lost its disk from the voter it was before. */
 
 import path from 'node:path';
-import {DiskSpace, type DiskSpaceOptions} from './disk-space.js';
+import {DiskSpace} from './disk-space.js';
 import type {FileSystem} from './file-system.js';
 import {NodeFileSystem} from './node-file-system.js';
 import {readRecordFile, replaceRecordFile} from './record-file.js';
@@ -11,13 +11,14 @@
 	/** Generates a new unique identity. */
 	readonly createId: () => string;
 	readonly fileSystem?: FileSystem;
-	/** Told when the disk is full and when it has room again. */
-	readonly diskSpace?: DiskSpaceOptions;
+	/** The wait for room on the disk; one of its own by default. */
+	readonly diskSpace?: DiskSpace;
 };
 
 /** Reads the identity of a data folder, or creates and stores a new one. Waits while the disk is full. */
 export async function loadOrCreateDiskIdentity(options: DiskIdentityOptions): Promise<string> {
-	return new DiskSpace(options.diskSpace).use(async () => loadOrCreate(options));
+	const {diskSpace = new DiskSpace()} = options;
+	return diskSpace.use(async () => loadOrCreate(options));
 }
 
 async function loadOrCreate({folder, fileSystem = new NodeFileSystem(), createId}: DiskIdentityOptions): Promise<string> {
--- a/packages/log-storage/src/file-log-storage.ts
+++ b/packages/log-storage/src/file-log-storage.ts
@@ -5,7 +5,7 @@
 	EntryList, type LogEntry, type LogSnapshot, LogStorage, type RecoveredLog, type VoteState,
 } from '@rattanspring/replicated-log';
 import {FailureError} from '@rattanspring/types';
-import {DiskSpace, type DiskSpaceOptions, isFull} from './disk-space.js';
+import {DiskSpace, isFull} from './disk-space.js';
 import {diskFull, type FatalErrorHandler, writeFailed} from './failures.js';
 import type {FileSystem} from './file-system.js';
 import {NodeFileSystem} from './node-file-system.js';
@@ -20,8 +20,8 @@
 	readonly fatalErrorHandler: FatalErrorHandler;
 	readonly fileSystem?: FileSystem;
 	readonly maxSegmentBytes?: number;
-	/** Told when the disk is full and when it has room again. */
-	readonly diskSpace?: DiskSpaceOptions;
+	/** The wait for room on the disk; one of its own by default. Once it has ended, writes that the disk still refuses are rejected, without a call of the fatal error handler. */
+	readonly diskSpace?: DiskSpace;
 };
 
 /**
@@ -42,7 +42,7 @@
 		this.#folder = options.folder;
 		this.#fatalErrorHandler = options.fatalErrorHandler;
 		this.#fileSystem = options.fileSystem ?? new NodeFileSystem();
-		this.#space = new DiskSpace(options.diskSpace);
+		this.#space = options.diskSpace ?? new DiskSpace();
 		this.#segments = new Segments({
 			fileSystem: this.#fileSystem, folder: options.folder, maxSegmentBytes: options.maxSegmentBytes ?? defaultMaxSegmentBytes,
 		});
@@ -85,13 +85,8 @@
 		});
 	}
 
-	/** Ends waits for room on the disk: writes that it still refuses are rejected, without a call of the fatal error handler. */
-	stopWaiting(): void {
-		this.#space.stopWaiting();
-	}
-
 	async close(): Promise<void> {
-		this.stopWaiting();
+		this.#space.stopWaiting();
 		await this.#lastWrite.catch(() => undefined);
 		await this.#segments.close();
 	}
--- a/packages/log-storage/src/full-disk.test.ts
+++ b/packages/log-storage/src/full-disk.test.ts
@@ -2,6 +2,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {LogEntry, LogSnapshot, RecoveredLog} from '@rattanspring/replicated-log';
 import {expect} from 'earl';
+import {DiskSpace} from './disk-space.js';
 import {FatalErrorHandler, type StorageFailure} from './failures.js';
 import {FileLogStorage} from './file-log-storage.js';
 import type {AppendFile} from './file-system.js';
@@ -76,9 +77,9 @@
 	};
 }
 
-function open(fileSystem: MemoryFileSystem, fatalErrorHandler = new RecordingFatalErrorHandler()): FileLogStorage {
+function open(fileSystem: MemoryFileSystem, fatalErrorHandler = new RecordingFatalErrorHandler(), diskSpace = new DiskSpace()): FileLogStorage {
 	return new FileLogStorage({
-		folder, fatalErrorHandler, fileSystem, maxSegmentBytes: 120,
+		folder, fatalErrorHandler, fileSystem, maxSegmentBytes: 120, diskSpace,
 	});
 }
 
@@ -143,7 +144,8 @@
 			const disk = new FullDisk();
 			disk.fullFrom = fullFrom;
 			disk.refusalsLeft = Number.POSITIVE_INFINITY;
-			const storage = open(disk);
+			const diskSpace = new DiskSpace();
+			const storage = open(disk, new RecordingFatalErrorHandler(), diskSpace);
 			await storage.recover();
 			let done = 0;
 			const writing = (async () => {
@@ -153,7 +155,7 @@
 				}
 			})();
 			await sleep(150);
-			storage.stopWaiting();
+			diskSpace.stopWaiting();
 			await writing.catch(() => undefined);
 			disk.refusalsLeft = 0;
 			disk.crash(1000);
