--- a/packages/fleet-link/src/link-service.ts
+++ b/packages/fleet-link/src/link-service.ts
@@ -182,7 +182,7 @@
 		return {...message, register: readDomainRegister(message.register)};
 	}
 
-	// What targets say reaches every daemon, so that an odd entry is left out and the others hold.
+	// What targets say reaches every daemon, so that a report out of bounds is left out and the others hold.
 	if (message.type === 'targets') {
 		return {...message, reports: message.reports.filter(report => isReadableReport(report))};
 	}
--- a/packages/gateway/src/interruptible-wait.ts
+++ b/packages/gateway/src/interruptible-wait.ts
@@ -1,4 +1,4 @@
-/** A wait for some work that ends early when something better has come up. The work itself goes on, and what comes of it is ignored. */
+/** A wait for some work that can be ended early. The work itself goes on, and its result is ignored. */
 
 /** What a wait results in that was interrupted. */
 export const interrupted = Symbol('interrupted');
--- a/packages/target-table/src/readable-report.ts
+++ b/packages/target-table/src/readable-report.ts
@@ -1,6 +1,6 @@
 /**
-Checks reports and places of ranks that come from outside this process, at the bounds within which everything that uses them works. An entry among others that
-is out of bounds names no target to use; the others hold.
+Checks reports and places of ranks that come from outside this process, at the bounds within which everything that uses them works. A report that is out of
+bounds names no target to use; others beside it hold.
 */
 
 import type {RankPlace, TargetHeartbeat, TargetReport} from './target-report.js';
