--- a/review/lib/fleet.js
+++ b/review/lib/fleet.js
@@ -416,8 +416,9 @@
 	}
 
 	async serve(request, response) {
-		request.resume();
-		await once(request, 'end');
+		if (!await isReadWhole(request)) {
+			return;
+		}
 
 		const id = request.headers['attempt-id'] ?? '';
 		const headers = {'instance-id': this.id, 'attempt-id': id};
@@ -436,6 +437,22 @@
 	}
 }
 
+/** Reads a request; resolves to whether it came whole. */
+export async function isReadWhole(request) {
+	return new Promise(resolve => {
+		request.resume();
+		request.on('end', () => {
+			resolve(true);
+		});
+		request.on('error', () => {
+			resolve(false);
+		});
+		request.on('close', () => {
+			resolve(false);
+		});
+	});
+}
+
 let requestCount = 0;
 
 /** One request of a client, on a new channel. */
@@ -471,7 +488,7 @@
 	const services = [...new Set(routes.map(({service}) => service))];
 	return {
 		version,
-		routes: routes.map(({name, service, type = 'idempotent'}) => fill('route', {NAME: name, SERVICE: service, TYPE: type})),
+		routes: routes.map(({name, service, type = 'idempotent'}) => fill(type === 'streaming' ? 'stream' : 'route', {NAME: name, SERVICE: service, TYPE: type})),
 		services: services.map(name => fill('service', {NAME: name})),
 		limits: messages.limits,
 	};
