--- a/review/1/case.js
+++ b/review/1/case.js
@@ -111,7 +111,7 @@
 
 	await sleep(bounds.configMs);
 	const before = await sendRequests(fleet, usualMs);
-	record.add(`before: first ${shareOf(before.first)}, later ${shareOf(before.later)}`);
+	record.add(`before: share served on the first route ${shareOf(before.first)}, on the later one ${shareOf(before.later)}`);
 	if (shareOf(before.first) < 0.9 || shareOf(before.later) < 0.9) {
 		throw new CannotRunError('The routes are not served before.');
 	}
@@ -141,6 +141,6 @@
 
 	await sleep(cutMs + bounds.stabilityMs);
 	const after = await sendRequests(fleet, observedMs);
-	record.add(`after: ${after.first.length} requests on the first route, served ${shareOf(after.first)}; ${after.later.length} on the later one, served ${shareOf(after.later)}`);
+	record.add(`after: ${after.first.length} requests on the first route, share served ${shareOf(after.first)}; ${after.later.length} on the later one, share served ${shareOf(after.later)}`);
 	return after.later.length >= 20 && shareOf(after.later) < shareOf(after.first) / 4;
 });
--- a/review/lib/fleet.js
+++ b/review/lib/fleet.js
@@ -457,11 +457,16 @@
 
 /** One request of a client, on a new channel. */
 export async function ask(fleet, address, options) {
-	const {method = 'GET', path: target, body, deadlineMs = 2500} = options;
+	const {method = 'GET', path: target, body, deadlineMs = 2500, headers: more} = options;
 	requestCount++;
 	const id = `${process.pid.toString(16)}${requestCount.toString(16).padStart(8, '0')}`;
 	const startedAtMs = performance.now();
-	const headers = {host: 'a.example', 'attempt-id': id, 'deadline-ms': String(deadlineMs)};
+	const headers = {
+		...more,
+		host: 'a.example',
+		'attempt-id': id,
+		'deadline-ms': String(deadlineMs),
+	};
 	const reply = await call(address, {
 		method,
 		path: target,
