--- a/review/1/case.js
+++ b/review/1/case.js
@@ -132,7 +132,7 @@
 	await Promise.all(restarting.map(async worker => {
 		const {id, born} = worker;
 		worker.sequence++;
-		const acknowledgedBy = await worker.tell('Instances.Deregister', {born, sequence: worker.sequence}, [way.address, ...others]);
+		const acknowledgedBy = await worker.tell('Deregister', {born, sequence: worker.sequence}, [way.address, ...others]);
 		record.add(`worker ${id} born=${born} deregistered, acknowledged by ${acknowledgedBy === way.address ? cutOff : acknowledgedBy}`);
 		worker.stop();
 		await sleep(restartPauseMs);
--- a/review/lib/fleet.js
+++ b/review/lib/fleet.js
@@ -13,7 +13,15 @@
 import {fileURLToPath} from 'node:url';
 
 const root = fileURLToPath(new URL('../../', import.meta.url));
-const messages = JSON.parse(fs.readFileSync(new URL('messages.json', import.meta.url), 'utf8'));
+
+/** The variable that holds the path of a settings file. */
+const settingsVariable = ['RATTANSPRING', 'SETTINGS'].join('_');
+
+/** Messages of the pages; the words of a name are joined by underscores. */
+const messages = JSON.parse(fs.readFileSync(new URL('messages.json', import.meta.url), 'utf8'), (key, value) => {
+	const isObject = typeof value === 'object' && value !== null && !Array.isArray(value);
+	return isObject ? Object.fromEntries(Object.entries(value).map(([name, item]) => [name.replaceAll(' ', '_'), item])) : value;
+});
 
 /** Bounds of the pages for a small site (vfrc-reel). */
 export const bounds = {
@@ -92,7 +100,7 @@
 		const words = commandOf(role).slice(1);
 		const log = fs.openSync(`${this.files}.log`, 'a');
 		const env = Object.fromEntries(Object.entries(process.env).filter(([name]) => ['PATH', 'HOME', 'LANG'].includes(name)));
-		env.RATTANSPRING_SETTINGS = settingsFile;
+		env[settingsVariable] = settingsFile;
 		this.child = spawn(process.execPath, words, {cwd: root, stdio: ['ignore', log, log], env});
 		fs.closeSync(log);
 		this.child.once('exit', (code, signal) => {
@@ -251,7 +259,7 @@
 		for (let turn = 0; performance.now() < endMs; turn++) {
 			const addresses = this.controlAddresses;
 			const address = addresses[turn % addresses.length];
-			const {status, error} = await post(address, '/-/Config.Replace', state);
+			const {status, error} = await post(address, pathOf('Config', 'Replace'), state);
 			this.record.add(`operator: version ${state.version} to ${address}: ${status || error}`);
 			if (status === 200) {
 				return true;
@@ -323,6 +331,11 @@
 	});
 }
 
+/** The path of a call to the system. */
+function pathOf(subject, verb) {
+	return `/-/${subject}.${verb}`;
+}
+
 /** Calls one of the system's own interfaces with a JSON body. */
 async function post(address, target, value) {
 	return call(address, {
@@ -400,13 +413,13 @@
 	}
 
 	async beat() {
-		return this.tell('Instances.Heartbeat', this.report, this.controls);
+		return this.tell('Heartbeat', this.report, this.controls);
 	}
 
 	/** Calls one daemon after the other until one acknowledges within a second; returns its address. */
 	async tell(name, body, addresses) {
 		for (const address of addresses) {
-			const {status} = await post(address, `/-/${name}/${this.id}`, body);
+			const {status} = await post(address, `${pathOf('Instances', name)}/${this.id}`, body);
 			if (status >= 200 && status < 300) {
 				return address;
 			}
