--- a/review/1/case.js
+++ b/review/1/case.js
@@ -1,82 +1,86 @@
-/** A deregistration that a partition has held up arrives once its sender has started again under its id. */
+/** One request that crashes workers comes again and again, on a route that has just been added; others on this route share the first part of its prompt. */
 
-import net from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
-	ask, bounds, CannotRunError, desiredState, hasTrouble, runCase, shareOf, Worker,
+	ask, bounds, CannotRunError, desiredState, hasTrouble, isReadWhole, runCase, shareOf, Worker,
 } from '../lib/fleet.js';
 
-/** Length of the cut between workers and one daemon. */
-const cutMs = 3000;
+const workerCount = 6;
+const eventCount = 6;
+const eventIntervalMs = 50;
 
-/** Time from the end of a worker to its next start. */
-const restartPauseMs = 500;
+/** Time until a worker that has crashed is back. */
+const backAfterMs = 2500;
 
-/** A worker serves on for a little longer than `drain_ms`. */
-const lingerMs = 500;
+/** The crashing request comes this often, this long after its last end. */
+const crashingTries = 6;
+const crashingPauseMs = 1500;
 
-const usualMs = 3000;
+const settleMs = 5000;
 const observedMs = 15_000;
-const requestIntervalMs = 100;
-
-/** The path from workers to one daemon: what is sent while it is cut arrives when the cut has healed. */
-class WorkerPath {
-	#untilMs = 0;
-	#server;
-
-	constructor(host, port, to) {
-		this.address = `${host}:${port}`;
-		const [toHost, toPort] = to.split(':');
-		this.#server = net.createServer({allowHalfOpen: true}, from => {
-			const onward = net.connect({host: toHost, port: Number(toPort), allowHalfOpen: true});
-			this.#pass(from, onward);
-			this.#pass(onward, from);
+const requestIntervalMs = 200;
+const deadlineMs = 8000;
+const crashingBody = 'the prompt that crashes workers';
+
+/** A model worker: streams a few events, and crashes as it begins to run the crashing request. */
+class ModelWorker extends Worker {
+	async serve(request, response) {
+		const chunks = [];
+		request.on('data', chunk => {
+			chunks.push(chunk);
 		});
-		this.#server.listen(port, host);
-	}
-
-	cut(forMs) {
-		this.#untilMs = Math.max(this.#untilMs, performance.now() + forMs);
-	}
-
-	close() {
-		this.#server.close();
+		if (!await isReadWhole(request)) {
+			return;
+		}
+
+		const id = request.headers['attempt-id'] ?? '';
+		this.fleet.record.add(`run ${id} ${request.url} at ${this.id}`);
+		if (chunks.join('') === crashingBody) {
+			this.fleet.record.add(`worker ${this.id} born=${this.born} crashes`);
+			this.stop();
+			await sleep(backAfterMs);
+			await this.start();
+			return;
+		}
+
+		response.writeHead(200, {'attempt-id': id, 'instance-signature': `${this.id}.${id}`, 'content-type': 'text/event-stream'});
+		for (let event = 1; event <= eventCount; event++) {
+			response.write(`id: ${event}\ndata: x\n\n`);
+			await sleep(eventIntervalMs);
+		}
+
+		response.end();
 	}
+}
 
-	#pass(from, to) {
-		let turn = Promise.resolve();
-		const whenHealed = action => {
-			const earlier = turn;
-			turn = (async () => {
-				await earlier;
-				await sleep(Math.max(0, this.#untilMs - performance.now()));
-				action();
-			})();
-		};
-
-		from.on('data', chunk => {
-			whenHealed(() => to.write(chunk));
-		});
-		from.on('end', () => {
-			whenHealed(() => to.end());
-		});
-		from.on('error', () => undefined);
-	}
+let promptCount = 0;
+
+/** One request of a route: the first part of its prompt is that of all requests on the route, the last one its own. */
+async function send(fleet, turn, name, body) {
+	promptCount++;
+	const address = fleet.entryAddresses[turn % fleet.entryAddresses.length];
+	const own = body === crashingBody ? 'c0ffee' : promptCount.toString(16);
+	return ask(fleet, address, {
+		method: 'POST',
+		path: `/${name}/x`,
+		body,
+		deadlineMs,
+		headers: {'prefix-hash': `${name === 'first' ? 'f1' : 'a7'}:40,${own}:600`, 'token-usage': '640,30', model: 'm'},
+	});
 }
 
 /** Sends requests on both routes to all entries in turn; resolves to which were served. */
 async function sendRequests(fleet, durationMs) {
 	const served = {first: [], later: []};
 	const pending = [];
-	const send = async (name, address, turn) => {
-		const {status} = await ask(fleet, address, {path: `/${name}/x?n=${turn}`});
+	const sendOne = async (name, turn) => {
+		const {status} = await send(fleet, turn, name, `prompt ${name} ${turn} ${performance.now()}`);
 		served[name].push(status === 200);
 	};
 
 	const endMs = performance.now() + durationMs;
 	for (let turn = 0; performance.now() < endMs; turn++) {
-		const address = fleet.entryAddresses[turn % fleet.entryAddresses.length];
-		pending.push(send('first', address, turn), send('later', address, turn));
+		pending.push(sendOne('first', turn), sendOne('later', turn));
 		await sleep(requestIntervalMs);
 	}
 
@@ -86,22 +90,13 @@
 
 await runCase(import.meta.url, async (fleet, record) => {
 	fleet.startCore();
-	const routes = [{name: 'first', service: 'drafts'}, {name: 'later', service: 'orders'}];
-	const first = {...desiredState(2, routes), version: 1, routes: desiredState(2, routes).routes.slice(0, 1)};
-	if (!await fleet.configure(first)) {
+	const routes = [{name: 'first', service: 'drafts', type: 'streaming'}, {name: 'later', service: 'drafts', type: 'streaming'}];
+	if (!await fleet.configure(desiredState(1, routes.slice(0, 1)))) {
 		throw new CannotRunError('The first desired state is not acknowledged.');
 	}
 
-	const [cutOff, ...others] = fleet.controlAddresses;
-	const way = new WorkerPath(fleet.addMachine('way', 'a').ip, fleet.ports.control, cutOff);
-	fleet.closers.push(() => {
-		way.close();
-	});
-	const machines = ['drafts-1', 'drafts-2', 'orders-1', 'orders-2'].map((name, index) => fleet.addMachine(name, 'abc'[index % 3]));
-	const workers = machines.map(machine => new Worker(fleet, {machine, service: machine.name.split('-', 1)[0]}));
-	for (const worker of workers) {
-		worker.controls = others;
-		await worker.start();
+	for (let index = 0; index < workerCount; index++) {
+		await new ModelWorker(fleet, {machine: fleet.addMachine(`drafts-${index}`, 'abc'[index % 3]), service: 'drafts'}).start();
 	}
 
 	await fleet.waitForEntries();
@@ -110,36 +105,14 @@
 	}
 
 	await sleep(bounds.configMs);
-	const before = await sendRequests(fleet, usualMs);
-	record.add(`before: share served on the first route ${shareOf(before.first)}, on the later one ${shareOf(before.later)}`);
-	if (shareOf(before.first) < 0.9 || shareOf(before.later) < 0.9) {
-		throw new CannotRunError('The routes are not served before.');
-	}
-
-	// Planned work: both workers of the later route's service start again, each under its id, after it has said that it drains.
-	const restarting = workers.filter(({service}) => service === 'orders');
-	for (const worker of restarting) {
-		worker.state = 'draining';
-		await worker.beat();
-	}
-
-	await sleep(bounds.drainMs + lingerMs);
-	if (hasTrouble) {
-		record.add(`cut between the workers and ${cutOff} for ${cutMs} ms`);
-		way.cut(cutMs);
+	const tries = hasTrouble ? crashingTries : 0;
+	for (let turn = 0; turn < tries; turn++) {
+		const {status} = await send(fleet, turn, 'later', crashingBody);
+		record.add(`the crashing request, try ${turn + 1}: ${status}`);
+		await sleep(crashingPauseMs);
 	}
 
-	await Promise.all(restarting.map(async worker => {
-		const {id, born} = worker;
-		worker.sequence++;
-		const acknowledgedBy = await worker.tell('Deregister', {born, sequence: worker.sequence}, [way.address, ...others]);
-		record.add(`worker ${id} born=${born} deregistered, acknowledged by ${acknowledgedBy === way.address ? cutOff : acknowledgedBy}`);
-		worker.stop();
-		await sleep(restartPauseMs);
-		await worker.start();
-	}));
-
-	await sleep(cutMs + bounds.stabilityMs);
+	await sleep(settleMs);
 	const after = await sendRequests(fleet, observedMs);
 	record.add(`after: ${after.first.length} requests on the first route, share served ${shareOf(after.first)}; ${after.later.length} on the later one, share served ${shareOf(after.later)}`);
 	return after.later.length >= 20 && shareOf(after.later) < shareOf(after.first) / 4;
--- a/review/2/case.js
+++ b/review/2/case.js
@@ -1,56 +1,61 @@
-/** A machine of the core is lost for good while the system starts for the first time; another one takes its place, at a new address. */
+/** A desired state adds a tenant whose name is not written in Latin letters, and a route that it uses. */
 
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
-	ask, desiredState, hasTrouble, runCase, Worker,
+	ask, bounds, CannotRunError, desiredState, hasTrouble, runCase, shareOf, Worker,
 } from '../lib/fleet.js';
 
-/** When the machine is lost: its processes have just been started. */
-const lostAfterMs = 150;
+/** "Restaurant of the island" in Arabic, and the same in Latin letters. */
+const addedName = hasTrouble ? 'مطعم الجزيرة' : 'Mataam al Jazira';
 
-/** Time from the loss to the start of the machine that replaces it. */
-const replacedAfterMs = 1000;
-
-/** Time for the operator's first desired state, and the time of the traffic after it. */
-const acknowledgedWithinMs = 45_000;
-const trafficMs = 15_000;
+const keys = {first: 'n2ctnfzs989anu6wsjnb', later: 'anfqasnmgkcuyj8pjbvk'};
+const observedMs = 15_000;
 const requestIntervalMs = 200;
 
-/** Replaces the last machine by an empty one, whose settings name the seeds that are left and itself. */
-async function replaceMachine(fleet, machines) {
-	await sleep(lostAfterMs);
-	const lost = machines.at(-1);
-	const ended = fleet.processes.filter(({machine}) => machine === lost);
-	fleet.processes = fleet.processes.filter(({machine}) => machine !== lost);
-	fleet.record.add(`machine ${lost.name} is lost for good`);
-	await Promise.all(ended.map(async process => process.kill()));
-	await sleep(replacedAfterMs);
-	const added = fleet.addMachine('edge-c-2', lost.zone);
-	fleet.seeds = [...machines.slice(0, -1), added].map(machine => fleet.controlAddressOf(machine));
-	fleet.record.add(`machine ${added.name} is added`);
-	for (const role of ['control', 'entry']) {
-		fleet.addProcess(role, added).start({isFirstStart: false});
+/** Sends requests on both routes, each with the key of its tenant, to all entries in turn; resolves to which were served. */
+async function sendRequests(fleet, durationMs) {
+	const served = {first: [], later: []};
+	const pending = [];
+	const send = async (name, address) => {
+		const {status} = await ask(fleet, address, {path: `/${name}/x`, headers: {authorization: `Bearer ${keys[name]}`}});
+		served[name].push(status === 200);
+	};
+
+	const endMs = performance.now() + durationMs;
+	for (let turn = 0; performance.now() < endMs; turn++) {
+		const address = fleet.entryAddresses[turn % fleet.entryAddresses.length];
+		pending.push(send('first', address), send('later', address));
+		await sleep(requestIntervalMs);
 	}
+
+	await Promise.all(pending);
+	return served;
 }
 
 await runCase(import.meta.url, async (fleet, record) => {
-	const machines = fleet.startCore();
-	if (hasTrouble) {
-		await replaceMachine(fleet, machines);
+	fleet.startCore();
+	const routes = [{name: 'first', service: 'orders'}, {name: 'later', service: 'orders'}];
+	const state = (version, names, tenants) => {
+		const whole = desiredState(version, names);
+		const closed = whole.routes.map(route => ({...route, public: false}));
+		return {...whole, routes: closed, tenants: tenants.map(([name, key]) => Object.fromEntries([['name', name], ['api_keys', [key]]]))};
+	};
+
+	if (!await fleet.configure(state(1, routes.slice(0, 1), [['Dar Ahlam', keys.first]]))) {
+		throw new CannotRunError('The first desired state is not acknowledged.');
 	}
 
-	const worker = new Worker(fleet, {machine: fleet.addMachine('drafts-1', 'a'), service: 'drafts'});
-	await worker.start();
-	const isAcknowledged = await fleet.configure(desiredState(1, [{name: 'first', service: 'drafts'}]), acknowledgedWithinMs);
-	const statuses = [];
-	const endMs = performance.now() + trafficMs;
-	while (performance.now() < endMs) {
-		const replies = await Promise.all(fleet.entryAddresses.map(async address => ask(fleet, address, {path: '/first/x'})));
-		statuses.push(...replies.map(({status}) => status));
-		await sleep(requestIntervalMs);
+	for (let index = 0; index < 2; index++) {
+		await new Worker(fleet, {machine: fleet.addMachine(`orders-${index}`, 'abc'[index]), service: 'orders'}).start();
+	}
+
+	await fleet.waitForEntries();
+	if (!await fleet.configure(state(2, routes, [['Dar Ahlam', keys.first], [addedName, keys.later]]))) {
+		throw new CannotRunError('The second desired state is not acknowledged.');
 	}
 
-	const served = statuses.filter(status => status === 200).length;
-	record.add(`desired state acknowledged: ${isAcknowledged}; ${statuses.length} requests, ${served} served`);
-	return served === 0;
+	await sleep(bounds.configMs + bounds.stabilityMs);
+	const after = await sendRequests(fleet, observedMs);
+	record.add(`after: ${after.first.length} requests on the first route, share served ${shareOf(after.first)}; ${after.later.length} on the later one, share served ${shareOf(after.later)}`);
+	return after.later.length >= 20 && shareOf(after.later) < shareOf(after.first) / 4;
 });
--- a/review/3/case.js
+++ b/review/3/case.js
@@ -1,133 +1,146 @@
-/** Clients send prompts of the size that the desired state allows, and more of them come at once for some seconds. */
+/** A deregistration that a partition has held up arrives once its sender has started again under its id. */
 
-import {Buffer} from 'node:buffer';
-import fs from 'node:fs';
+import net from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
-	ask, bounds, CannotRunError, desiredState, hasTrouble, isReadWhole, runCase, Worker,
+	ask, bounds, CannotRunError, desiredState, hasTrouble, runCase, shareOf, Worker,
 } from '../lib/fleet.js';
 
-/** Bytes of a prompt: `max_body_bytes` is 4,194,304. */
-const prompt = Buffer.alloc(4_000_000, 'p');
-
-/** Clients that have a request in progress: fewer than the 109 of the sheet. */
-const usualClients = 51;
-
-/** A burst as in the site file: 1.7 times the traffic for 3 s; it comes more than once. */
-const burstFactor = 1.7;
-const burstMs = 3000;
-const burstCount = 4;
-const pauseMs = 9000;
-
-/** A stream has 28 events, one in 100 ms. */
-const eventCount = 28;
-const eventIntervalMs = 100;
-const deadlineMs = 8000;
-
-/** The platform starts a process again after a short delay. */
-const restartDelayMs = 500;
-const lookIntervalMs = 20;
-
-/** A model worker that answers with a stream. */
-class StreamWorker extends Worker {
-	async serve(request, response) {
-		if (!await isReadWhole(request)) {
-			return;
-		}
-
-		const id = request.headers['attempt-id'] ?? '';
-		this.fleet.record.add(`run ${id} at ${this.id}`);
-		response.writeHead(200, {'attempt-id': id, 'instance-signature': `${this.id}.${id}`, 'content-type': 'text/event-stream'});
-		for (let event = 1; event <= eventCount && !response.destroyed; event++) {
-			response.write(`id: ${event}\ndata: ${'x'.repeat(65)}\n\n`);
-			await sleep(eventIntervalMs);
-		}
-
-		response.end();
-	}
-}
+/** Length of the cut between workers and one daemon. */
+const cutMs = 3000;
+
+/** Time from the end of a worker to its next start. */
+const restartPauseMs = 500;
+
+/** A worker serves on for a little longer than `drain_ms`. */
+const lingerMs = 500;
+
+const usualMs = 3000;
+const observedMs = 15_000;
+const requestIntervalMs = 100;
+
+/** The path from workers to one daemon: what is sent while it is cut arrives when the cut has healed. */
+class WorkerPath {
+	#untilMs = 0;
+	#server;
 
-/** Memory of a process that is its own, in MB: without the pages of the program file, and without what the kernel holds for it, which the limit counts, too. */
-function ownMemoryMb({child}) {
-	try {
-		return Number(/RssAnon:\s+(\d+)/.exec(fs.readFileSync(`/proc/${child.pid}/status`, 'utf8'))?.[1] ?? 0) / 1024;
-	} catch {
-		return 0;
+	constructor(host, port, to) {
+		this.address = `${host}:${port}`;
+		const [toHost, toPort] = to.split(':');
+		this.#server = net.createServer({allowHalfOpen: true}, from => {
+			const onward = net.connect({host: toHost, port: Number(toPort), allowHalfOpen: true});
+			this.#pass(from, onward);
+			this.#pass(onward, from);
+		});
+		this.#server.listen(port, host);
 	}
-}
 
-/** The platform: ends a process that uses more than `memory_mb`, and starts it again. */
-class MemoryLimit {
-	ends = new Map();
-	peaks = new Map();
-	#processes;
-	#timer;
-
-	constructor(fleet, processes) {
-		this.#processes = processes;
-		this.#timer = setInterval(async () => {
-			for (const limited of this.#processes.filter(({isRunning}) => isRunning)) {
-				const usedMb = ownMemoryMb(limited);
-				this.peaks.set(limited.name, Math.max(usedMb, this.peaks.get(limited.name) ?? 0));
-				if (usedMb > bounds.memoryMb) {
-					fleet.record.add(`${limited.name} uses ${Math.round(usedMb)} MB, more than ${bounds.memoryMb}: ended by the platform`);
-					this.ends.set(limited.name, 1 + (this.ends.get(limited.name) ?? 0));
-					await limited.kill();
-					await sleep(restartDelayMs);
-					limited.start({isFirstStart: false});
-				}
-			}
-		}, lookIntervalMs);
+	cut(forMs) {
+		this.#untilMs = Math.max(this.#untilMs, performance.now() + forMs);
 	}
 
 	close() {
-		clearInterval(this.#timer);
+		this.#server.close();
+	}
+
+	#pass(from, to) {
+		let turn = Promise.resolve();
+		const whenHealed = action => {
+			const earlier = turn;
+			turn = (async () => {
+				await earlier;
+				await sleep(Math.max(0, this.#untilMs - performance.now()));
+				action();
+			})();
+		};
+
+		from.on('data', chunk => {
+			whenHealed(() => to.write(chunk));
+		});
+		from.on('end', () => {
+			whenHealed(() => to.end());
+		});
+		from.on('error', () => undefined);
 	}
 }
 
-/** One client: sends its next request when the last one has ended, to one entry after the other. */
-async function runClient(fleet, number, untilMs) {
-	for (let turn = number; performance.now() < untilMs; turn++) {
+/** Sends requests on both routes to all entries in turn; resolves to which were served. */
+async function sendRequests(fleet, durationMs) {
+	const served = {first: [], later: []};
+	const pending = [];
+	const send = async (name, address, turn) => {
+		const {status} = await ask(fleet, address, {path: `/${name}/x?n=${turn}`});
+		served[name].push(status === 200);
+	};
+
+	const endMs = performance.now() + durationMs;
+	for (let turn = 0; performance.now() < endMs; turn++) {
 		const address = fleet.entryAddresses[turn % fleet.entryAddresses.length];
-		const {status} = await ask(fleet, address, {
-			method: 'POST',
-			path: '/first/x',
-			body: prompt,
-			deadlineMs,
-		});
-		await sleep(status === 200 ? 0 : 300);
+		pending.push(send('first', address, turn), send('later', address, turn));
+		await sleep(requestIntervalMs);
 	}
+
+	await Promise.all(pending);
+	return served;
 }
 
 await runCase(import.meta.url, async (fleet, record) => {
 	fleet.startCore();
-	const state = desiredState(1, [{name: 'first', service: 'drafts', type: 'streaming'}]);
-	if (!await fleet.configure(state)) {
-		throw new CannotRunError('The desired state is not acknowledged.');
+	const routes = [{name: 'first', service: 'drafts'}, {name: 'later', service: 'orders'}];
+	const first = {...desiredState(2, routes), version: 1, routes: desiredState(2, routes).routes.slice(0, 1)};
+	if (!await fleet.configure(first)) {
+		throw new CannotRunError('The first desired state is not acknowledged.');
 	}
 
-	for (let index = 0; index < 16; index++) {
-		await new StreamWorker(fleet, {machine: fleet.addMachine(`drafts-${index}`, 'abc'[index % 3]), service: 'drafts'}).start();
+	const [cutOff, ...others] = fleet.controlAddresses;
+	const way = new WorkerPath(fleet.addMachine('way', 'a').ip, fleet.ports.control, cutOff);
+	fleet.closers.push(() => {
+		way.close();
+	});
+	const machines = ['drafts-1', 'drafts-2', 'orders-1', 'orders-2'].map((name, index) => fleet.addMachine(name, 'abc'[index % 3]));
+	const workers = machines.map(machine => new Worker(fleet, {machine, service: machine.name.split('-', 1)[0]}));
+	for (const worker of workers) {
+		worker.controls = others;
+		await worker.start();
 	}
 
 	await fleet.waitForEntries();
-	await sleep(bounds.stabilityMs);
-	const memoryLimit = new MemoryLimit(fleet, fleet.processes.filter(({role}) => role === 'entry'));
-	fleet.closers.push(() => {
-		memoryLimit.close();
-	});
-	const startedAtMs = performance.now();
-	const endMs = startedAtMs + (burstCount * (pauseMs + burstMs));
-	const usual = Array.from({length: usualClients}, async (_, index) => runClient(fleet, index, endMs));
-	for (let burst = 0; burst < burstCount; burst++) {
-		await sleep(pauseMs);
-		const more = hasTrouble ? Math.round(usualClients * (burstFactor - 1)) : 0;
-		record.add(`burst: ${more} clients more for ${burstMs} ms`);
-		await Promise.all(Array.from({length: more}, async (_, index) => runClient(fleet, index, performance.now() + burstMs)));
+	if (!await fleet.configure(desiredState(2, routes))) {
+		throw new CannotRunError('The second desired state is not acknowledged.');
+	}
+
+	await sleep(bounds.configMs);
+	const before = await sendRequests(fleet, usualMs);
+	record.add(`before: share served on the first route ${shareOf(before.first)}, on the later one ${shareOf(before.later)}`);
+	if (shareOf(before.first) < 0.9 || shareOf(before.later) < 0.9) {
+		throw new CannotRunError('The routes are not served before.');
+	}
+
+	// Planned work: both workers of the later route's service start again, each under its id, after it has said that it drains.
+	const restarting = workers.filter(({service}) => service === 'orders');
+	for (const worker of restarting) {
+		worker.state = 'draining';
+		await worker.beat();
+	}
+
+	await sleep(bounds.drainMs + lingerMs);
+	if (hasTrouble) {
+		record.add(`cut between the workers and ${cutOff} for ${cutMs} ms`);
+		way.cut(cutMs);
 	}
 
-	await Promise.all(usual);
-	memoryLimit.close();
-	record.add(`peak MB: ${[...memoryLimit.peaks].map(([name, peak]) => `${name} ${Math.round(peak)}`).join(', ')}; ends: ${[...memoryLimit.ends].map(([name, count]) => `${name} ${count}`).join(', ')}`);
-	return [...memoryLimit.ends.values()].filter(count => count >= 3).length >= 2;
+	await Promise.all(restarting.map(async worker => {
+		const {id, born} = worker;
+		worker.sequence++;
+		const acknowledgedBy = await worker.tell('Deregister', {born, sequence: worker.sequence}, [way.address, ...others]);
+		record.add(`worker ${id} born=${born} deregistered, acknowledged by ${acknowledgedBy === way.address ? cutOff : acknowledgedBy}`);
+		worker.stop();
+		await sleep(restartPauseMs);
+		await worker.start();
+	}));
+
+	await sleep(cutMs + bounds.stabilityMs);
+	const after = await sendRequests(fleet, observedMs);
+	record.add(`after: ${after.first.length} requests on the first route, share served ${shareOf(after.first)}; ${after.later.length} on the later one, share served ${shareOf(after.later)}`);
+	return after.later.length >= 20 && shareOf(after.later) < shareOf(after.first) / 4;
 });
--- a/review/lib/fleet.js
+++ b/review/lib/fleet.js
@@ -180,12 +180,12 @@
 	}
 
 	/** Starts three machines in three zones, each with a control process and an entry. */
-	startCore() {
+	startCore(settings) {
 		const machines = ['a', 'b', 'c'].map(zone => this.addMachine(`edge-${zone}-1`, zone));
 		this.seeds = machines.map(machine => this.controlAddressOf(machine));
 		for (const machine of machines) {
-			this.addProcess('control', machine).start();
-			this.addProcess('entry', machine).start();
+			this.addProcess('control', machine).start(settings);
+			this.addProcess('entry', machine).start(settings);
 		}
 
 		return machines;
