Requests hold memory by what callers send, not by what they stop sending

Callers saw: entries that ended for want of memory, or refused everybody, while some callers held bodies that they never ended.

Causes, each seen in figures of the process: (1) after a refusal the stream was paused with its listener gone, and a paused stream takes bytes up to a mark, which is 65,536 objects where each chunk is one byte: 308 MB from 40 callers, the process ended. (2) What comes behind a refusal had no bound. (3) Garbage: pieces and outgrown buffers are external memory, which V8 lets grow by some 64 MB whatever the VM has. (4) The budget was a share of all memory, while the program takes some 110 MB of any, and the budgets of answers and streams were fixed. (5) A body that had stopped kept its memory until its time limit.

--- a/packages/byte-collector/src/byte-budget.ts
+++ b/packages/byte-collector/src/byte-budget.ts
@@ -37,6 +37,10 @@
 		this.#budget = budget;
 	}
 
+	get heldBytes(): number {
+		return this.#heldBytes;
+	}
+
 	/** Holds this many bytes from now on, instead of those before; false, and nothing changes, if the budget has not enough left. */
 	hold(bytes: number): boolean {
 		if (bytes > this.#heldBytes && !this.#budget.take(bytes - this.#heldBytes)) {
--- a/packages/byte-collector/src/byte-collector.ts
+++ b/packages/byte-collector/src/byte-collector.ts
@@ -1,6 +1,7 @@
 /** One buffer for bytes that arrive in pieces. The pieces are copied, so that none of them keeps the buffer alive that it was read into. */
 
 import {Buffer} from 'node:buffer';
+import {garbageWatch} from './garbage-watch.js';
 
 const empty = Buffer.alloc(0);
 
@@ -11,13 +12,33 @@
 const freePieces = 10_000;
 const minPieceBytes = 64;
 
+/** Counts pieces and their bytes. */
+export class PieceCount {
+	#pieces = 0;
+	#bytes = 0;
+
+	get bytes(): number {
+		return this.#bytes;
+	}
+
+	/** Whether the bytes came in so many pieces that these cost more than the bytes. */
+	get isFragmented(): boolean {
+		return this.#pieces > freePieces + (this.#bytes / minPieceBytes);
+	}
+
+	add(piece: Uint8Array): void {
+		this.#pieces++;
+		this.#bytes += piece.byteLength;
+	}
+}
+
 /** Collects bytes in their order. */
 export class ByteCollector {
-	/** Number of bytes that are expected; room is not made for more before they come. */
+	/** Number of bytes that are expected, or the most that may come; room is not made for more before they come. */
 	readonly #expectedBytes: number;
 	#buffer = empty;
 	#length = 0;
-	#pieceCount = 0;
+	#pieces = new PieceCount();
 
 	constructor({expectedBytes = Number.POSITIVE_INFINITY}: {readonly expectedBytes?: number} = {}) {
 		this.#expectedBytes = expectedBytes;
@@ -35,7 +56,7 @@
 
 	/** Whether the bytes came in so many pieces that these cost more than the bytes. */
 	get isFragmented(): boolean {
-		return this.#pieceCount > freePieces + (this.#length / minPieceBytes);
+		return this.#pieces.isFragmented;
 	}
 
 	/** The bytes. They are overwritten by later calls. */
@@ -60,12 +81,13 @@
 		if (heldBytes > this.#buffer.byteLength) {
 			const grown = Buffer.allocUnsafeSlow(heldBytes);
 			this.#buffer.copy(grown, 0, 0, this.#length);
+			garbageWatch.addBuffer(this.#buffer.byteLength);
 			this.#buffer = grown;
 		}
 
 		this.#buffer.set(piece, this.#length);
 		this.#length += piece.byteLength;
-		this.#pieceCount++;
+		this.#pieces.add(piece);
 	}
 
 	/** Removes the first bytes and returns them. */
@@ -74,7 +96,7 @@
 		const rest = this.#buffer.subarray(count, this.#length);
 		this.#buffer = empty;
 		this.#length = 0;
-		this.#pieceCount = 0;
+		this.#pieces = new PieceCount();
 		if (rest.byteLength > 0) {
 			this.append(rest);
 		}
--- a/packages/byte-collector/src/index.ts
+++ b/packages/byte-collector/src/index.ts
@@ -1,4 +1,6 @@
 /** Collects bytes that arrive in pieces, at a known cost of memory however small the pieces are. */
 export * from './byte-budget.js';
 export * from './byte-collector.js';
+export * from './garbage-watch.js';
 export * from './read-bounded.js';
+export * from './request-memory.js';
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -4,7 +4,9 @@
 */
 
 import type {Buffer} from 'node:buffer';
-import {BudgetShare, type ByteBudget, ByteCollector} from '@rattanspring/byte-collector';
+import {
+	BudgetShare, type ByteBudget, ByteCollector, garbageWatch,
+} from '@rattanspring/byte-collector';
 import type {AttemptOutcome} from '@rattanspring/placement';
 import {
 	type CompleteEvents, EventSplitter, type Exchange, type ExchangeFailure, type ResponseHead, StreamContinuation, type TargetRequest, type TargetTransport,
@@ -64,7 +66,7 @@
 	readonly #events = new EventSplitter();
 	readonly #held: BudgetShare;
 	readonly #continuation: StreamContinuation | undefined;
-	#body = new ByteCollector();
+	#body = new ByteCollector({expectedBytes: maxResponseBytes});
 	#head: ResponseHead | undefined;
 	#isNotExecuted = false;
 	#isSent = false;
@@ -115,6 +117,7 @@
 	/** Ends the attempt and gives up what it has buffered. */
 	#finish(): void {
 		this.#isFinished = true;
+		garbageWatch.addBuffer(this.#held.heldBytes);
 		this.#held.release();
 		this.#body = new ByteCollector();
 	}
@@ -150,6 +153,7 @@
 	}
 
 	#onData(chunk: Buffer): void {
+		garbageWatch.addPiece(chunk.byteLength);
 		if (this.#isFinished || !this.#head) {
 			return;
 		}
--- a/packages/gateway/src/gateway-context.ts
+++ b/packages/gateway/src/gateway-context.ts
@@ -1,6 +1,6 @@
 /** Dependencies that all requests of an entry share. */
 
-import type {ByteBudget} from '@rattanspring/byte-collector';
+import type {ByteBudget, RequestMemory} from '@rattanspring/byte-collector';
 import type {RouteTable} from '@rattanspring/desired-state';
 import type {Logger} from '@rattanspring/logger';
 import type {DaemonMetrics} from '@rattanspring/metrics';
@@ -31,8 +31,8 @@
 	readonly crashWatch: CrashWatch;
 	/** Bytes that responses may take until they are complete and are forwarded. */
 	readonly responseBytes: ByteBudget;
-	/** Memory that the bodies of requests hold. */
-	readonly requestBytes: ByteBudget;
+	/** Memory that requests hold: heads and bodies. */
+	readonly requestMemory: RequestMemory;
 	/** Bytes of streams that wait for their callers. */
 	readonly unsentBytes: UnsentBudget;
 	readonly logger: Logger;
--- a/packages/gateway/src/gateway.test.ts
+++ b/packages/gateway/src/gateway.test.ts
@@ -6,7 +6,7 @@
 	after, afterEach, before, beforeEach, describe, it,
 } from 'node:test';
 import {setTimeout as sleep} from 'node:timers/promises';
-import {ByteBudget} from '@rattanspring/byte-collector';
+import {ByteBudget, RequestMemory} from '@rattanspring/byte-collector';
 import {type DesiredState, type Route, RouteTable} from '@rattanspring/desired-state';
 import {SilentLogger} from '@rattanspring/logger';
 import {DaemonMetrics} from '@rattanspring/metrics';
@@ -218,7 +218,7 @@
 				metrics: new DaemonMetrics(),
 			}),
 			responseBytes: new ByteBudget(50_000_000),
-			requestBytes: new ByteBudget(50_000_000),
+			requestMemory: new RequestMemory({budget: new ByteBudget(50_000_000), nowMs: () => performance.now(), onStopped: () => undefined}),
 			unsentBytes: new UnsentBudget(50_000_000),
 			firstAttempts: new FirstAttemptEstimator(),
 			logger: new SilentLogger(),
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,6 +1,6 @@
 /** An entry process: follows the control processes, serves callers, and lists the entries that callers may use. */
 
-import {ByteBudget} from '@rattanspring/byte-collector';
+import {ByteBudget, RequestMemory} from '@rattanspring/byte-collector';
 import {ShareOrder} from '@rattanspring/account-shares';
 import type {DocumentCodec, EngineProfile, RouteTable} from '@rattanspring/desired-state';
 import {
@@ -45,14 +45,20 @@
 /** Interval at which the uses of client accounts are told to a control process. */
 const useIntervalMs = 1000;
 
-/** Bytes of all responses that are not complete yet: a part of the memory that is left beside the program. */
-const maxResponseBytes = 50_331_648;
-
-/** Bytes of all streams that wait for their callers to read them: a part of the same memory. */
-const maxUnsentBytes = 33_554_432;
+/** Limits of an entry, unless it is told others. */
+const defaultLimits: GatewayLimits = {
+	maxRequestBytes: 67_108_864, maxResponseBytes: 50_331_648, maxUnsentBytes: 33_554_432,
+};
 
-/** Memory that the bodies of requests may hold, unless the process's own memory says otherwise. */
-const defaultMaxRequestBytes = 67_108_864;
+/** What an entry may hold of the memory and the descriptors of its VM. */
+export type GatewayLimits = {
+	/** Memory that all requests may hold: heads and bodies, in bytes. */
+	readonly maxRequestBytes: number;
+	/** Bytes of all answers that are not complete yet. */
+	readonly maxResponseBytes: number;
+	/** Bytes of answers that wait for their callers to read them. */
+	readonly maxUnsentBytes: number;
+};
 
 /** Options of an entry. */
 export type GatewayOptions = {
@@ -66,8 +72,7 @@
 	readonly headerCodec: HeaderCodec;
 	readonly exchange: TargetTransport;
 	readonly allowance: RetryAllowance;
-	/** Memory that the bodies of all requests may hold, in bytes. */
-	readonly maxRequestBytes?: number;
+	readonly limits?: Partial<GatewayLimits>;
 	readonly clock: Clock;
 	/** Random numbers in [0, 1). */
 	readonly random: () => number;
@@ -105,6 +110,7 @@
 		this.#options = options;
 		const nowMs = () => options.clock.monotonicMs();
 		const {random, logger, metrics, headerCodec, exchange, failureDomain} = options;
+		const limits = {...defaultLimits, ...options.limits};
 		this.#outcomes = new TargetOutcomes({
 			nodeId: options.nodeId,
 			isCold: report => this.#coldWatch.limitOf(report) !== undefined || (report.coldLeftMs ?? 0) > 0,
@@ -192,9 +198,15 @@
 			retryBudget: new RetryBudget(options.allowance),
 			streamSilence: new StreamSilence(),
 			crashWatch,
-			responseBytes: new ByteBudget(maxResponseBytes),
-			requestBytes: new ByteBudget(options.maxRequestBytes ?? defaultMaxRequestBytes),
-			unsentBytes: new UnsentBudget(maxUnsentBytes),
+			responseBytes: new ByteBudget(limits.maxResponseBytes),
+			requestMemory: new RequestMemory({
+				budget: new ByteBudget(limits.maxRequestBytes),
+				nowMs,
+				onStopped() {
+					metrics.limitsMet.inc({limit: 'requestMemory'});
+				},
+			}),
+			unsentBytes: new UnsentBudget(limits.maxUnsentBytes),
 			firstAttempts: new FirstAttemptEstimator(),
 			accountUsage: this.#accountUsage,
 			outcomes: this.#outcomes,
--- a/packages/gateway/src/read-body.test.ts
+++ b/packages/gateway/src/read-body.test.ts
@@ -3,7 +3,7 @@
 import net, {type AddressInfo} from 'node:net';
 import process from 'node:process';
 import {describe, it} from 'node:test';
-import {BudgetShare, ByteBudget} from '@rattanspring/byte-collector';
+import {ByteBudget, RequestMemory} from '@rattanspring/byte-collector';
 import {expect} from 'earl';
 import {type BodyResult, readBody} from './read-body.js';
 
@@ -16,7 +16,7 @@
 	const results: BodyResult[] = [];
 	const server = http.createServer((request, response) => {
 		void (async () => {
-			results.push(await readBody(request, maxBytes, new BudgetShare(new ByteBudget(100_000_000))));
+			results.push(await readBody(request, maxBytes, new RequestMemory({budget: new ByteBudget(100_000_000), nowMs: () => performance.now(), onStopped: () => undefined}).open(0)));
 			response.shouldKeepAlive = false;
 			response.end();
 		})();
--- a/packages/gateway/src/request-flow.ts
+++ b/packages/gateway/src/request-flow.ts
@@ -3,7 +3,7 @@
 import {createHash} from 'node:crypto';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Buffer} from 'node:buffer';
-import {BudgetShare} from '@rattanspring/byte-collector';
+import {dropRest, type HeldRequest} from '@rattanspring/byte-collector';
 import {
 	type ClientAccount, selectWeightedService, type Route, type RouteTable,
 } from '@rattanspring/desired-state';
@@ -46,6 +46,7 @@
 	}
 
 	if (!table) {
+		dropUnread(request);
 		const refuse = context.plannedStop.isBegun ? refuseWhileStopping : refuseWhileStarting;
 		refuse(context, metadata, {answer, arrivedAtMs});
 		return;
@@ -53,6 +54,7 @@
 
 	const match = matchRoute(table, request, metadata);
 	if (typeof match === 'number') {
+		dropUnread(request);
 		rejectRequest(context, table, metadata, {answer, status: match});
 		return;
 	}
@@ -60,11 +62,12 @@
 	const {route, account} = match;
 	const deadlineAtMs = arrivedAtMs + Math.min(metadata.timeLeftMs ?? route.timeoutMs, route.timeoutMs);
 	if (!context.plannedStop.mayTakeOn({nowMs: context.nowMs(), deadlineAtMs})) {
+		dropUnread(request);
 		refuseWhileStopping(context, metadata, {answer, arrivedAtMs});
 		return;
 	}
 
-	const held = new BudgetShare(context.requestBytes);
+	const held = context.requestMemory.open(headerBytes(request.rawHeaders));
 	response.on('close', () => {
 		held.release();
 	});
@@ -95,6 +98,13 @@
 	}
 }
 
+/** Reads and drops the body of a request that is answered without it. */
+function dropUnread(request: IncomingMessage): void {
+	if (!request.complete) {
+		dropRest(request);
+	}
+}
+
 /** Logs that a caller had left before its request could be routed. */
 function logUnsent({logger, metrics}: GatewayContext, {requestId}: RequestMetadata): void {
 	logger.log('info', 'requestEnded', {requestId, outcome: 'callerLeft', sent: 0});
@@ -111,10 +121,10 @@
 }
 
 /** The bodies of other requests hold the memory that there is for bodies. */
-function refuseForMemory({logger, metrics, random, requestBytes}: GatewayContext, {requestId}: RequestMetadata, answer: CallerResponse): void {
+function refuseForMemory({logger, metrics, random, requestMemory}: GatewayContext, {requestId}: RequestMetadata, answer: CallerResponse): void {
 	const retryAfterMs = noMemoryRetryAfterMs + (random() * noMemoryRetryJitterMs);
 	logger.log('warn', 'requestRefused', {
-		requestId, status: 503, reason: 'noMemory', heldBytes: requestBytes.usedBytes, retryAfterMs: Math.round(retryAfterMs),
+		requestId, status: 503, reason: 'noMemory', heldBytes: requestMemory.usedBytes, retryAfterMs: Math.round(retryAfterMs),
 	});
 	metrics.requests.inc({service: 'none', outcome: 'refused'});
 	answer.refuse('noMemory', retryAfterMs);
@@ -187,7 +197,7 @@
 }
 
 /** Options of reading a body: its greatest size, the memory that it may hold, and the time left for it. */
-type BodyLimits = {readonly maxBytes: number; readonly held: BudgetShare; readonly timeoutMs: number};
+type BodyLimits = {readonly maxBytes: number; readonly held: HeldRequest; readonly timeoutMs: number};
 
 async function readBodyBeforeDeadline(request: IncomingMessage, {maxBytes, held, timeoutMs}: BodyLimits): Promise<BodyResult> {
 	let timer: NodeJS.Timeout | undefined;
--- a/packages/gateway/src/target-outcomes.test.ts
+++ b/packages/gateway/src/target-outcomes.test.ts
@@ -5,7 +5,7 @@
 	afterEach, beforeEach, describe, it,
 } from 'node:test';
 import {setTimeout as sleep} from 'node:timers/promises';
-import {ByteBudget} from '@rattanspring/byte-collector';
+import {ByteBudget, RequestMemory} from '@rattanspring/byte-collector';
 import {type DesiredState, type Route, RouteTable} from '@rattanspring/desired-state';
 import {SilentLogger} from '@rattanspring/logger';
 import {DaemonMetrics} from '@rattanspring/metrics';
@@ -186,7 +186,7 @@
 				isReachable: async () => true, onNewEvidence: () => undefined, requestTrial: async () => false, random: Math.random, nowMs, logger, metrics,
 			}),
 			responseBytes: new ByteBudget(50_000_000),
-			requestBytes: new ByteBudget(50_000_000),
+			requestMemory: new RequestMemory({budget: new ByteBudget(50_000_000), nowMs: () => performance.now(), onStopped: () => undefined}),
 			unsentBytes: new UnsentBudget(50_000_000),
 			firstAttempts: new FirstAttemptEstimator(),
 			logger,
--- a/packages/metrics/src/index.ts
+++ b/packages/metrics/src/index.ts
@@ -102,6 +102,13 @@
 		registers: [this.registry],
 	});
 
+	readonly limitsMet = new Counter({
+		name: 'rattanspring_limits_met_total',
+		help: 'Times that something was closed, refused or ended as a limit of the process was met, by limit.',
+		labelNames: ['limit'] as const,
+		registers: [this.registry],
+	});
+
 	readonly targetCrashes = new Counter({
 		name: 'rattanspring_requests_on_crashed_targets_total',
 		help: 'Requests of this entry that were running on a target when it crashed.',
