Whole answers that nobody reads count, and go before answers that are read

Callers saw: an entry that ended for want of memory, as some callers asked for large answers and did not read them.

Cause: the budget of unsent bytes counted streams only.

Now a whole answer counts as unsent until its caller has read it. It is written in parts of 256 KiB, since a write as a whole does not show whether it is read. When all unsent bytes are too many, answers of which nothing was taken for a second end first, then the largest, as before; each such end is logged (callersLimited reason=unsentBytes) and counted.

--- a/packages/gateway/src/caller-response.ts
+++ b/packages/gateway/src/caller-response.ts
@@ -6,6 +6,9 @@
 import type {ResponseHead} from '@rattanspring/target-connection';
 import type {HeaderCodec} from './header-codec.js';
 
+/** A body is written in parts of this size, so that it shows whether its caller reads it. */
+const partBytes = 262_144;
+
 /** Whether a request ran, as far as the entry knows. */
 export type Execution = 'didNotRun' | 'unknown';
 
@@ -20,6 +23,9 @@
 	/** Parts of a stream that wait for the part before them to be written, in one piece. */
 	readonly #waiting = new ByteCollector();
 	#isWriting = false;
+	/** Bytes of a whole body that were not written yet. */
+	#leftBytes = 0;
+	#givenBytes = 0;
 
 	constructor(response: ServerResponse, headerCodec: HeaderCodec) {
 		this.#response = response;
@@ -43,7 +49,12 @@
 
 	/** Memory of what waits to be sent, as the caller has not read what came before. */
 	get unsentBytes(): number {
-		return this.#response.writableLength + this.#waiting.heldBytes;
+		return this.#response.writableLength + this.#waiting.heldBytes + this.#leftBytes;
+	}
+
+	/** Bytes of the body that were sent. */
+	get deliveredBytes(): number {
+		return this.#givenBytes - this.#response.writableLength - this.#waiting.length - this.#leftBytes;
 	}
 
 	/** Sends 503 with a guarantee that the request did not run, and the time after which to retry. */
@@ -66,7 +77,8 @@
 		if (this.#canBegin()) {
 			this.#sendHead(head, ['Content-Length', String(body.byteLength)]);
 			this.#isFinished = true;
-			this.#response.end(body);
+			this.#givenBytes = body.byteLength;
+			this.#writeParts(body);
 		}
 	}
 
@@ -83,18 +95,8 @@
 			return;
 		}
 
-		if (this.#isWriting) {
-			this.#waiting.append(bytes);
-			return;
-		}
-
-		this.#isWriting = true;
-		this.#response.write(bytes, () => {
-			this.#isWriting = false;
-			if (this.#waiting.length > 0) {
-				this.write(this.#waiting.take());
-			}
-		});
+		this.#givenBytes += bytes.byteLength;
+		this.#writeNext(bytes);
 	}
 
 	/** Ends a complete stream. */
@@ -124,6 +126,39 @@
 		return !this.#isFinished;
 	}
 
+	/** Writes a part of a stream once the part before it is written. */
+	#writeNext(bytes: Buffer): void {
+		if (this.#isWriting) {
+			this.#waiting.append(bytes);
+			return;
+		}
+
+		this.#isWriting = true;
+		this.#response.write(bytes, () => {
+			this.#isWriting = false;
+			if (!this.#isFinished && this.#waiting.length > 0) {
+				this.#writeNext(this.#waiting.take());
+			}
+		});
+	}
+
+	/** Writes what is left of a body, a part at a time. */
+	#writeParts(left: Buffer): void {
+		this.#leftBytes = Math.max(0, left.byteLength - partBytes);
+		if (this.#leftBytes === 0) {
+			this.#response.end(left);
+			return;
+		}
+
+		this.#response.write(left.subarray(0, partBytes), error => {
+			if (error) {
+				this.#leftBytes = 0;
+			} else {
+				this.#writeParts(left.subarray(partBytes));
+			}
+		});
+	}
+
 	#sendHead(head: ResponseHead, framing: readonly string[]): void {
 		this.#response.writeHead(head.status, [...this.#headerCodec.callerHeaders(head), ...framing]);
 	}
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -206,7 +206,7 @@
 					metrics.limitsMet.inc({limit: 'requestMemory'});
 				},
 			}),
-			unsentBytes: new UnsentBudget(limits.maxUnsentBytes),
+			unsentBytes: new UnsentBudget({maxBytes: limits.maxUnsentBytes, nowMs}),
 			firstAttempts: new FirstAttemptEstimator(),
 			accountUsage: this.#accountUsage,
 			outcomes: this.#outcomes,
--- a/packages/gateway/src/request-forwarder.ts
+++ b/packages/gateway/src/request-forwarder.ts
@@ -101,6 +101,11 @@
 		return this.#answer.unsentBytes;
 	}
 
+	/** Bytes of the answer that the caller's connection has taken. */
+	get deliveredBytes(): number {
+		return this.#answer.deliveredBytes;
+	}
+
 	/** Starts forwarding. Cleans up when the response ends or the caller disconnects. */
 	start(response: ServerResponse): void {
 		const {accountUsage, retryBudget} = this.#context;
@@ -108,6 +113,7 @@
 		accountUsage.asked(this.#work);
 		response.on('close', () => {
 			this.#onCallerDisconnect();
+			this.#context.unsentBytes.remove(this);
 		});
 		retryBudget.recordRequest(service, this.#nowMs);
 		this.#deadline = setTimeout(() => {
@@ -135,8 +141,15 @@
 		this.#giveUp(refusal.reason, refusal.retryAfterMs);
 	}
 
-	/** A caller that does not read its stream is disconnected before the stream fills the memory. */
+	/** A caller that does not read its answer is disconnected before that fills the memory. */
 	endUnread(): void {
+		this.#context.metrics.limitsMet.inc({limit: 'unsentBytes'});
+		if (this.#isFinished) {
+			this.#context.logger.log('warn', 'callersLimited', {reason: 'unsentBytes', requestId: this.#request.metadata.requestId, unsentBytes: this.unsentBytes});
+			this.#answer.closeConnection();
+			return;
+		}
+
 		this.#running?.attempt.abandon();
 		this.#endAttempt('abandoned');
 		this.#answer.closeConnection();
@@ -356,8 +369,16 @@
 		this.#endAttempt(isFailure ? 'failed' : 'answered');
 		this.#context.crashWatch.guard.recordAnswer(this.#request.components);
 		this.#progress.recordFirstByte(this.#nowMs);
-		this.#answer.pass(answer.head, answer.body);
-		this.#end('answered', answer.head.status);
+		this.#pass(answer);
+	}
+
+	/** Forwards a whole answer, whose bytes count until the caller has read them. */
+	#pass({head, body}: CompleteResponse, reason?: string): void {
+		this.#answer.pass(head, body);
+		this.#end('answered', head.status, reason);
+		if (this.unsentBytes > 0) {
+			this.#context.unsentBytes.recordWrite(this);
+		}
 	}
 
 	#onEvents(head: ResponseHead, {bytes, lastId, endsWithoutId}: CompleteEvents): void {
@@ -482,8 +503,7 @@
 	/** Sends the final response without trying another target. */
 	#giveUp(reason: string, retryAfterMs: number | undefined): void {
 		if (this.#failureResponse && !this.#answer.isStarted) {
-			this.#answer.pass(this.#failureResponse.head, this.#failureResponse.body);
-			this.#end('answered', this.#failureResponse.head.status, reason);
+			this.#pass(this.#failureResponse, reason);
 		} else if (this.#mayHaveRun) {
 			this.#answer.fail(502, reason);
 			this.#end('failed', 502, reason);
--- a/packages/gateway/src/target-outcomes.test.ts
+++ b/packages/gateway/src/target-outcomes.test.ts
@@ -187,7 +187,7 @@
 			}),
 			responseBytes: new ByteBudget(50_000_000),
 			requestMemory: new RequestMemory({budget: new ByteBudget(50_000_000), nowMs: () => performance.now(), onStopped: () => undefined}),
-			unsentBytes: new UnsentBudget(50_000_000),
+			unsentBytes: new UnsentBudget({maxBytes: 50_000_000, nowMs: () => performance.now()}),
 			firstAttempts: new FirstAttemptEstimator(),
 			logger,
 			metrics,
