Connections have a limit at each port of each role, and silent ones go first

Callers saw: with more idle connections than the process has descriptors, ordinary requests were refused or not accepted at all, at every port: that of callers, readiness, addresses, calls, links and metrics; control answered nobody.

Cause: max_fds was read nowhere. Connections were accepted until none could be opened, towards targets neither.

At the limit the connections go on which nothing has moved for longest, in groups of a sixteenth; one whose request is being worked on stays; a new one is refused only if all are in use. Connections to targets beyond their part close an idle one, or the request is refused as not run. callersLimited names the port and counts; rattanspring_limits_met_total, too. The gRPC server gets its connections from a listener of ours, since its own has no limit; forceShutdown closes that.

--- a/packages/fleet-control/src/fleet-control.ts
+++ b/packages/fleet-control/src/fleet-control.ts
@@ -10,7 +10,7 @@
 import type {DomainOrder, DomainRegister, DomainRequest} from '@rattanspring/domain-drain';
 import {
 	ControlLinks, type DocumentRequest, DocumentSender, type DownMessage, type JoinRequest, LinkServer, linkService, listen, type NodeCard, type NodeRole, type RankReply,
-	type RankRequest, type TrialReply, type TrialRequest, type UpMessage,
+	type RankRequest, type TrialReply, type TrialRequest, type UpMessage, type LinkConnectionOptions,
 } from '@rattanspring/fleet-link';
 import type {FatalErrorHandler, FileSystem} from '@rattanspring/log-storage';
 import {describeError, type Logger} from '@rattanspring/logger';
@@ -41,6 +41,8 @@
 	readonly failureDomain: string;
 	/** Address (`host:port`) at which other daemons reach this process. */
 	readonly linkAddress: string;
+	/** Limit of the connections of other daemons. */
+	readonly linkConnections?: LinkConnectionOptions;
 	/** Folder of the replicated log and the identity of its disk. A process without one does not vote. */
 	readonly dataFolder?: string;
 	/** The file system of that folder; that of the operating system by default. */
@@ -142,7 +144,7 @@
 		this.#server.addService(this.#group.service.definition, this.#group.service.implementation);
 		this.#server.addService(linkService, this.#handlers());
 		await this.#facts.load();
-		await listen(this.#server, this.#options.linkAddress);
+		await listen(this.#server, this.#options.linkAddress, this.#options.linkConnections);
 		this.#figures.start();
 		this.#uses.start();
 		this.#addInterval(expireIntervalMs, () => {
--- a/packages/fleet-link/src/listen.ts
+++ b/packages/fleet-link/src/listen.ts
@@ -1,16 +1,37 @@
-/** Binds a gRPC server to the address at which other daemons reach this one. */
+/** Serves other daemons at the address at which they reach this one. */
 
+import net from 'node:net';
 import {type Server, ServerCredentials} from '@grpc/grpc-js';
+import {ConnectionLimit, type ConnectionLimitOptions} from '@rattanspring/connection-limit';
 
-/** Resolves when the server is listening; rejects if the address cannot be bound. */
-export async function listen(server: Server, address: string): Promise<void> {
+const backlog = 511;
+
+/** Connections of other daemons to one. */
+export type LinkConnectionOptions = Omit<ConnectionLimitOptions, 'isBusy'>;
+
+const defaultOptions: LinkConnectionOptions = {maxConnections: 1024};
+
+/**
+Resolves when the server is listening; rejects if the address cannot be bound. Followers send something each second, so a connection that is silent is the first to be closed
+when there are too many.
+*/
+export async function listen(server: Server, address: string, options = defaultOptions): Promise<void> {
+	const [host, port] = address.split(':');
+	const limit = new ConnectionLimit(options);
+	const injector = server.createConnectionInjector(ServerCredentials.createInsecure());
+	const listener = net.createServer({noDelay: true}, socket => {
+		if (limit.admit(socket)) {
+			injector.injectConnection(socket);
+		}
+	});
 	await new Promise<void>((resolve, reject) => {
-		server.bindAsync(address, ServerCredentials.createInsecure(), error => {
-			if (error) {
-				reject(error);
-			} else {
-				resolve();
-			}
-		});
+		listener.once('error', reject);
+		listener.listen(Number(port), host, backlog, resolve);
 	});
+	// The library does not know this listener, so it is closed here.
+	const forceShutdown = server.forceShutdown.bind(server);
+	server.forceShutdown = () => {
+		listener.close();
+		forceShutdown();
+	};
 }
--- a/packages/gateway/src/caller-connections.ts
+++ b/packages/gateway/src/caller-connections.ts
@@ -6,6 +6,7 @@
 
 import type {ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
+import {isAnswerDue} from '@rattanspring/connection-limit';
 
 /** Time for a caller to read the last answer and to close its side. */
 const lingerMs = 1000;
@@ -49,6 +50,11 @@
 		return this.#responses.length;
 	}
 
+	/** Whether a request that was received whole waits for its answer or gets it. */
+	get isAnswerDue(): boolean {
+		return this.#responses.some(response => isAnswerDue(response));
+	}
+
 	/** Notes a request until its response is complete or the connection is closed. Returns false for one behind a response that has said that the connection closes: it has no answer to come. */
 	begin(response: ServerResponse): boolean {
 		this.#withdrawAnnouncement();
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -5,8 +5,8 @@
 
 import http, {type IncomingMessage, type ServerResponse} from 'node:http';
 import type net from 'node:net';
-import type {Duplex} from 'node:stream';
 import {setImmediate as nextTurn} from 'node:timers/promises';
+import {ConnectionLimit} from '@rattanspring/connection-limit';
 import {stopAccepting} from '@rattanspring/stop-accepting';
 import type {CallLimits} from '@rattanspring/desired-state';
 import {CallerConnections} from './caller-connections.js';
@@ -24,18 +24,35 @@
 export type CallerServerOptions = {
 	readonly host: string;
 	readonly port: number;
+	/** 1024 by default. */
+	readonly maxConnections?: number;
+	/** Called when connections were closed or refused. */
+	readonly onLimit?: (limit: CallerLimit, fields: Readonly<Record<string, number>>) => void;
 	/** `connectionRequest` is the number of the request among those of its connection, from 1 on. */
 	readonly onRequest: (request: IncomingMessage, response: ServerResponse, connectionRequest: number) => void;
 };
 
+/** Limits of connections: their number. */
+export type CallerLimit = 'connections';
+
+const defaultMaxConnections = 1024;
+
 export class CallerServer {
 	readonly #options: CallerServerOptions;
 	readonly #server: http.Server;
 	readonly #connections = new CallerConnections(() => performance.now());
+	readonly #limit: ConnectionLimit;
 	#isLeaving = false;
 
 	constructor(options: CallerServerOptions) {
 		this.#options = options;
+		this.#limit = new ConnectionLimit({
+			maxConnections: options.maxConnections ?? defaultMaxConnections,
+			isBusy: socket => this.#connections.of(socket).isAnswerDue,
+			onExceeded(event) {
+				options.onLimit?.('connections', event);
+			},
+		});
 		this.#server = http.createServer({
 			maxHeaderSize: maxHeadBytes, connectionsCheckingInterval: checkIntervalMs, requestTimeout: 0, noDelay: true,
 		}, (request, response) => {
@@ -52,7 +69,9 @@
 			options.onRequest(request, response, connection.requestCount);
 		});
 		this.#server.on('connection', socket => {
-			this.#connections.add(socket);
+			if (this.#limit.admit(socket)) {
+				this.#connections.add(socket);
+			}
 		});
 		this.#server.on('timeout', (socket: net.Socket) => {
 			void this.#onIdleTimeout(socket);
@@ -62,7 +81,7 @@
 			if (connection.hasAnswerToCome && error.code !== 'ECONNRESET') {
 				connection.closeWhenAnswered();
 			} else {
-				rejectUnparsableRequest(error, socket);
+				rejectUnparsableRequest(error, socket as net.Socket);
 			}
 		});
 	}
@@ -123,14 +142,15 @@
 	}
 }
 
-function rejectUnparsableRequest(error: NodeJS.ErrnoException, socket: Duplex): void {
+function rejectUnparsableRequest(error: NodeJS.ErrnoException, socket: net.Socket): void {
 	if (!socket.writable || error.code === 'ECONNRESET') {
 		socket.destroy();
 		return;
 	}
 
 	const status = statusOf(error.code);
-	socket.end(`HTTP/1.1 ${status} ${http.STATUS_CODES[status] ?? ''}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
+	socket.write(`HTTP/1.1 ${status} ${http.STATUS_CODES[status] ?? ''}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
+	socket.destroySoon();
 }
 
 function statusOf(code: string | undefined): number {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -47,7 +47,7 @@
 
 /** Limits of an entry, unless it is told others. */
 const defaultLimits: GatewayLimits = {
-	maxRequestBytes: 67_108_864, maxResponseBytes: 50_331_648, maxUnsentBytes: 33_554_432,
+	maxRequestBytes: 67_108_864, maxResponseBytes: 50_331_648, maxUnsentBytes: 33_554_432, maxCallerConnections: 1560,
 };
 
 /** What an entry may hold of the memory and the descriptors of its VM. */
@@ -58,6 +58,7 @@
 	readonly maxResponseBytes: number;
 	/** Bytes of answers that wait for their callers to read them. */
 	readonly maxUnsentBytes: number;
+	readonly maxCallerConnections: number;
 };
 
 /** Options of an entry. */
@@ -228,6 +229,11 @@
 		this.#server = new CallerServer({
 			host: options.callerHost,
 			port: options.callerPort,
+			maxConnections: limits.maxCallerConnections,
+			onLimit(limit, fields) {
+				metrics.limitsMet.inc({limit});
+				logger.log('warn', 'callersLimited', {reason: limit, ...fields});
+			},
 			onRequest: (request, response, connectionRequest) => {
 				void serveRequest(this.#context, request, response, connectionRequest);
 			},
--- a/packages/rank-agent/src/rank-agent.ts
+++ b/packages/rank-agent/src/rank-agent.ts
@@ -9,7 +9,7 @@
 } from '@grpc/grpc-js';
 import type {EngineProfile} from '@rattanspring/desired-state';
 import {
-	ControlLinks, followedByAgents, LinkCalls, linkService, listen, type NodeCard, type RankReply, type RankRequest,
+	ControlLinks, followedByAgents, LinkCalls, linkService, listen, type NodeCard, type RankReply, type RankRequest, type LinkConnectionOptions,
 } from '@rattanspring/fleet-link';
 import {describeError, type Logger} from '@rattanspring/logger';
 import {serverOptions} from '@rattanspring/protocol';
@@ -60,6 +60,8 @@
 	readonly failureDomain: string;
 	/** Address at which other agents reach this one. */
 	readonly linkAddress: string;
+	/** Limit of the connections of other daemons. */
+	readonly linkConnections?: LinkConnectionOptions;
 	/** The target on this VM. */
 	readonly targetAddress: string;
 	readonly seeds: () => readonly string[];
@@ -141,7 +143,7 @@
 	async start(): Promise<void> {
 		const {follow: _follow, document: _document, submit: _submit, join: _join, ...agentMethods} = linkService;
 		this.#server.addService(agentMethods, {rank: this.#rankRequestHandler()});
-		await listen(this.#server, this.#options.linkAddress);
+		await listen(this.#server, this.#options.linkAddress, this.#options.linkConnections);
 		this.#scheduleMeasurement(measureIntervalMs);
 	}
 
--- a/packages/target-connection/src/connection-pool.ts
+++ b/packages/target-connection/src/connection-pool.ts
@@ -10,7 +10,7 @@
 } from 'undici';
 import {HeadWatch} from './head-watch.js';
 import {
-	type Exchange, type ExchangeFailure, type ExchangeOptions, TargetTransport,
+	type Exchange, type ExchangeFailure, type ExchangeListener, type ExchangeOptions, TargetTransport,
 } from './target-transport.js';
 
 /** Options of the pool. */
@@ -22,10 +22,12 @@
 	readonly maxIdleTimeoutMs?: number;
 	/** Maximum number of idle connections to one target. */
 	readonly maxIdlePerTarget?: number;
+	/** Maximum number of connections to all targets; without a limit by default. */
+	readonly maxConnections?: number;
 };
 
 const defaults = {
-	connectTimeoutMs: 400, idleTimeoutMs: 4000, maxIdleTimeoutMs: 30_000, maxIdlePerTarget: 8,
+	connectTimeoutMs: 400, idleTimeoutMs: 4000, maxIdleTimeoutMs: 30_000, maxIdlePerTarget: 8, maxConnections: Number.POSITIVE_INFINITY,
 };
 
 /** An idle connection is closed this long before the target's own idle timeout. */
@@ -37,6 +39,8 @@
 	readonly #idle = new Map<string, Client[]>();
 	readonly #resetClients = new WeakSet<Client>();
 	readonly #headWatches = new WeakMap<Client, HeadWatch>();
+	/** Clients that may have a connection. */
+	readonly #open = new Set<Client>();
 
 	constructor(options: ConnectionPoolOptions = {}) {
 		super();
@@ -44,7 +48,11 @@
 	}
 
 	send({address, needsFreshConnection, request, listener}: ExchangeOptions): Exchange {
-		const client = (needsFreshConnection ? undefined : this.#takeIdle(address)) ?? this.#open(address);
+		const client = (needsFreshConnection ? undefined : this.#takeIdle(address)) ?? (this.#hasRoom() ? this.#openClient(address) : undefined);
+		if (!client) {
+			return refuseLater(listener);
+		}
+
 		const headWatch = this.#headWatches.get(client);
 		let isReturned = false;
 		let isSent = false;
@@ -107,8 +115,8 @@
 					listener.onEnd(isFramed);
 				}
 			},
-			onError(error) {
-				void client.destroy();
+			onError: error => {
+				this.#discard(client);
 				if (isReturned) {
 					fail(error);
 				} else {
@@ -124,10 +132,10 @@
 		}, handler);
 		isReturned = true;
 		return {
-			abandon() {
+			abandon: () => {
 				if (finish()) {
 					abort?.();
-					void client.destroy();
+					this.#discard(client);
 				}
 			},
 		};
@@ -147,7 +155,32 @@
 		this.#idle.clear();
 	}
 
-	#open(address: string): Client {
+	/** Whether another connection may be opened, once an idle one has made room for it where needed. */
+	#hasRoom(): boolean {
+		if (this.#open.size >= this.#options.maxConnections) {
+			this.#closeIdle();
+		}
+
+		return this.#open.size < this.#options.maxConnections;
+	}
+
+	/** Closes one idle connection, to whichever target. */
+	#closeIdle(): void {
+		for (const [address, [client]] of this.#idle) {
+			if (client) {
+				this.#removeIdle(address, client);
+				return;
+			}
+		}
+	}
+
+	/** Closes a connection. */
+	#discard(client: Client): void {
+		this.#open.delete(client);
+		void client.destroy();
+	}
+
+	#openClient(address: string): Client {
 		const {idleTimeoutMs, maxIdleTimeoutMs} = this.#options;
 		const headWatch = new HeadWatch();
 		const client: Client = new Client(`http://${address}`, {
@@ -162,7 +195,9 @@
 			bodyTimeout: 0,
 		});
 		this.#headWatches.set(client, headWatch);
+		this.#open.add(client);
 		client.on('disconnect', () => {
+			this.#open.delete(client);
 			this.#removeIdle(address, client);
 		});
 		return client;
@@ -208,6 +243,7 @@
 	#release(address: string, client: Client): void {
 		const clients = this.#idle.get(address) ?? [];
 		if (clients.length >= this.#options.maxIdlePerTarget) {
+			this.#open.delete(client);
 			void client.close();
 			return;
 		}
@@ -221,11 +257,26 @@
 		const index = clients?.indexOf(client) ?? -1;
 		if (index !== -1) {
 			clients!.splice(index, 1);
-			void client.destroy();
+			this.#discard(client);
 		}
 	}
 }
 
+/** A request that can't be sent to any target, as all connections are in use. */
+function refuseLater(listener: ExchangeListener): Exchange {
+	let isAbandoned = false;
+	queueMicrotask(() => {
+		if (!isAbandoned) {
+			listener.onFailed({type: 'unsendable', message: 'tooManyConnections'});
+		}
+	});
+	return {
+		abandon() {
+			isAbandoned = true;
+		},
+	};
+}
+
 /** Whether the response itself determines where its body ends (message framing), rather than the end of the connection. */
 function hasFraming(method: string, {status, headers}: {readonly status: number; readonly headers: ReadonlyMap<string, string>}): boolean {
 	return headers.has('content-length') || headers.has('transfer-encoding') || method === 'HEAD' || status === 204 || status === 304;
