A connection holds a head of the size that is allowed, and a few requests

Callers saw: 1,500 connections with heads short of their end took 178 to 184 MB; 2 connections that sent thousands of requests behind one that takes long had all places of the service, so that others got 503.

Causes: the parser accepted heads of 64 KiB whatever the desired state allows, on any number of connections; and the requests behind each other on one connection were all taken on at once, without a limit.

Now the parser accepts the head of the desired state and 8 KiB for the request line, and the number of connections is also limited by the memory that they take with such heads. A connection with more than 16 requests in progress is closed (callersLimited reason=requestsOfConnection); callers send a request once the one before it is answered.

--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -14,8 +14,17 @@
 /** Interval at which connections are checked for timeouts. */
 const checkIntervalMs = 500;
 
-/** Largest request head that the parser accepts. A lower limit of the desired state is checked for each request. */
-const maxHeadBytes = 65_536;
+/** Largest request head that the parser accepts before a desired state is known. Its limit is checked for each request. */
+const defaultMaxHeadBytes = 65_536;
+
+/** The parser accepts this much more than the limit of the desired state, which doesn't count the request line. */
+const requestLineBytes = 8192;
+
+/** Memory that a connection takes besides the head that it receives. */
+const connectionBytes = 16_384;
+
+/** Requests that one connection may have in progress. Callers send a request once the one before it is answered. */
+const maxRequestsInProgress = 16;
 
 /** Idle connections are kept open this much longer than callers may reuse them. */
 const idleMarginMs = 1000;
@@ -26,14 +35,16 @@
 	readonly port: number;
 	/** 1024 by default. */
 	readonly maxConnections?: number;
+	/** Memory that connections may take while they receive heads; without a limit by default. */
+	readonly maxConnectionBytes?: number;
 	/** Called when connections were closed or refused. */
 	readonly onLimit?: (limit: CallerLimit, fields: Readonly<Record<string, number>>) => void;
 	/** `connectionRequest` is the number of the request among those of its connection, from 1 on. */
 	readonly onRequest: (request: IncomingMessage, response: ServerResponse, connectionRequest: number) => void;
 };
 
-/** Limits of connections: their number. */
-export type CallerLimit = 'connections';
+/** Limits of connections: their number, and the requests in progress on one. */
+export type CallerLimit = 'connections' | 'requestsOfConnection';
 
 const defaultMaxConnections = 1024;
 
@@ -54,7 +65,7 @@
 			},
 		});
 		this.#server = http.createServer({
-			maxHeaderSize: maxHeadBytes, connectionsCheckingInterval: checkIntervalMs, requestTimeout: 0, noDelay: true,
+			maxHeaderSize: defaultMaxHeadBytes, connectionsCheckingInterval: checkIntervalMs, requestTimeout: 0, noDelay: true,
 		}, (request, response) => {
 			const connection = this.#connections.of(request.socket);
 			if (!connection.begin(response)) {
@@ -62,6 +73,12 @@
 				return;
 			}
 
+			if (connection.inProgress > maxRequestsInProgress) {
+				options.onLimit?.('requestsOfConnection', {requests: connection.inProgress});
+				request.socket.destroy();
+				return;
+			}
+
 			if (this.#isLeaving) {
 				connection.announceClose();
 			}
@@ -102,6 +119,11 @@
 
 	/** Applies the limits of the desired state. */
 	setLimits(limits: CallLimits): void {
+		const maxHeadBytes = limits.maxHeaderBytes + requestLineBytes;
+		// The option of the same name is read again for each connection.
+		Object.assign(this.#server, {maxHeaderSize: maxHeadBytes});
+		const {maxConnections = defaultMaxConnections, maxConnectionBytes = Number.POSITIVE_INFINITY} = this.#options;
+		this.#limit.setMaximum(Math.min(maxConnections, Math.floor(maxConnectionBytes / (connectionBytes + maxHeadBytes))));
 		this.#server.headersTimeout = limits.headerTimeoutMs;
 		this.#server.keepAliveTimeout = limits.idleTimeoutMs + idleMarginMs;
 	}
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -47,7 +47,7 @@
 
 /** Limits of an entry, unless it is told others. */
 const defaultLimits: GatewayLimits = {
-	maxRequestBytes: 67_108_864, maxResponseBytes: 50_331_648, maxUnsentBytes: 33_554_432, maxCallerConnections: 1560,
+	maxRequestBytes: 67_108_864, maxResponseBytes: 50_331_648, maxUnsentBytes: 33_554_432, maxCallerConnections: 1560, maxCallerConnectionBytes: 67_108_864,
 };
 
 /** What an entry may hold of the memory and the descriptors of its VM. */
@@ -59,6 +59,8 @@
 	/** Bytes of answers that wait for their callers to read them. */
 	readonly maxUnsentBytes: number;
 	readonly maxCallerConnections: number;
+	/** Memory that the connections of callers may hold while no request is in progress on them. */
+	readonly maxCallerConnectionBytes: number;
 };
 
 /** Options of an entry. */
@@ -230,6 +232,7 @@
 			host: options.callerHost,
 			port: options.callerPort,
 			maxConnections: limits.maxCallerConnections,
+			maxConnectionBytes: limits.maxCallerConnectionBytes,
 			onLimit(limit, fields) {
 				metrics.limitsMet.inc({limit});
 				logger.log('warn', 'callersLimited', {reason: limit, ...fields});
