Messages that do not end are bounded together at the ports between daemons

What would be seen: 15 connections with messages of 16 MB short of their end took 323 to 336 MB at a control process (250) and at an agent (128).

Cause: gRPC keeps a message whole until its last byte has come and bounds each message, not their sum, and the library tells nobody before a message is whole.

Now an interceptor notes which calls still expect a message and what their connections have received since the last whole one.

--- a/packages/fleet-control/src/fleet-control.ts
+++ b/packages/fleet-control/src/fleet-control.ts
@@ -65,7 +65,7 @@
 	readonly #controlLinks: ControlLinks;
 	readonly #targets = new TargetTable();
 	readonly #documentSender = new DocumentSender();
-	readonly #server = new Server(serverOptions);
+	readonly #server: Server;
 	readonly #timers: NodeJS.Timeout[] = [];
 	readonly #figures: FigureBatches;
 	readonly #trials = new TrialGrants();
@@ -80,6 +80,8 @@
 
 	constructor(options: FleetControlOptions) {
 		this.#options = options;
+		const {interceptor} = options.linkConnections?.messages ?? {};
+		this.#server = new Server({...serverOptions, interceptors: interceptor ? [interceptor] : []});
 		this.#servesDocument = options.dataFolder !== undefined;
 		const nowMs = () => options.clock.monotonicMs();
 		this.#linkServer = new LinkServer({
--- a/packages/fleet-link/src/index.ts
+++ b/packages/fleet-link/src/index.ts
@@ -6,6 +6,7 @@
 export * from './link-selection.js';
 export * from './link-server.js';
 export * from './link-service.js';
+export * from './incomplete-messages.js';
 export * from './listen.js';
 export * from './messages.js';
 export * from './primary-link.js';
--- a/packages/fleet-link/src/listen.ts
+++ b/packages/fleet-link/src/listen.ts
@@ -3,11 +3,15 @@
 import net from 'node:net';
 import {type Server, ServerCredentials} from '@grpc/grpc-js';
 import {ConnectionLimit, type ConnectionLimitOptions} from '@rattanspring/connection-limit';
+import type {IncompleteMessages} from './incomplete-messages.js';
 
 const backlog = 511;
 
 /** Connections of other daemons to one. */
-export type LinkConnectionOptions = Omit<ConnectionLimitOptions, 'isBusy'>;
+export type LinkConnectionOptions = Omit<ConnectionLimitOptions, 'isBusy'> & {
+	/** Bound of the messages that the connections have begun to bring, whose interceptor the server has. */
+	readonly messages?: IncompleteMessages;
+};
 
 const defaultOptions: LinkConnectionOptions = {maxConnections: 1024};
 
@@ -21,6 +25,7 @@
 	const injector = server.createConnectionInjector(ServerCredentials.createInsecure());
 	const listener = net.createServer({noDelay: true}, socket => {
 		if (limit.admit(socket)) {
+			options.messages?.add(socket);
 			injector.injectConnection(socket);
 		}
 	});
--- a/packages/rank-agent/src/rank-agent.ts
+++ b/packages/rank-agent/src/rank-agent.ts
@@ -85,7 +85,7 @@
 	readonly #calls = new LinkCalls();
 	readonly #engineClients: GroupEngineClients;
 	readonly #suspendAwareClock: SuspendAwareClock;
-	readonly #server = new Server(serverOptions);
+	readonly #server: Server;
 	#measureTimer: NodeJS.Timeout | undefined;
 	#rebalanceTimer: NodeJS.Timeout | undefined;
 	#isClosed = false;
@@ -106,6 +106,8 @@
 
 	constructor(options: RankAgentOptions) {
 		this.#options = options;
+		const {interceptor} = options.linkConnections?.messages ?? {};
+		this.#server = new Server({...serverOptions, interceptors: interceptor ? [interceptor] : []});
 		this.#mapChange = new ExclusiveTask(options.logger);
 		this.#fencedEngine = new FencedEngineClient(options.engineClient);
 		this.#engineClients = new GroupEngineClients({
