--- a/packages/rank-agent/src/stopped-coordinator.test.ts
+++ b/packages/rank-agent/src/stopped-coordinator.test.ts
@@ -46,11 +46,14 @@
 class ProcessEngineClient extends EngineClient {
 	readonly #engine: EngineClient;
 	readonly #hasEnded: () => boolean;
+	readonly #onHeld: () => void;
 
-	constructor(engine: EngineClient, hasEnded: () => boolean) {
+	/** `onHeld` is called when the engine has taken the order to hold, before its process learns that. */
+	constructor(engine: EngineClient, hasEnded: () => boolean, onHeld: () => void) {
 		super();
 		this.#engine = engine;
 		this.#hasEnded = hasEnded;
+		this.#onHeld = onHeld;
 	}
 
 	async state(): Promise<EngineState | undefined> {
@@ -66,7 +69,16 @@
 	}
 
 	async order(order: EngineOrder): Promise<OrderOutcome> {
-		return this.#hasEnded() ? 'unknown' : this.#engine.order(order);
+		if (this.#hasEnded()) {
+			return 'unknown';
+		}
+
+		const outcome = await this.#engine.order(order);
+		if (order.kind === 'hold') {
+			this.#onHeld();
+		}
+
+		return outcome;
 	}
 
 	close(): void {
@@ -83,6 +95,7 @@
 	let stopped: Promise<void> | undefined;
 	let hasEnded: boolean;
 	let longestHeldMs: number;
+	let onHeld: () => void = () => undefined;
 
 	beforeEach(async () => {
 		const [controlPort, ...ports] = await freePorts(1 + rankCount);
@@ -131,7 +144,9 @@
 	});
 
 	function engineAt(rank: number, processRank: number): EngineClient {
-		return new ProcessEngineClient(group.unfencedEngines[rank], () => processRank === 0 && hasEnded);
+		return new ProcessEngineClient(group.unfencedEngines[rank], () => processRank === 0 && hasEnded, () => {
+			onHeld();
+		});
 	}
 
 	/** Lets the group run with a demand that changes, ends the coordinator as soon as it has given a rank the order to hold, and measures how long the group stands. */
@@ -156,12 +171,14 @@
 			group.advance();
 			heldSinceMs = group.isHeld ? heldSinceMs ?? nowMs : undefined;
 			longestHeldMs = Math.max(longestHeldMs, heldSinceMs === undefined ? 0 : nowMs - heldSinceMs);
+		}, 1);
+		onHeld = () => {
 			if (group.state(1).heldStep !== undefined) {
 				stopped ??= endCoordinator().then(() => {
 					hasEnded = true;
 				});
 			}
-		}, 1);
+		};
 	}
 
 	it('is released by the agent of the holding rank if the process of the coordinator is gone', async () => {
