--- a/packages/byte-collector/src/byte-collector.test.ts
+++ b/packages/byte-collector/src/byte-collector.test.ts
@@ -1,6 +1,7 @@
 import {Buffer} from 'node:buffer';
-import {Readable} from 'node:stream';
+import {PassThrough, Readable} from 'node:stream';
 import {describe, it} from 'node:test';
+import {setImmediate as nextTurn} from 'node:timers/promises';
 import {expect} from 'earl';
 import {
 	BudgetShare, ByteBudget, ByteCollector, readBounded,
@@ -75,6 +76,29 @@
 		expect(large.kind).toEqual('whole');
 	});
 
+	it('goes on reading what is refused, so that its sender gets an answer, and ends the stream once far too much has come', async () => {
+		const stream = new PassThrough();
+		let exceededCount = 0;
+		const read = readBounded(stream, {
+			maxBytes: 3, onDropExceeded() {
+				exceededCount++;
+			},
+		});
+		stream.write('abcd');
+		expect(await read).toEqual({kind: 'tooLarge'});
+		await nextTurn();
+		const megabyte = Buffer.alloc(1_048_576);
+		for (let count = 0; count < 16; count++) {
+			stream.write(megabyte);
+			await nextTurn();
+		}
+
+		expect([stream.destroyed, stream.readableLength]).toEqual([false, 0]);
+		stream.write(megabyte);
+		await nextTurn();
+		expect([stream.destroyed, exceededCount]).toEqual([true, 1]);
+	});
+
 	it('ends as soon as the stream is too large, or may hold no more memory', async () => {
 		expect(await read(['a', 'bcd'], {maxBytes: 3})).toEqual({kind: 'tooLarge'});
 		expect(await read(['a', 'bc'], {maxBytes: 3, mayHold: bytes => bytes < 2})).toEqual({kind: 'noMemory'});
--- a/packages/byte-collector/src/read-bounded.ts
+++ b/packages/byte-collector/src/read-bounded.ts
@@ -17,13 +17,15 @@
 	readonly mayHold?: (bytes: number) => boolean;
 	/** Called at the begin with a function that ends the read as if no more memory might be held. */
 	readonly onBegun?: (giveUp: () => void) => void;
+	/** Called when too much came behind the end of the read, so that the stream was destroyed. */
+	readonly onDropExceeded?: () => void;
 };
 
 /** The bytes, or why there are none. */
 export type BoundedRead = {readonly kind: 'whole'; readonly bytes: Buffer} | {readonly kind: 'tooLarge' | 'tooManyPieces' | 'noMemory' | 'broken'};
 
 /** Resolves when the stream has ended, is too large, comes in too many pieces, may hold no more memory or can't be completed. What still comes then is dropped, up to a limit. */
-export async function readBounded(stream: Readable, {maxBytes, expectedBytes, mayHold = () => true, onBegun}: ReadBoundedOptions): Promise<BoundedRead> {
+export async function readBounded(stream: Readable, {maxBytes, expectedBytes, mayHold = () => true, onBegun, onDropExceeded}: ReadBoundedOptions): Promise<BoundedRead> {
 	const collector = new ByteCollector({expectedBytes: Math.min(expectedBytes ?? maxBytes, maxBytes)});
 	return new Promise(resolve => {
 		const end = (result: BoundedRead) => {
@@ -31,7 +33,7 @@
 			stream.off('end', onEnd);
 			collector.take();
 			if (result.kind !== 'whole' && result.kind !== 'broken') {
-				dropRest(stream, result.kind === 'tooManyPieces' ? 0 : maxDroppedBytes);
+				dropRest(stream, {...(result.kind === 'tooManyPieces' && {maxBytes: 0}), onExceeded: onDropExceeded});
 			}
 
 			resolve(result);
@@ -67,16 +69,20 @@
 	});
 }
 
+/** Options of dropping: the most bytes that may come, 16 MiB by default, and what to do when more came and the stream was destroyed. */
+export type DropOptions = {readonly maxBytes?: number; readonly onExceeded?: () => void};
+
 /**
 Reads on and keeps nothing, so that the sender can get an answer: a connection that is closed with bytes unread is reset, and one that is not read holds them.
 Destroys the stream, with its connection, once more bytes have come, or pieces that take more time than their bytes; not before the end of this turn of the event loop.
 */
-export function dropRest(stream: Readable, maxBytes = maxDroppedBytes): void {
+export function dropRest(stream: Readable, {maxBytes = maxDroppedBytes, onExceeded}: DropOptions = {}): void {
 	const dropped = new PieceCount();
 	let isAnswered = false;
 	const destroyIfExceeded = () => {
-		if (isAnswered && (dropped.bytes > maxBytes || dropped.isFragmented)) {
+		if (isAnswered && !stream.destroyed && (dropped.bytes > maxBytes || dropped.isFragmented)) {
 			stream.destroy();
+			onExceeded?.();
 		}
 	};
 
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -43,8 +43,8 @@
 	readonly onRequest: (request: IncomingMessage, response: ServerResponse, connectionRequest: number) => void;
 };
 
-/** Limits of connections: their number, and the requests in progress on one. */
-export type CallerLimit = 'connections' | 'requestsOfConnection';
+/** Limits of connections: their number, the requests in progress on one, and the size of a head. */
+export type CallerLimit = 'connections' | 'requestsOfConnection' | 'headBytes';
 
 const defaultMaxConnections = 1024;
 
@@ -95,6 +95,10 @@
 		});
 		this.#server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
 			const connection = this.#connections.of(socket as net.Socket);
+			if (error.code === 'HPE_HEADER_OVERFLOW') {
+				options.onLimit?.('headBytes', {});
+			}
+
 			if (connection.hasAnswerToCome && error.code !== 'ECONNRESET') {
 				connection.closeWhenAnswered();
 			} else {
--- a/packages/gateway/src/read-body.test.ts
+++ b/packages/gateway/src/read-body.test.ts
@@ -16,7 +16,7 @@
 	const results: BodyResult[] = [];
 	const server = http.createServer((request, response) => {
 		void (async () => {
-			results.push(await readBody(request, maxBytes, new RequestMemory({budget: new ByteBudget(100_000_000), nowMs: () => performance.now(), onStopped: () => undefined}).open(0)));
+			results.push(await readBody(request, {maxBytes, held: new RequestMemory({budget: new ByteBudget(100_000_000), nowMs: () => performance.now(), onStopped: () => undefined}).open(0)}));
 			response.shouldKeepAlive = false;
 			response.end();
 		})();
--- a/packages/gateway/src/request-flow.ts
+++ b/packages/gateway/src/request-flow.ts
@@ -3,7 +3,7 @@
 import {createHash} from 'node:crypto';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Buffer} from 'node:buffer';
-import {dropRest, type HeldRequest} from '@rattanspring/byte-collector';
+import {dropRest} from '@rattanspring/byte-collector';
 import {
 	type ClientAccount, selectWeightedService, type Route, type RouteTable,
 } from '@rattanspring/desired-state';
@@ -11,7 +11,7 @@
 import {CallerResponse} from './caller-response.js';
 import type {GatewayContext} from './gateway-context.js';
 import type {RequestMetadata} from './header-codec.js';
-import {type BodyResult, readBody} from './read-body.js';
+import {type BodyOptions, type BodyResult, readBody} from './read-body.js';
 import {RequestForwarder} from './request-forwarder.js';
 import {stoppingRetryAfterMs} from './planned-stop.js';
 import type {RoutedRequest} from './routed-request.js';
@@ -46,7 +46,7 @@
 	}
 
 	if (!table) {
-		dropUnread(request);
+		dropUnread(context, request);
 		const refuse = context.plannedStop.isBegun ? refuseWhileStopping : refuseWhileStarting;
 		refuse(context, metadata, {answer, arrivedAtMs});
 		return;
@@ -54,7 +54,7 @@
 
 	const match = matchRoute(table, request, metadata);
 	if (typeof match === 'number') {
-		dropUnread(request);
+		dropUnread(context, request);
 		rejectRequest(context, table, metadata, {answer, status: match});
 		return;
 	}
@@ -62,7 +62,7 @@
 	const {route, account} = match;
 	const deadlineAtMs = arrivedAtMs + Math.min(metadata.timeLeftMs ?? route.timeoutMs, route.timeoutMs);
 	if (!context.plannedStop.mayTakeOn({nowMs: context.nowMs(), deadlineAtMs})) {
-		dropUnread(request);
+		dropUnread(context, request);
 		refuseWhileStopping(context, metadata, {answer, arrivedAtMs});
 		return;
 	}
@@ -71,7 +71,9 @@
 	response.on('close', () => {
 		held.release();
 	});
-	const body = await readBodyBeforeDeadline(request, {maxBytes: table.state.limits.maxBodyBytes, held, timeoutMs: deadlineAtMs - arrivedAtMs});
+	const body = await readBodyBeforeDeadline(request, {
+		maxBytes: table.state.limits.maxBodyBytes, held, timeoutMs: deadlineAtMs - arrivedAtMs, onDropExceeded: dropExceeded(context, request),
+	});
 	if (body.kind === 'whole' && !context.plannedStop.mayTakeOn({nowMs: context.nowMs(), deadlineAtMs})) {
 		refuseWhileStopping(context, metadata, {answer, arrivedAtMs});
 		return;
@@ -99,12 +101,20 @@
 }
 
 /** Reads and drops the body of a request that is answered without it. */
-function dropUnread(request: IncomingMessage): void {
+function dropUnread(context: GatewayContext, request: IncomingMessage): void {
 	if (!request.complete) {
-		dropRest(request);
+		dropRest(request, {onExceeded: dropExceeded(context, request)});
 	}
 }
 
+/** Logs that a caller has sent too much behind a refusal, so that its connection was closed. */
+function dropExceeded({logger, metrics}: GatewayContext, {headers}: IncomingMessage): () => void {
+	return () => {
+		metrics.limitsMet.inc({limit: 'droppedBytes'});
+		logger.log('warn', 'callersLimited', {reason: 'droppedBytes', statedLength: headers['content-length']});
+	};
+}
+
 /** Logs that a caller had left before its request could be routed. */
 function logUnsent({logger, metrics}: GatewayContext, {requestId}: RequestMetadata): void {
 	logger.log('info', 'requestEnded', {requestId, outcome: 'callerLeft', sent: 0});
@@ -196,15 +206,15 @@
 	return rawHeaders.reduce((sum, text) => sum + text.length + 2, 0);
 }
 
-/** Options of reading a body: its greatest size, the memory that it may hold, and the time left for it. */
-type BodyLimits = {readonly maxBytes: number; readonly held: HeldRequest; readonly timeoutMs: number};
+/** Options of reading a body, and the time left for it. */
+type BodyLimits = BodyOptions & {readonly timeoutMs: number};
 
-async function readBodyBeforeDeadline(request: IncomingMessage, {maxBytes, held, timeoutMs}: BodyLimits): Promise<BodyResult> {
+async function readBodyBeforeDeadline(request: IncomingMessage, {timeoutMs, ...options}: BodyLimits): Promise<BodyResult> {
 	let timer: NodeJS.Timeout | undefined;
 	const timeout = new Promise<{readonly kind: 'broken'}>(resolve => {
 		timer = setTimeout(resolve, timeoutMs, {kind: 'broken'});
 	});
-	const result = await Promise.race([readBody(request, maxBytes, held), timeout]);
+	const result = await Promise.race([readBody(request, options), timeout]);
 	clearTimeout(timer);
 	return result;
 }
--- a/packages/target-connection/src/connection-pool.ts
+++ b/packages/target-connection/src/connection-pool.ts
@@ -24,10 +24,12 @@
 	readonly maxIdlePerTarget?: number;
 	/** Maximum number of connections to all targets; without a limit by default. */
 	readonly maxConnections?: number;
+	/** Called when a request can't be sent as all connections are in use. */
+	readonly onExceeded?: () => void;
 };
 
 const defaults = {
-	connectTimeoutMs: 400, idleTimeoutMs: 4000, maxIdleTimeoutMs: 30_000, maxIdlePerTarget: 8, maxConnections: Number.POSITIVE_INFINITY,
+	connectTimeoutMs: 400, idleTimeoutMs: 4000, maxIdleTimeoutMs: 30_000, maxIdlePerTarget: 8, maxConnections: Number.POSITIVE_INFINITY, onExceeded: () => undefined,
 };
 
 /** An idle connection is closed this long before the target's own idle timeout. */
@@ -50,6 +52,7 @@
 	send({address, needsFreshConnection, request, listener}: ExchangeOptions): Exchange {
 		const client = (needsFreshConnection ? undefined : this.#takeIdle(address)) ?? (this.#hasRoom() ? this.#openClient(address) : undefined);
 		if (!client) {
+			this.#options.onExceeded();
 			return refuseLater(listener);
 		}
 
--- a/packages/target-connection/src/target-connection.test.ts
+++ b/packages/target-connection/src/target-connection.test.ts
@@ -6,7 +6,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {expect} from 'earl';
 import {
-	ConnectionPool, EventSplitter, type ExchangeFailure,
+	ConnectionPool, EventSplitter, type ExchangeFailure, type ExchangeOptions,
 } from './index.js';
 
 /** A target that works on raw bytes: `script` is called for each chunk that a connection receives. */
@@ -124,6 +124,41 @@
 		}
 	});
 
+	describe('with as many connections as it may have', () => {
+		const silent: ExchangeOptions = {
+			address: '', needsFreshConnection: false, request: {method: 'GET', path: '/', headers: ['Host', 'x']}, listener: {
+				onSending: () => undefined, onHead: () => undefined, onData: () => undefined, onEnd: () => undefined, onFailed: () => undefined,
+			},
+		};
+
+		it('closes an idle one for another target, and sends nothing if all are in use', async () => {
+			let exceededCount = 0;
+			const other = new ScriptedTarget();
+			await other.start();
+			pool = new ConnectionPool({
+				maxConnections: 1, onExceeded() {
+					exceededCount++;
+				},
+			});
+			for (const one of [target, other]) {
+				one.script = socket => {
+					socket.write(completeResponse);
+				};
+			}
+
+			expect(await exchangeAt('status')).toEqual(200);
+			const atOther = await exchange(pool, other.address);
+			expect([atOther.status, pool.hasIdle(target.address), exceededCount]).toEqual([200, false, 0]);
+			other.script = () => undefined;
+			const running = pool.send({...silent, address: other.address});
+			const refused = await exchange(pool, target.address);
+			expect([refused.failure?.type, refused.isSent, exceededCount]).toEqual(['unsendable', false, 1]);
+			running.abandon();
+			expect(await exchangeAt('status')).toEqual(200);
+			other.stop();
+		});
+	});
+
 	describe('with a healthy target', () => {
 		it('sends method, path, headers and body unchanged, and reuses the connection', async () => {
 			target.script = socket => {
