--- a/packages/fleet-link/src/control-links.test.ts
+++ b/packages/fleet-link/src/control-links.test.ts
@@ -122,6 +122,7 @@
 			}
 
 			first.stop();
+			await eventually(() => observer.connectedAddresses().length === 0);
 			smallestCount = Infinity;
 			await startControl();
 			await eventually(() => observer.connectedAddresses().length === 1);
