--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -117,7 +117,7 @@
 	/** Ends the attempt and gives up what it has buffered. */
 	#finish(): void {
 		this.#isFinished = true;
-		garbageWatch.addBuffer(this.#held.heldBytes);
+		garbageWatch.addBuffer(this.#body.heldBytes);
 		this.#held.release();
 		this.#body = new ByteCollector();
 	}
--- a/packages/gateway/src/caller-response.ts
+++ b/packages/gateway/src/caller-response.ts
@@ -25,6 +25,8 @@
 	#isWriting = false;
 	/** Bytes of a whole body that were not written yet. */
 	#leftBytes = 0;
+	/** Size of a whole body. */
+	#wholeBytes = 0;
 	#givenBytes = 0;
 
 	constructor(response: ServerResponse, headerCodec: HeaderCodec) {
@@ -47,9 +49,10 @@
 		return this.#response.destroyed || this.#response.socket?.readableEnded === true;
 	}
 
-	/** Memory of what waits to be sent, as the caller has not read what came before. */
+	/** Memory of what waits to be sent, as the caller has not read what came before: of a whole body all, as long as a part of it waits. */
 	get unsentBytes(): number {
-		return this.#response.writableLength + this.#waiting.heldBytes + this.#leftBytes;
+		const isBodyHeld = this.#wholeBytes > 0 && this.#response.writableLength + this.#leftBytes > 0;
+		return isBodyHeld ? this.#wholeBytes : this.#response.writableLength + this.#waiting.heldBytes;
 	}
 
 	/** Bytes of the body that were sent. */
@@ -78,6 +81,7 @@
 			this.#sendHead(head, ['Content-Length', String(body.byteLength)]);
 			this.#isFinished = true;
 			this.#givenBytes = body.byteLength;
+			this.#wholeBytes = body.byteLength;
 			this.#writeParts(body);
 		}
 	}
--- a/packages/gateway/src/request-forwarder.ts
+++ b/packages/gateway/src/request-forwarder.ts
@@ -5,6 +5,7 @@
 
 import type {ServerResponse} from 'node:http';
 import {type RequestWork, workOf} from '@rattanspring/account-shares';
+import {garbageWatch} from '@rattanspring/byte-collector';
 import {mayHaveCausedCrash} from '@rattanspring/crash-evidence';
 import {
 	type Admission, type AttemptOutcome, type ExchangeOutcome, isRetryable, nextStep, type TargetView, type PendingAdmission,
@@ -80,6 +81,8 @@
 	#attemptBegunAtMs: number | undefined;
 	/** Time that the refusal tells the caller, if it is refused. */
 	#retryAfterMs: number | undefined;
+	/** Size of the whole answer that was passed on. */
+	#passedBytes = 0;
 	#isFinished = false;
 
 	constructor(context: GatewayContext, answer: CallerResponse, request: RoutedRequest) {
@@ -114,6 +117,7 @@
 		response.on('close', () => {
 			this.#onCallerDisconnect();
 			this.#context.unsentBytes.remove(this);
+			garbageWatch.addBuffer(this.#passedBytes);
 		});
 		retryBudget.recordRequest(service, this.#nowMs);
 		this.#deadline = setTimeout(() => {
@@ -374,6 +378,7 @@
 
 	/** Forwards a whole answer, whose bytes count until the caller has read them. */
 	#pass({head, body}: CompleteResponse, reason?: string): void {
+		this.#passedBytes = body.byteLength;
 		this.#answer.pass(head, body);
 		this.#end('answered', head.status, reason);
 		if (this.unsentBytes > 0) {
