The heap is collected once it is larger than the VM has room for

Cause: the objects of all requests of a read are alive at once, so that a scavenge promotes 2 MB of them; V8 lets the old generation grow to a multiple of what is alive (25 to 60 MB in a trace, 95 MB committed) before it marks, whatever the VM has.

Change: the size of the heap is looked at once for 32 requests or calls, and garbage collected from 48 MB on, or 1.5 times what is alive.

--- a/packages/byte-collector/src/garbage-watch.test.ts
+++ b/packages/byte-collector/src/garbage-watch.test.ts
@@ -10,7 +10,7 @@
 				collections.push(garbage);
 			},
 		});
-		watch.setMaximum(1_000_000);
+		watch.setMaxima({maxBytes: 1_000_000});
 		for (let count = 0; count < 250; count++) {
 			watch.addPiece(10_000);
 		}
@@ -24,11 +24,40 @@
 		expect(collections).toEqual(['young', 'young', 'all', 'all']);
 	});
 
+	it('has all garbage collected once the heap is too large, and again only after it has grown from what is alive', () => {
+		let heapBytes = 0;
+		let aliveBytes = 20_000_000;
+		let collections = 0;
+		const watch = new GarbageWatch({
+			collect() {
+				collections++;
+				heapBytes = aliveBytes;
+			},
+			heapBytes: () => heapBytes,
+		});
+		watch.setMaxima({maxBytes: 1_000_000, maxHeapBytes: 48_000_000});
+		const handle = (requests: number) => {
+			for (let count = 0; count < requests; count++) {
+				heapBytes += 10_000;
+				watch.addRequest();
+			}
+		};
+
+		handle(28_000);
+		expect(collections).toEqual(9);
+		aliveBytes = 60_000_000;
+		handle(9000);
+		expect(collections).toEqual(12);
+	});
+
 	it('does nothing where garbage can\'t be collected on demand', () => {
 		const watch = new GarbageWatch();
-		watch.setMaximum(1);
+		watch.setMaxima({maxBytes: 1, maxHeapBytes: 1});
 		expect(() => {
 			watch.addBuffer(1_000_000);
+			for (let count = 0; count < 1000; count++) {
+				watch.addRequest();
+			}
 		}).not.toThrow();
 	});
 });
--- a/packages/connection-limit/src/http-connections.ts
+++ b/packages/connection-limit/src/http-connections.ts
@@ -2,6 +2,7 @@
 
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
+import {garbageWatch} from '@rattanspring/byte-collector';
 import {ConnectionLimit, type ConnectionLimitOptions} from './connection-limit.js';
 
 /** Options of a limit for a server. */
@@ -20,6 +21,7 @@
 		}
 	});
 	server.prependListener('request', (request: IncomingMessage, response: ServerResponse) => {
+		garbageWatch.addRequest();
 		const open = exchanges.get(request.socket);
 		open?.add(response);
 		response.once('close', () => {
--- a/packages/fleet-link/src/incomplete-messages.ts
+++ b/packages/fleet-link/src/incomplete-messages.ts
@@ -55,6 +55,7 @@
 	}
 
 	#watch(call: ServerInterceptingCallInterface, isStream: boolean): ServerInterceptingCall {
+		garbageWatch.addRequest();
 		const socket = this.#sockets.get(call.getPeer());
 		const open = socket && {socket, isStream, readBefore: socket.bytesRead};
 		if (open) {
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -6,6 +6,7 @@
 import http, {type IncomingMessage, type ServerResponse} from 'node:http';
 import type net from 'node:net';
 import {setImmediate as nextTurn} from 'node:timers/promises';
+import {garbageWatch} from '@rattanspring/byte-collector';
 import {ConnectionLimit} from '@rattanspring/connection-limit';
 import {stopAccepting} from '@rattanspring/stop-accepting';
 import type {CallLimits} from '@rattanspring/desired-state';
@@ -67,6 +68,7 @@
 		this.#server = http.createServer({
 			maxHeaderSize: defaultMaxHeadBytes, connectionsCheckingInterval: checkIntervalMs, requestTimeout: 0, noDelay: true,
 		}, (request, response) => {
+			garbageWatch.addRequest();
 			const connection = this.#connections.of(request.socket);
 			if (!connection.begin(response)) {
 				request.resume();
