--- a/packages/gateway/src/caller-connections.ts
+++ b/packages/gateway/src/caller-connections.ts
@@ -6,7 +6,7 @@
 
 import type {ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
-import {isAnswerDue} from '@rattanspring/connection-limit';
+import {ConnectionRequests, isAnswerDue} from '@rattanspring/connection-limit';
 
 /** Time for a caller to read the last answer and to close its side. */
 const lingerMs = 1000;
@@ -17,6 +17,8 @@
 	readonly #nowMs: () => number;
 	/** Responses that are not complete, the oldest first. */
 	readonly #responses: ServerResponse[] = [];
+	readonly #requests: ConnectionRequests;
+	#hasTooManyRequests = false;
 	#requestCount = 0;
 	#idleSinceMs: number;
 	#bytesReadWhenIdle = 0;
@@ -28,6 +30,7 @@
 	constructor(socket: Socket, nowMs: () => number) {
 		this.#socket = socket;
 		this.#nowMs = nowMs;
+		this.#requests = new ConnectionRequests(socket);
 		this.#idleSinceMs = nowMs();
 		socket.on('close', () => {
 			setImmediate(() => {
@@ -50,6 +53,11 @@
 		return this.#responses.length;
 	}
 
+	/** Whether too many requests came at once. */
+	get hasTooManyRequests(): boolean {
+		return this.#hasTooManyRequests;
+	}
+
 	/** Whether a request that was received whole waits for its answer or gets it. */
 	get isAnswerDue(): boolean {
 		return this.#responses.some(response => isAnswerDue(response));
@@ -64,6 +72,7 @@
 
 		this.#requestCount++;
 		this.#responses.push(response);
+		this.#hasTooManyRequests ||= !this.#requests.begin(this.inProgress);
 		response.once('close', () => {
 			this.#responses.splice(this.#responses.indexOf(response), 1);
 			this.#idleSinceMs = this.#nowMs();
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -24,9 +24,6 @@
 /** Memory that a connection takes besides the head that it receives. */
 const connectionBytes = 16_384;
 
-/** Requests that one connection may have in progress. Callers send a request once the one before it is answered. */
-const maxRequestsInProgress = 16;
-
 /** Idle connections are kept open this much longer than callers may reuse them. */
 const idleMarginMs = 1000;
 
@@ -69,14 +66,18 @@
 			maxHeaderSize: defaultMaxHeadBytes, connectionsCheckingInterval: checkIntervalMs, requestTimeout: 0, noDelay: true,
 		}, (request, response) => {
 			garbageWatch.addRequest();
+			if (request.socket.destroyed) {
+				return;
+			}
+
 			const connection = this.#connections.of(request.socket);
 			if (!connection.begin(response)) {
 				request.resume();
 				return;
 			}
 
-			if (connection.inProgress > maxRequestsInProgress) {
-				options.onLimit?.('requestsOfConnection', {requests: connection.inProgress});
+			if (connection.hasTooManyRequests) {
+				options.onLimit?.('requestsOfConnection', {inProgress: connection.inProgress});
 				request.socket.destroy();
 				return;
 			}
