Calls between daemons are bounded together, and on each connection

Cause: the library accepts any number of calls on a connection (its session memory is unlimited), and an answer is kept until the other side has taken it; only messages that are not complete were summed up.

--- a/packages/fleet-link/src/incomplete-messages.ts
+++ b/packages/fleet-link/src/incomplete-messages.ts
@@ -4,8 +4,11 @@
 */
 
 import type {Socket} from 'node:net';
-import {type ServerInterceptor, ServerInterceptingCall, type ServerInterceptingCallInterface} from '@grpc/grpc-js';
+import type {
+	Responder, ServerInterceptingCall, ServerInterceptingCallInterface, ServerInterceptor,
+} from '@grpc/grpc-js';
 import {garbageWatch} from '@rattanspring/byte-collector';
+import {OpenCalls, WatchedCall} from './open-calls.js';
 
 /** What has come is looked at this often while the message of a call is expected, and while there are only streams, whose messages are small. */
 const callCheckMs = 20;
@@ -22,6 +25,8 @@
 	/** Memory that incomplete messages may hold, in bytes; without a limit by default. */
 	readonly maxBytes?: number;
 	readonly onExceeded?: (event: MessagesExceeded) => void;
+	/** Bound of the calls that are open on these connections; without a limit by default. */
+	readonly openCalls?: OpenCalls;
 };
 
 /** A call that may get another message, and the bytes that its connection had received when the last one was complete. */
@@ -31,15 +36,17 @@
 export class IncompleteMessages {
 	readonly #maxBytes: number;
 	readonly #onExceeded: (event: MessagesExceeded) => void;
+	readonly #openCalls: OpenCalls;
 	readonly #sockets = new Map<string, Socket>();
 	readonly #calls = new Set<OpenCall>();
 	#unaryCount = 0;
 	#callTimer: NodeJS.Timeout | undefined;
 	#streamTimer: NodeJS.Timeout | undefined;
 
-	constructor({maxBytes = Number.POSITIVE_INFINITY, onExceeded = () => undefined}: IncompleteMessagesOptions = {}) {
+	constructor({maxBytes = Number.POSITIVE_INFINITY, onExceeded = () => undefined, openCalls = new OpenCalls()}: IncompleteMessagesOptions = {}) {
 		this.#maxBytes = maxBytes;
 		this.#onExceeded = onExceeded;
+		this.#openCalls = openCalls;
 	}
 
 	/** To be given to the server whose connections these are. */
@@ -58,6 +65,7 @@
 		garbageWatch.addRequest();
 		const socket = this.#sockets.get(call.getPeer());
 		const open = socket && {socket, isStream, readBefore: socket.bytesRead};
+		const onOver = socket && this.#openCalls.begin(socket);
 		if (open) {
 			this.#begin(open);
 		}
@@ -69,7 +77,7 @@
 			}
 		};
 
-		return new ServerInterceptingCall(call, {
+		const responder: Responder = {
 			start(next) {
 				next({
 					onReceiveMessage(message, nextMessage) {
@@ -83,10 +91,14 @@
 						end();
 						nextHalfClose();
 					},
-					onCancel: end,
+					onCancel() {
+						end();
+						onOver?.();
+					},
 				});
 			},
-		});
+		};
+		return new WatchedCall(call, {responder, isStream, onOver: () => onOver?.()});
 	}
 
 	#begin(call: OpenCall): void {
--- a/packages/fleet-link/src/index.ts
+++ b/packages/fleet-link/src/index.ts
@@ -9,4 +9,5 @@
 export * from './incomplete-messages.js';
 export * from './listen.js';
 export * from './messages.js';
+export * from './open-calls.js';
 export * from './primary-link.js';
--- a/packages/protocol/src/channel-options.ts
+++ b/packages/protocol/src/channel-options.ts
@@ -14,6 +14,9 @@
 /** Time after which an unanswered keep-alive probe closes the connection. */
 export const keepaliveTimeoutMs = 3000;
 
+/** Calls that one connection may have open; a daemon has a few, and some more after a stall. */
+const maxCallsOnConnection = 100;
+
 /** Options for client channels. */
 export const channelOptions: ChannelOptions = {
 	'grpc.enable_retries': 0,
@@ -35,6 +38,7 @@
 	'grpc.max_send_message_length': maxMessageBytes,
 	'grpc.keepalive_time_ms': keepaliveTimeMs,
 	'grpc.keepalive_timeout_ms': keepaliveTimeoutMs,
+	'grpc.max_concurrent_streams': maxCallsOnConnection,
 };
 
 /** Builds a channel target from a literal `host:port`, so that no name resolution takes place. */
