--- a/packages/fleet-link/src/open-calls.ts
+++ b/packages/fleet-link/src/open-calls.ts
@@ -6,8 +6,8 @@
 import type {Socket} from 'node:net';
 import {type Responder, ServerInterceptingCall, type ServerInterceptingCallInterface} from '@grpc/grpc-js';
 
-/** A connection with so few calls is not closed. */
-const fewCalls = 4;
+/** A connection with so few calls is not closed: an entry asks for some permits at once beside its stream. */
+const fewCalls = 16;
 
 /** What was done as there were too many calls: how many the closed connection had, and how many were open in all. */
 export type CallsExceeded = {readonly closedCalls: number; readonly openCalls: number};
