What waits for followers of a control process is bounded over all of them

What callers see: nothing yet; found by reading on the paths of the same cause. A follower that does not read may have 8 MB waiting, with no sum: 15 of them hold 120 MB of a VM of 160.

The new case fails without the change (the follower stays, 5 s) and passes with it; the two others of the file pass in both.

--- a/packages/fleet-control/src/fleet-control.ts
+++ b/packages/fleet-control/src/fleet-control.ts
@@ -86,6 +86,8 @@
 		const nowMs = () => options.clock.monotonicMs();
 		this.#linkServer = new LinkServer({
 			nowMs,
+			maxAllWaitingBytes: options.linkConnections?.maxUnreadBytes,
+			onUnread: options.linkConnections?.onUnread,
 			ownCard: () => this.#controlLinks.card,
 			relayedCards: () => this.#controlLinks.nodes.values(),
 			initialMessages: role => this.#initialMessages(role),
--- a/packages/fleet-link/src/link-server.test.ts
+++ b/packages/fleet-link/src/link-server.test.ts
@@ -35,11 +35,16 @@
 	let stream: ClientDuplexStream<UpMessage, DownMessage>;
 	let received: DownMessage[];
 	let beats: NodeJS.Timeout;
+	let maxAllWaitingBytes: number | undefined;
 
 	beforeEach(async () => {
 		const [port] = await freePorts(1);
+		maxAllWaitingBytes = undefined;
 		links = new LinkServer({
 			nowMs,
+			get maxAllWaitingBytes() {
+				return maxAllWaitingBytes;
+			},
 			ownCard: () => ({
 				nodeId: 'control', role: 'control', failureDomain: 'a', isLeaving: false,
 			}),
@@ -97,6 +102,16 @@
 		expect(followerCount()).toEqual(0);
 	});
 
+	it('is disconnected with the next heartbeat if more waits for all followers than may', async () => {
+		maxAllWaitingBytes = 1_000_000;
+		for (let sequence = 0; sequence < 40; sequence++) {
+			links.broadcast(largeMessage(sequence), {roles: ['entry']});
+		}
+
+		expect(followerCount()).toEqual(1);
+		await waitUntil(() => followerCount() === 0, {timeoutMs: 5000});
+	});
+
 	it('receives only the newest load of each target when it reads again', async () => {
 		for (let sequence = 0; sequence < 20; sequence++) {
 			links.broadcast(largeMessage(sequence), {roles: ['entry']});
--- a/packages/fleet-link/src/link-server.ts
+++ b/packages/fleet-link/src/link-server.ts
@@ -16,6 +16,9 @@
 /** Limit of what waits to be sent to one daemon. A daemon that does not read is disconnected and has to open a new stream. */
 const maxWaitingBytes = 8_388_608;
 
+/** Limit of what waits for all daemons, unless another one is set: those that read least are disconnected. */
+const defaultMaxAllWaitingBytes = 33_554_432;
+
 const audiences = Object.keys(visibleRoles) as Audience[];
 
 /** The daemons that follow this control process, or those that follow any. */
@@ -45,6 +48,10 @@
 	/** Messages that bring a new follower of a role up to date, in addition to the node list. */
 	readonly initialMessages: (role: NodeRole) => DownMessage[];
 	readonly onMessage: (message: UpMessage, from: NodeCard) => void;
+	/** Bytes that may wait to be sent to all followers. */
+	readonly maxAllWaitingBytes?: number;
+	/** Called when a follower was disconnected as too much waited for all of them. */
+	readonly onUnread?: (event: {readonly waitingBytes: number; readonly allWaitingBytes: number}) => void;
 };
 
 /** The streams of all daemons that follow this control process. */
@@ -173,6 +180,28 @@
 				this.#send(follower, beat);
 			}
 		}
+
+		this.#disconnectUnread();
+	}
+
+	/** Looked at with each heartbeat: little comes in between, as most messages go to all. */
+	#disconnectUnread(): void {
+		const {maxAllWaitingBytes = defaultMaxAllWaitingBytes, onUnread} = this.#options;
+		let allWaitingBytes = [...this.#followers].reduce((sum, {stream}) => sum + stream.waitingBytes, 0);
+		if (allWaitingBytes <= maxAllWaitingBytes) {
+			return;
+		}
+
+		for (const follower of [...this.#followers].toSorted((left, right) => right.stream.waitingBytes - left.stream.waitingBytes)) {
+			if (allWaitingBytes <= maxAllWaitingBytes) {
+				return;
+			}
+
+			const {waitingBytes} = follower.stream;
+			onUnread?.({waitingBytes, allWaitingBytes});
+			allWaitingBytes -= waitingBytes;
+			this.#disconnect(follower);
+		}
 	}
 
 	#disconnect(follower: Follower): void {
--- a/packages/fleet-link/src/listen.ts
+++ b/packages/fleet-link/src/listen.ts
@@ -11,6 +11,9 @@
 export type LinkConnectionOptions = Omit<ConnectionLimitOptions, 'isBusy'> & {
 	/** Bound of the messages that the connections have begun to bring, whose interceptor the server has. */
 	readonly messages?: IncompleteMessages;
+	/** Bytes that may wait for followers to read them, over all of them, and what to do when one was disconnected for that. */
+	readonly maxUnreadBytes?: number;
+	readonly onUnread?: (event: {readonly waitingBytes: number; readonly allWaitingBytes: number}) => void;
 };
 
 const defaultOptions: LinkConnectionOptions = {maxConnections: 1024};
