Tests of control groups keep their disks in memory, with the sync time that deployments state

Cause: the tests synced to the disk of the machine that runs them. Replies of voters wait for a sync, so that syncs longer than the election timeout (600 ms) end every election. Evidence: with four writers of 192 MB each and fsync beside them, a probe had syncs of up to 3,080 ms and just these six cases failed, in waits of 15 s. Without writers 26 of 26 passed at a load of 5 (median sync 0.7 ms), and 42 of 42 of these cases at a load of 9, so it was not the processors.

Bounds, cases and numbers of cases at a time are unchanged.

--- a/packages/fleet-control/src/disk-losses.test.ts
+++ b/packages/fleet-control/src/disk-losses.test.ts
@@ -31,7 +31,7 @@
 	await startGroup(twoOfSix);
 	await group.replace(first, 7);
 	await group.stop(first, second);
-	await group.wipe(first, second);
+	group.wipe(first, second);
 	await Promise.all([first, second].map(async index => group.start(index)));
 	expect(await confirmedVersions()).toEqual([7, 7, 7, 7, 7, 7]);
 }
@@ -51,7 +51,7 @@
 		await startGroup(twoOfSix);
 		await group.replace(0, 7);
 		await group.stop(...group.positions);
-		await group.wipe(0, 2);
+		group.wipe(0, 2);
 		await Promise.all(group.positions.map(async index => group.start(index)));
 		expect(await confirmedVersions()).toEqual([7, 7, 7, 7, 7, 7]);
 	});
--- a/packages/fleet-control/src/domain-drain.test.ts
+++ b/packages/fleet-control/src/domain-drain.test.ts
@@ -91,7 +91,7 @@
 	it('survive a loss of power of all processes, of which one has lost its disk', async () => {
 		await order(1, drain);
 		await group.stop(...group.positions);
-		await group.wipe(1);
+		group.wipe(1);
 		await Promise.all(group.positions.map(async index => group.start(index)));
 		expect(await isDrained(1)).toEqual(true);
 		const late = await entries.add([group.addressOf(1)]);
--- a/packages/fleet-control/src/fleet-control.test.ts
+++ b/packages/fleet-control/src/fleet-control.test.ts
@@ -1,6 +1,3 @@
-import {mkdtemp, rm} from 'node:fs/promises';
-import {tmpdir} from 'node:os';
-import path from 'node:path';
 import {
 	afterEach, beforeEach, describe, it,
 } from 'node:test';
@@ -11,6 +8,7 @@
 import {freePorts, waitUntil} from '@rattanspring/test-kit';
 import {SystemClock} from '@rattanspring/voter-group';
 import {expect} from 'earl';
+import {TestDisk} from './test-disk.js';
 import {
 	FleetControl, groupSizes, namedLeader, nextLearner, staleLearner, surplusVoter, voterToReplace,
 } from './index.js';
@@ -29,25 +27,25 @@
 };
 
 describe('a group of control processes', () => {
-	let folder: string;
+	let disks: TestDisk[];
 	let addresses: string[];
 	const running = new Map<number, FleetControl>();
 
 	beforeEach(async () => {
-		folder = await mkdtemp(path.join(tmpdir(), 'fleet-control-'));
 		const ports = await freePorts(4);
+		disks = ports.map(() => new TestDisk());
 		addresses = ports.map(port => `127.0.0.1:${port}`);
 	});
 	afterEach(async () => {
 		await Promise.all([...running.keys()].map(async index => stop(index)));
-		await rm(folder, {recursive: true, force: true});
 	});
 	async function start(index: number, isFirstStart: boolean): Promise<void> {
 		const control = new FleetControl({
 			nodeId: `n${index}`,
 			failureDomain: 'a',
 			linkAddress: addresses[index],
-			dataFolder: path.join(folder, `disk-${index}`),
+			dataFolder: '/data',
+			fileSystem: disks[index],
 			seeds: () => addresses.slice(0, 3),
 			isFirstStart,
 			clock: new SystemClock(),
@@ -131,7 +129,7 @@
 		await form();
 		await replace(7);
 		await stop(2);
-		await rm(path.join(folder, 'disk-2'), {recursive: true});
+		disks[2] = new TestDisk();
 		await replace(8);
 		await start(2, false);
 		await eventually(async () => running.get(2)!.isVoter);
--- a/packages/fleet-control/src/test-group.ts
+++ b/packages/fleet-control/src/test-group.ts
@@ -1,14 +1,12 @@
-/** Control processes of one deployment in a test, each with a folder that stands for its disk. */
+/** Control processes of one deployment in a test, each with a disk of its own. */
 
-import {mkdtemp, rm} from 'node:fs/promises';
-import {tmpdir} from 'node:os';
-import path from 'node:path';
 import {setTimeout as sleep} from 'node:timers/promises';
-import {AppendFile, FatalErrorHandler, NodeFileSystem} from '@rattanspring/log-storage';
+import {FatalErrorHandler} from '@rattanspring/log-storage';
 import {Logger, type LogLevel} from '@rattanspring/logger';
 import {freePorts, waitUntil} from '@rattanspring/test-kit';
 import {SystemClock} from '@rattanspring/voter-group';
 import {FleetControl} from './fleet-control.js';
+import {TestDisk} from './test-disk.js';
 
 /** Timeout for a group of processes to reach an expected state. */
 const settleTimeoutMs = 15_000;
@@ -16,6 +14,9 @@
 /** Time between the starts of the first and the last process. */
 const startSpreadMs = 300;
 
+/** Folder on the disk of each process. */
+const dataFolder = '/data';
+
 /** Maximum number of seeds in the settings. */
 const seedCount = 3;
 
@@ -25,63 +26,6 @@
 	}
 }
 
-/** A disk that can be full: it then refuses every write. */
-class TestDisk extends NodeFileSystem {
-	isFull = false;
-
-	override async makeFolder(folder: string): Promise<void> {
-		this.#checkRoom();
-		await super.makeFolder(folder);
-	}
-
-	override async openAppend(file: string): Promise<AppendFile> {
-		return new TestAppendFile(await super.openAppend(file), () => {
-			this.#checkRoom();
-		});
-	}
-
-	#checkRoom(): void {
-		if (this.isFull) {
-			throw Object.assign(new Error('no space left on device'), {code: 'ENOSPC'});
-		}
-	}
-}
-
-/** A file on such a disk. A refused write leaves its first half. */
-class TestAppendFile extends AppendFile {
-	readonly #file: AppendFile;
-	readonly #checkRoom: () => void;
-
-	constructor(file: AppendFile, checkRoom: () => void) {
-		super();
-		this.#file = file;
-		this.#checkRoom = checkRoom;
-	}
-
-	async write(bytes: Uint8Array): Promise<void> {
-		try {
-			this.#checkRoom();
-		} catch (error) {
-			await this.#file.write(bytes.subarray(0, bytes.length / 2));
-			throw error;
-		}
-
-		await this.#file.write(bytes);
-	}
-
-	async sync(): Promise<void> {
-		await this.#file.sync();
-	}
-
-	async truncate(lengthBytes: number): Promise<void> {
-		await this.#file.truncate(lengthBytes);
-	}
-
-	async close(): Promise<void> {
-		await this.#file.close();
-	}
-}
-
 /** Counts the lines of each event. */
 class CountingLogger extends Logger {
 	readonly #counts = new Map<string, number>();
@@ -107,19 +51,17 @@
 export class TestGroup {
 	static async create(options: TestGroupOptions): Promise<TestGroup> {
 		const ports = await freePorts(options.size);
-		return new TestGroup(options, await mkdtemp(path.join(tmpdir(), 'test-group-')), ports.map(port => `127.0.0.1:${port}`));
+		return new TestGroup(options, ports.map(port => `127.0.0.1:${port}`));
 	}
 
 	readonly #options: TestGroupOptions;
-	readonly #folder: string;
 	readonly #addresses: readonly string[];
 	readonly #logger = new CountingLogger();
 	readonly #running = new Map<number, FleetControl>();
 	readonly #disks = new Map<number, TestDisk>();
 
-	private constructor(options: TestGroupOptions, folder: string, addresses: readonly string[]) {
+	private constructor(options: TestGroupOptions, addresses: readonly string[]) {
 		this.#options = options;
-		this.#folder = folder;
 		this.#addresses = addresses;
 	}
 
@@ -161,7 +103,7 @@
 			nodeId: `n${index}`,
 			failureDomain: `z${index % failureDomainCount}`,
 			linkAddress: this.#addresses[index],
-			...(!diskless.includes(index) && {dataFolder: this.#folderOf(index), fileSystem: this.#diskOf(index)}),
+			...(!diskless.includes(index) && {dataFolder, fileSystem: this.#diskOf(index)}),
 			seeds: () => this.#addresses.slice(0, seedCount),
 			faultTolerance,
 			isFirstStart,
@@ -187,8 +129,10 @@
 	}
 
 	/** Empties the disks of stopped processes. */
-	async wipe(...indices: readonly number[]): Promise<void> {
-		await Promise.all(indices.map(async index => rm(this.#folderOf(index), {recursive: true, force: true})));
+	wipe(...indices: readonly number[]): void {
+		for (const index of indices) {
+			this.#disks.delete(index);
+		}
 	}
 
 	/** Offers a document to a process until it is acknowledged. */
@@ -217,11 +161,6 @@
 		}
 
 		await this.stop(...this.#running.keys());
-		await rm(this.#folder, {recursive: true, force: true});
-	}
-
-	#folderOf(index: number): string {
-		return path.join(this.#folder, `disk-${index}`);
 	}
 
 	#diskOf(index: number): TestDisk {
