A process knows a bounded number of targets

What callers saw: a control process ended (SIGABRT, 250 MB) after 200,000 reports that each named another target.

Cause: each report adds a target, which is kept for two minutes after it fell silent, and nothing bounded their number; nor that of notices of lifetimes that have ended. Entries and other control processes hear of all of them.

Targets that serve report each second, so that they stay, and one that is forgotten is back with its next report. Each removal looks at all targets, once for 1/16 of them: the unit test holds the slope.

--- a/packages/fleet-control/src/fleet-control.ts
+++ b/packages/fleet-control/src/fleet-control.ts
@@ -16,7 +16,7 @@
 import {describeError, type Logger} from '@rattanspring/logger';
 import {serverOptions} from '@rattanspring/protocol';
 import {
-	isSameState, type TargetHeartbeat, type TargetLifetime, type TargetReport, TargetTable,
+	isSameState, type TargetHeartbeat, type TargetLifetime, type TargetReport, TargetTable, type TargetTableOptions,
 } from '@rattanspring/target-table';
 import type {Clock} from '@rattanspring/types';
 import {
@@ -49,6 +49,8 @@
 	readonly fileSystem?: FileSystem;
 	/** Number of VMs whose loss at the same time has to be tolerated; 0 by default. */
 	readonly faultTolerance?: number;
+	/** Limit of the targets that are known at once. */
+	readonly targetLimit?: TargetTableOptions;
 	readonly seeds: () => readonly string[];
 	readonly isFirstStart: boolean;
 	readonly clock: Clock;
@@ -63,7 +65,7 @@
 	readonly #group: ControlGroup;
 	readonly #linkServer: LinkServer;
 	readonly #controlLinks: ControlLinks;
-	readonly #targets = new TargetTable();
+	readonly #targets: TargetTable;
 	readonly #documentSender = new DocumentSender();
 	readonly #server: Server;
 	readonly #timers: NodeJS.Timeout[] = [];
@@ -80,6 +82,7 @@
 
 	constructor(options: FleetControlOptions) {
 		this.#options = options;
+		this.#targets = new TargetTable(options.targetLimit);
 		const {interceptor} = options.linkConnections?.messages ?? {};
 		this.#server = new Server({...serverOptions, interceptors: interceptor ? [interceptor] : []});
 		this.#servesDocument = options.dataFolder !== undefined;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -6,7 +6,7 @@
 import {
 	ControlLinks, type DownMessage, followedControls, linkService, type NodeCard,
 } from '@rattanspring/fleet-link';
-import type {Logger} from '@rattanspring/logger';
+import type {LogFields, Logger} from '@rattanspring/logger';
 import type {DaemonMetrics} from '@rattanspring/metrics';
 import {
 	AdmissionQueue, ExpectedRoom, type GroupFigures, PassLimit, type RetryAllowance, RetryBudget, RoomReturnTimes, StreamSilence, TargetSelector,
@@ -47,7 +47,7 @@
 
 /** Limits of an entry, unless it is told others. */
 const defaultLimits: GatewayLimits = {
-	maxRequestBytes: 67_108_864, maxResponseBytes: 50_331_648, maxUnsentBytes: 33_554_432, maxCallerConnections: 1560, maxCallerConnectionBytes: 67_108_864,
+	maxRequestBytes: 67_108_864, maxResponseBytes: 50_331_648, maxUnsentBytes: 33_554_432, maxCallerConnections: 1560, maxCallerConnectionBytes: 67_108_864, maxTargets: 20_000,
 };
 
 /** What an entry may hold of the memory and the descriptors of its VM. */
@@ -61,6 +61,8 @@
 	readonly maxCallerConnections: number;
 	/** Memory that the connections of callers may hold while no request is in progress on them. */
 	readonly maxCallerConnectionBytes: number;
+	/** Targets that are known at once. */
+	readonly maxTargets: number;
 };
 
 /** Options of an entry. */
@@ -90,7 +92,7 @@
 	readonly #documents: DocumentFollower;
 	readonly #domains: DomainFollower;
 	readonly #authorityCalls: AuthorityCalls;
-	readonly #targets = new TargetTable();
+	readonly #targets: TargetTable;
 	readonly #selector: TargetSelector;
 	readonly #accountUsage: AccountUsage;
 	readonly #outcomes: TargetOutcomes;
@@ -114,6 +116,16 @@
 		const nowMs = () => options.clock.monotonicMs();
 		const {random, logger, metrics, headerCodec, exchange, failureDomain} = options;
 		const limits = {...defaultLimits, ...options.limits};
+		const limitMet = (limit: string, fields: LogFields) => {
+			metrics.limitsMet.inc({limit});
+			logger.log('warn', 'callersLimited', {reason: limit, ...fields});
+		};
+
+		this.#targets = new TargetTable({
+			maxTargets: limits.maxTargets, onExceeded(event) {
+				limitMet('targets', event);
+			},
+		});
 		this.#outcomes = new TargetOutcomes({
 			nodeId: options.nodeId,
 			isCold: report => this.#coldWatch.limitOf(report) !== undefined || (report.coldLeftMs ?? 0) > 0,
@@ -233,10 +245,7 @@
 			port: options.callerPort,
 			maxConnections: limits.maxCallerConnections,
 			maxConnectionBytes: limits.maxCallerConnectionBytes,
-			onLimit(limit, fields) {
-				metrics.limitsMet.inc({limit});
-				logger.log('warn', 'callersLimited', {reason: limit, ...fields});
-			},
+			onLimit: limitMet,
 			onRequest: (request, response, connectionRequest) => {
 				void serveRequest(this.#context, request, response, connectionRequest);
 			},
--- a/packages/target-table/src/target-table.test.ts
+++ b/packages/target-table/src/target-table.test.ts
@@ -1,7 +1,7 @@
 import {describe, it} from 'node:test';
 import {expect} from 'earl';
 import {
-	isSameState, silenceTimeoutMs, type TargetReport, TargetTable,
+	isSameState, silenceTimeoutMs, type TargetReport, type TargetsExceeded, TargetTable,
 } from './index.js';
 
 const report: TargetReport = {
@@ -11,6 +11,50 @@
 const hourMs = 3_600_000;
 
 describe('TargetTable', () => {
+	describe('with as many targets as it may know', () => {
+		const target = (index: number): TargetReport => ({...report, targetId: `t${index}`, address: `10.0.0.${index}:80`});
+
+		it('forgets those not heard of for longest, not those that report', () => {
+			const events: TargetsExceeded[] = [];
+			const table = new TargetTable({
+				maxTargets: 32, onExceeded(event) {
+					events.push(event);
+				},
+			});
+			for (let index = 0; index < 32; index++) {
+				table.add(target(index), index);
+			}
+
+			table.add({...target(0), sequence: 5}, 40);
+			table.add(target(32), 41);
+			expect(table.all().map(({targetId}) => targetId)).toEqual([0, ...Array.from({length: 30}, (_, index) => index + 3)].map(index => `t${index}`));
+			expect(events).toEqual([{removedCount: 2, maxTargets: 32}]);
+		});
+
+		it('keeps a bounded number of notices of targets that leave', () => {
+			const table = new TargetTable({maxTargets: 32});
+			for (let index = 0; index < 100; index++) {
+				table.markLeaving(target(index), index);
+			}
+
+			expect(table.leaving().map(({targetId}) => targetId)).toEqual(Array.from({length: 32}, (_, index) => `t${index + 68}`));
+		});
+
+		it('looks at each target a bounded number of times a new one, however many there are', () => {
+			let removals = 0;
+			const table = new TargetTable({
+				maxTargets: 1600, onExceeded() {
+					removals++;
+				},
+			});
+			for (let index = 0; index < 3200; index++) {
+				table.add({...target(index), address: `10.0.${Math.floor(index / 250)}.${index % 250}:80`}, index);
+			}
+
+			expect(removals).toEqual(16);
+		});
+	});
+
 	describe('a target that said in an answer that it is leaving', () => {
 		it('is not ready again by any later report of the same lifetime', () => {
 			const table = new TargetTable();
--- a/packages/target-table/src/target-table.ts
+++ b/packages/target-table/src/target-table.ts
@@ -22,8 +22,23 @@
 /** Time for which a target that has left or fallen silent is kept, so that a late report does not add it again; also a notice of one that never reported. */
 const goneRetentionMs = 120_000;
 
-/** Known targets of all services. */
+/** Targets that are known at once, unless another limit is set; and the part of them that goes when there are more, since each search looks at all of them. */
+const defaultMaxTargets = 20_000;
+const removedShare = 1 / 16;
+
+/** What was done as there were too many targets. */
+export type TargetsExceeded = {readonly removedCount: number; readonly maxTargets: number};
+
+/** Options of `TargetTable`. */
+export type TargetTableOptions = {
+	readonly maxTargets?: number;
+	readonly onExceeded?: (event: TargetsExceeded) => void;
+};
+
+/** Known targets of all services. There is a limit to their number, since whoever reaches a control process can report one: those go that were not heard of for longest. */
 export class TargetTable {
+	readonly #maxTargets: number;
+	readonly #onExceeded: (event: TargetsExceeded) => void;
 	readonly #targets = new Map<string, KnownTarget>();
 	/** IDs of the known targets at each address: several if the address was assigned again. */
 	readonly #idsByAddress = new Map<string, Set<string>>();
@@ -31,13 +46,20 @@
 	readonly #leaving = new Map<string, {readonly bornMs: number; readonly learnedAtMs: number}>();
 	#newestHeardAtMs = Number.NEGATIVE_INFINITY;
 
+	constructor({maxTargets = defaultMaxTargets, onExceeded = () => undefined}: TargetTableOptions = {}) {
+		this.#maxTargets = maxTargets;
+		this.#onExceeded = onExceeded;
+	}
+
 	/** Records that a target said in an answer that it is leaving; returns false if that is known. */
 	markLeaving({targetId, bornMs}: TargetLifetime, nowMs: number): boolean {
 		if ((this.#leaving.get(targetId)?.bornMs ?? Number.NEGATIVE_INFINITY) >= bornMs) {
 			return false;
 		}
 
+		this.#leaving.delete(targetId);
 		this.#leaving.set(targetId, {bornMs, learnedAtMs: nowMs});
+		this.#limitLeaving();
 		const known = this.#targets.get(targetId);
 		if (known) {
 			this.#store({...known, report: this.#withLeaving(known.report)});
@@ -125,6 +147,10 @@
 		}
 
 		this.#markOlderTargetsGone(report);
+		if (!known && this.#targets.size >= this.#maxTargets) {
+			this.#removeSilent();
+		}
+
 		this.#store({report, heardAtMs: nowMs, coldUntilMs});
 		if (report.state !== 'gone') {
 			this.#newestHeardAtMs = nowMs;
@@ -133,6 +159,25 @@
 		return true;
 	}
 
+	#removeSilent(): void {
+		const bySilence = [...this.#targets].toSorted(([, left], [, right]) => left.heardAtMs - right.heardAtMs);
+		const removed = bySilence.slice(0, Math.ceil(this.#maxTargets * removedShare));
+		for (const [targetId] of removed) {
+			this.#forget(targetId);
+		}
+
+		this.#onExceeded({removedCount: removed.length, maxTargets: this.#maxTargets});
+	}
+
+	/** The notices are in the order in which they came. */
+	#limitLeaving(): void {
+		if (this.#leaving.size > this.#maxTargets) {
+			const [oldest] = this.#leaving.keys();
+			this.#leaving.delete(oldest);
+			this.#onExceeded({removedCount: 1, maxTargets: this.#maxTargets});
+		}
+	}
+
 	/** The report, as draining if its lifetime is known to be leaving. */
 	#withLeaving(report: TargetReport): TargetReport {
 		const isLeaving = this.#leaving.get(report.targetId)?.bornMs === report.bornMs;
