What waits for followers stays within its limit between heartbeats, and a new follower waits for those that read

What callers saw: a control process of 250 MB took 274 and 346 MB for 1,800 streams of daemons that read nothing.

Cause: what waits for all followers was summed up with each heartbeat (0.8 s), and each new follower is told of all daemons and targets at once, so that the sum can grow by many times its limit in between.

Why this works: the sum is kept with each write. Beyond the limit, those for which most waits are disconnected at once until an eighth is free; a new follower is told what there is once less than half waits for others, and those that took nothing for 2.2 s meanwhile go. Daemons that read are told as soon as others have read, not with a heartbeat, so that a restart of many is not slowed down.

The unit test that waited for the next heartbeat is stricter now: the follower is gone as soon as more would wait than may. A further one holds that a new follower is told although another one does not read.

--- a/packages/fleet-link/src/follower-stream.ts
+++ b/packages/fleet-link/src/follower-stream.ts
@@ -15,15 +15,36 @@
 	return {message, sizeBytes: serializeShared(message).byteLength};
 }
 
+/** What waits to be sent to all followers, in bytes. */
+export type WaitingTotal = {bytes: number};
+
+/** Options of a stream: the call, the total that its bytes are a part of, and what to do when the connection has accepted some. */
+export type FollowerStreamOptions = {
+	readonly call: ServerDuplexStream<UpMessage, DownMessage>;
+	readonly total: WaitingTotal;
+	readonly onTaken: () => void;
+};
+
 /** One stream to a follower. */
 export class FollowerStream {
 	readonly #call: ServerDuplexStream<UpMessage, DownMessage>;
+	readonly #total: WaitingTotal;
+	readonly #onTaken: () => void;
 	readonly #newestLoads = new Map<string, TargetLoad>();
 	#areLoadsWaiting = false;
 	#waitingBytes = 0;
+	#takenCount = 0;
+	#isForgotten = false;
 
-	constructor(call: ServerDuplexStream<UpMessage, DownMessage>) {
+	constructor({call, total, onTaken}: FollowerStreamOptions) {
 		this.#call = call;
+		this.#total = total;
+		this.#onTaken = onTaken;
+	}
+
+	/** Messages that the connection has accepted. */
+	get takenCount(): number {
+		return this.#takenCount;
 	}
 
 	/** Bytes that the connection has not accepted yet. */
@@ -56,6 +77,13 @@
 		this.#call.destroy();
 	}
 
+	/** The stream is over: what waits for it does not count any more. */
+	forget(): void {
+		this.#isForgotten = true;
+		this.#total.bytes -= this.#waitingBytes;
+		this.#waitingBytes = 0;
+	}
+
 	#writeNewestLoads(): void {
 		if (this.#newestLoads.size > 0) {
 			const loads = [...this.#newestLoads.values()];
@@ -66,10 +94,18 @@
 
 	#write({message, sizeBytes}: SizedMessage, onAccepted: () => void): void {
 		this.#waitingBytes += sizeBytes;
+		this.#total.bytes += sizeBytes;
 		this.#call.write(message, (error?: Error | null) => {
+			if (this.#isForgotten) {
+				return;
+			}
+
 			this.#waitingBytes -= sizeBytes;
+			this.#total.bytes -= sizeBytes;
 			if (!error) {
+				this.#takenCount++;
 				onAccepted();
+				this.#onTaken();
 			}
 		});
 	}
--- a/packages/fleet-link/src/link-server.test.ts
+++ b/packages/fleet-link/src/link-server.test.ts
@@ -28,6 +28,12 @@
 	};
 }
 
+const helloOf = (nodeId: string): UpMessage => ({
+	type: 'hello', card: {
+		nodeId, role: 'entry', failureDomain: 'a', isLeaving: false,
+	},
+});
+
 describe('a follower that does not read', () => {
 	let links: LinkServer;
 	let server: Server;
@@ -66,11 +72,7 @@
 			received.push(message);
 		});
 		stream.on('error', () => undefined);
-		stream.write({
-			type: 'hello', card: {
-				nodeId: 'n', role: 'entry', failureDomain: 'a', isLeaving: false,
-			},
-		});
+		stream.write(helloOf('n'));
 		beats = setInterval(() => {
 			stream.write({type: 'beat'});
 		}, 500);
@@ -102,14 +104,44 @@
 		expect(followerCount()).toEqual(0);
 	});
 
-	it('is disconnected with the next heartbeat if more waits for all followers than may', async () => {
+	it('is disconnected as soon as more would wait for all followers than may', () => {
 		maxAllWaitingBytes = 1_000_000;
-		for (let sequence = 0; sequence < 40; sequence++) {
+		links.broadcast(largeMessage(0), {roles: ['entry']});
+		expect(followerCount()).toEqual(1);
+		for (let sequence = 1; sequence < 40; sequence++) {
 			links.broadcast(largeMessage(sequence), {roles: ['entry']});
 		}
 
-		expect(followerCount()).toEqual(1);
-		await waitUntil(() => followerCount() === 0, {timeoutMs: 5000});
+		expect(followerCount()).toEqual(0);
+	});
+
+	it('keeps a new one from being told what there is, and is disconnected for it', async () => {
+		maxAllWaitingBytes = 8_000_000;
+		for (let sequence = 0; sequence < 60; sequence++) {
+			links.broadcast(largeMessage(sequence), {roles: ['entry']});
+			await sleep(1);
+		}
+
+		const {path, requestSerialize, responseDeserialize} = linkService.follow;
+		const other = client.makeBidiStreamRequest(path, requestSerialize, responseDeserialize, new Metadata());
+		const types: string[] = [];
+		other.on('data', ({type}: DownMessage) => {
+			types.push(type);
+		});
+		other.on('error', () => undefined);
+		other.write(helloOf('other'));
+		const otherBeats = setInterval(() => {
+			other.write({type: 'beat'});
+		}, 500);
+		try {
+			await waitUntil(() => types.includes('beat'), {timeoutMs: 5000});
+			expect(types).not.toInclude('nodes');
+			await waitUntil(() => types.includes('nodes'), {timeoutMs: 8000});
+			expect(links.cards.map(({nodeId}) => nodeId)).toEqual(['other', 'control']);
+		} finally {
+			clearInterval(otherBeats);
+			other.cancel();
+		}
 	});
 
 	it('receives only the newest load of each target when it reads again', async () => {
--- a/packages/fleet-link/src/link-server.ts
+++ b/packages/fleet-link/src/link-server.ts
@@ -2,7 +2,9 @@
 
 import type {ServerDuplexStream} from '@grpc/grpc-js';
 import {newerCard} from './card-revision.js';
-import {FollowerStream, sized, type SizedMessage} from './follower-stream.js';
+import {
+	FollowerStream, sized, type SizedMessage, type WaitingTotal,
+} from './follower-stream.js';
 import {
 	type Audience, audienceOf, type DownMessage, type NodeCard, type NodeRole, type UpMessage, visibleRoles,
 } from './messages.js';
@@ -16,8 +18,15 @@
 /** Limit of what waits to be sent to one daemon. A daemon that does not read is disconnected and has to open a new stream. */
 const maxWaitingBytes = 8_388_608;
 
-/** Limit of what waits for all daemons, unless another one is set: those that read least are disconnected. */
+/** Limit of what waits for all daemons, unless another one is set: those for which most waits are disconnected, until so much of it is free. */
 const defaultMaxAllWaitingBytes = 33_554_432;
+const freedShare = 1 / 8;
+
+/** A new daemon is told what there is once less than this part of the limit waits for others. */
+const greetingShare = 1 / 2;
+
+/** A daemon that has taken nothing for this long, while others wait to be told, is disconnected. */
+const unreadTimeoutMs = heartbeatTimeoutMs;
 
 const audiences = Object.keys(visibleRoles) as Audience[];
 
@@ -34,7 +43,16 @@
 const beat = sized({type: 'beat'});
 
 type Call = ServerDuplexStream<UpMessage, DownMessage>;
-type Follower = {readonly stream: FollowerStream; card?: NodeCard; isPrimary: boolean; heardAtMs: number};
+type Hello = Extract<UpMessage, {readonly type: 'hello'}>;
+type Follower = {
+	readonly stream: FollowerStream;
+	card?: NodeCard;
+	isPrimary: boolean;
+	heardAtMs: number;
+	/** The number of messages that it had taken, and since when: now if none waits. */
+	takenCount: number;
+	takenAtMs: number;
+};
 
 /** The followers that a message goes to: those with one of the roles, or of them only those for which this is the primary stream. */
 export type Receivers = {readonly roles: readonly NodeRole[]; readonly onlyPrimary?: boolean};
@@ -58,6 +76,9 @@
 export class LinkServer {
 	readonly #options: LinkServerOptions;
 	readonly #followers = new Set<Follower>();
+	/** Daemons that have said who they are, and are told what there is once the others have read more. */
+	readonly #waitingHellos = new Map<Follower, Hello>();
+	readonly #waiting: WaitingTotal = {bytes: 0};
 	readonly #timer: NodeJS.Timeout;
 	readonly #sentCards: Record<CardScope, Map<string, NodeCard>> = {direct: new Map(), all: new Map()};
 	#nodesTimer: NodeJS.Timeout | undefined;
@@ -84,7 +105,15 @@
 
 	/** Handles a new stream. */
 	accept(call: Call): void {
-		const follower: Follower = {stream: new FollowerStream(call), isPrimary: true, heardAtMs: this.#options.nowMs()};
+		const nowMs = this.#options.nowMs();
+		const stream = new FollowerStream({
+			call, total: this.#waiting, onTaken: () => {
+				this.#greetWaiting();
+			},
+		});
+		const follower: Follower = {
+			stream, isPrimary: true, heardAtMs: nowMs, takenCount: 0, takenAtMs: nowMs,
+		};
 		this.#followers.add(follower);
 		call.on('data', (message: UpMessage) => {
 			this.#onMessage(follower, message);
@@ -132,23 +161,55 @@
 	#onMessage(follower: Follower, message: UpMessage): void {
 		follower.heardAtMs = this.#options.nowMs();
 		if (message.type === 'hello') {
-			const isNew = follower.card === undefined;
-			const audience = audienceOf(message.card);
-			const isOtherAudience = follower.card === undefined || audienceOf(follower.card) !== audience;
-			follower.card = message.card;
-			follower.isPrimary = message.isPrimary ?? true;
-			this.scheduleNodesUpdate();
-			if (isOtherAudience) {
-				this.#send(follower, sized({type: 'nodes', cards: visibleTo(audience, this.#cardsIn(scopes[audience]).values())}));
+			this.#onHello(follower, message);
+		} else if (follower.card && message.type !== 'beat') {
+			this.#options.onMessage(message, follower.card);
+		}
+	}
+
+	#onHello(follower: Follower, hello: Hello): void {
+		const isTold = follower.card !== undefined;
+		if (isTold || this.#hasRoomToGreet) {
+			this.#greet(follower, hello);
+		} else {
+			this.#waitingHellos.set(follower, hello);
+		}
+	}
+
+	get #maxAllWaitingBytes(): number {
+		return this.#options.maxAllWaitingBytes ?? defaultMaxAllWaitingBytes;
+	}
+
+	get #hasRoomToGreet(): boolean {
+		return this.#waiting.bytes <= this.#maxAllWaitingBytes * greetingShare;
+	}
+
+	#greetWaiting(): void {
+		for (const [follower, hello] of this.#waitingHellos) {
+			if (!this.#hasRoomToGreet) {
+				return;
 			}
 
-			if (isNew) {
-				for (const initialMessage of this.#options.initialMessages(message.card.role)) {
-					this.#send(follower, sized(initialMessage));
-				}
+			this.#waitingHellos.delete(follower);
+			this.#greet(follower, hello);
+		}
+	}
+
+	#greet(follower: Follower, {card, isPrimary = true}: Hello): void {
+		const isNew = follower.card === undefined;
+		const audience = audienceOf(card);
+		const isOtherAudience = follower.card === undefined || audienceOf(follower.card) !== audience;
+		follower.card = card;
+		follower.isPrimary = isPrimary;
+		this.scheduleNodesUpdate();
+		if (isOtherAudience) {
+			this.#send(follower, sized({type: 'nodes', cards: visibleTo(audience, this.#cardsIn(scopes[audience]).values())}));
+		}
+
+		if (isNew) {
+			for (const initialMessage of this.#options.initialMessages(card.role)) {
+				this.#send(follower, sized(initialMessage));
 			}
-		} else if (follower.card && message.type !== 'beat') {
-			this.#options.onMessage(message, follower.card);
 		}
 	}
 
@@ -168,38 +229,50 @@
 			return;
 		}
 
-		follower.stream.write(message);
+		if (this.#waiting.bytes + message.sizeBytes > this.#maxAllWaitingBytes) {
+			this.#disconnectUnread();
+		}
+
+		if (this.#followers.has(follower)) {
+			follower.stream.write(message);
+		}
 	}
 
 	#beat(): void {
-		const oldestHeardAtMs = this.#options.nowMs() - heartbeatTimeoutMs;
+		const nowMs = this.#options.nowMs();
 		for (const follower of this.#followers) {
-			if (follower.heardAtMs < oldestHeardAtMs) {
+			this.#noteTaken(follower, nowMs);
+			const isSilent = follower.heardAtMs < nowMs - heartbeatTimeoutMs;
+			const keepsOthersWaiting = this.#waitingHellos.size > 0 && follower.takenAtMs < nowMs - unreadTimeoutMs;
+			if (isSilent || keepsOthersWaiting) {
 				this.#disconnect(follower);
 			} else {
 				this.#send(follower, beat);
 			}
 		}
 
-		this.#disconnectUnread();
+		this.#greetWaiting();
 	}
 
-	/** Looked at with each heartbeat: little comes in between, as most messages go to all. */
-	#disconnectUnread(): void {
-		const {maxAllWaitingBytes = defaultMaxAllWaitingBytes, onUnread} = this.#options;
-		let allWaitingBytes = [...this.#followers].reduce((sum, {stream}) => sum + stream.waitingBytes, 0);
-		if (allWaitingBytes <= maxAllWaitingBytes) {
-			return;
+	#noteTaken(follower: Follower, nowMs: number): void {
+		const {takenCount, waitingBytes} = follower.stream;
+		if (takenCount !== follower.takenCount || waitingBytes === 0) {
+			follower.takenCount = takenCount;
+			follower.takenAtMs = nowMs;
 		}
+	}
 
+	/** Disconnects those for which most waits, until there is room again. */
+	#disconnectUnread(): void {
+		const {onUnread} = this.#options;
+		const targetBytes = this.#maxAllWaitingBytes * (1 - freedShare);
 		for (const follower of [...this.#followers].toSorted((left, right) => right.stream.waitingBytes - left.stream.waitingBytes)) {
-			if (allWaitingBytes <= maxAllWaitingBytes) {
+			const {waitingBytes} = follower.stream;
+			if (this.#waiting.bytes <= targetBytes || waitingBytes === 0) {
 				return;
 			}
 
-			const {waitingBytes} = follower.stream;
-			onUnread?.({waitingBytes, allWaitingBytes});
-			allWaitingBytes -= waitingBytes;
+			onUnread?.({waitingBytes, allWaitingBytes: this.#waiting.bytes});
 			this.#disconnect(follower);
 		}
 	}
@@ -211,6 +284,8 @@
 
 	#removeFollower(follower: Follower): void {
 		if (this.#followers.delete(follower)) {
+			this.#waitingHellos.delete(follower);
+			follower.stream.forget();
 			this.scheduleNodesUpdate();
 		}
 	}
