What a daemon says of itself has a greatest size

What callers saw: 15 daemons with a name of 4 MB each took 463 and 465 MB at a control process of 250 MB; each such card goes to all daemons.

Cause: a card may be as large as a message between daemons, 16 MB, and was not checked at all.

Further fields, of newer builds, are kept. The longest names and addresses together are shorter.

--- a/packages/fleet-control/src/fleet-control.ts
+++ b/packages/fleet-control/src/fleet-control.ts
@@ -91,6 +91,7 @@
 			nowMs,
 			maxAllWaitingBytes: options.linkConnections?.maxUnreadBytes,
 			onUnread: options.linkConnections?.onUnread,
+			onCardRefused: options.linkConnections?.onCardRefused,
 			ownCard: () => this.#controlLinks.card,
 			relayedCards: () => this.#controlLinks.nodes.values(),
 			initialMessages: role => this.#initialMessages(role),
--- a/packages/fleet-link/src/link-server.test.ts
+++ b/packages/fleet-link/src/link-server.test.ts
@@ -144,6 +144,11 @@
 		}
 	});
 
+	it('is disconnected if its card is larger than any', async () => {
+		stream.write(helloOf('x'.repeat(5000)));
+		await waitUntil(() => followerCount() === 0, {timeoutMs: 5000});
+	});
+
 	it('receives only the newest load of each target when it reads again', async () => {
 		for (let sequence = 0; sequence < 20; sequence++) {
 			links.broadcast(largeMessage(sequence), {roles: ['entry']});
--- a/packages/fleet-link/src/link-server.ts
+++ b/packages/fleet-link/src/link-server.ts
@@ -8,6 +8,7 @@
 import {
 	type Audience, audienceOf, type DownMessage, type NodeCard, type NodeRole, type UpMessage, visibleRoles,
 } from './messages.js';
+import {isReadableCard} from './node-card.js';
 
 /** Interval between heartbeats on a stream. */
 export const heartbeatIntervalMs = 800;
@@ -70,6 +71,8 @@
 	readonly maxAllWaitingBytes?: number;
 	/** Called when a follower was disconnected as too much waited for all of them. */
 	readonly onUnread?: (event: {readonly waitingBytes: number; readonly allWaitingBytes: number}) => void;
+	/** Called when a daemon was disconnected whose card is none, or too large. */
+	readonly onCardRefused?: () => void;
 };
 
 /** The streams of all daemons that follow this control process. */
@@ -168,6 +171,12 @@
 	}
 
 	#onHello(follower: Follower, hello: Hello): void {
+		if (!isReadableCard(hello.card)) {
+			this.#options.onCardRefused?.();
+			this.#disconnect(follower);
+			return;
+		}
+
 		const isTold = follower.card !== undefined;
 		if (isTold || this.#hasRoomToGreet) {
 			this.#greet(follower, hello);
--- a/packages/fleet-link/src/link-service.ts
+++ b/packages/fleet-link/src/link-service.ts
@@ -17,6 +17,7 @@
 import {isReadableHeartbeat, isReadableReport, type TargetLoad} from '@rattanspring/target-table';
 import {fromLoadRow, toLoadRow} from './load-rows.js';
 import type {DownMessage, UpMessage} from './messages.js';
+import {isReadableCard} from './node-card.js';
 
 /** Bytes that are sent along with a message, without any encoding. */
 export type Attachment = {readonly attachment?: Uint8Array};
@@ -182,6 +183,10 @@
 		return {...message, register: readDomainRegister(message.register)};
 	}
 
+	if (message.type === 'nodes' || message.type === 'nodesChanged') {
+		return {...message, cards: message.cards.filter(card => isReadableCard(card))};
+	}
+
 	// What targets say reaches every daemon, so that a report out of bounds is left out and the others hold.
 	if (message.type === 'targets') {
 		return {...message, reports: message.reports.filter(report => isReadableReport(report))};
--- a/packages/fleet-link/src/listen.ts
+++ b/packages/fleet-link/src/listen.ts
@@ -14,6 +14,8 @@
 	/** Bytes that may wait for followers to read them, over all of them, and what to do when one was disconnected for that. */
 	readonly maxUnreadBytes?: number;
 	readonly onUnread?: (event: {readonly waitingBytes: number; readonly allWaitingBytes: number}) => void;
+	/** Called when a follower was disconnected whose card is none, or too large. */
+	readonly onCardRefused?: () => void;
 };
 
 const defaultOptions: LinkConnectionOptions = {maxConnections: 1024};
