An agent passes requests on to a bounded number of others

Cause: a request names the agents to which it is to be passed on, any number, and each address gets a client and a connection at once.

Why this works: an agent passes on to 512 at once, which is two orders in groups of 65,536 ranks, the largest that a report may name.

The unit test holds that it goes on afterwards.

--- a/packages/rank-agent/src/rank-agent.ts
+++ b/packages/rank-agent/src/rank-agent.ts
@@ -23,7 +23,7 @@
 import {MapSwitch} from './map-switch.js';
 import {MapVersionAllocator} from './map-version-allocator.js';
 import {PassTimer, reportsPasses} from './pass-timer.js';
-import {RankRequestHandler} from './rank-request-handler.js';
+import {RankRequestHandler, type RankRequestHandlerOptions} from './rank-request-handler.js';
 import {ToldPace} from './told-pace.js';
 
 /** Interval of load measurements, normally and while the target is nearly full: entries then need to learn of every slot that becomes free. */
@@ -62,6 +62,8 @@
 	readonly linkAddress: string;
 	/** Limit of the connections of other daemons. */
 	readonly linkConnections?: LinkConnectionOptions;
+	/** Called when a request of another agent was not passed on, as too many are. */
+	readonly onRelaysExceeded?: RankRequestHandlerOptions['onRelaysExceeded'];
 	/** The target on this VM. */
 	readonly targetAddress: string;
 	readonly seeds: () => readonly string[];
@@ -215,6 +217,7 @@
 			engine: this.#fencedEngine,
 			directClient: address => this.#engineClients.directClient(address),
 			calls: this.#calls,
+			onRelaysExceeded: this.#options.onRelaysExceeded,
 		});
 		return (call, done) => {
 			const handled = this.#handleRankRequest(handler, call.request, done);
--- a/packages/rank-agent/src/rank-request-handler.test.ts
+++ b/packages/rank-agent/src/rank-request-handler.test.ts
@@ -4,7 +4,7 @@
 import * as fc from 'fast-check';
 import {FakeRankGroup} from './fake-rank-group.js';
 import {encodeMap} from './map-encoding.js';
-import {RankRequestHandler} from './rank-request-handler.js';
+import {maxOpenRelays, RankRequestHandler} from './rank-request-handler.js';
 
 const map = [[[0, 4], [1, 5], [2, 6], [3, 7]]];
 const prepare = {
@@ -52,6 +52,44 @@
 		expect([0, 1, 2, 3].map(rank => group.state(rank).preparedVersion)).toEqual([4, 4, 4, undefined]);
 	});
 
+	it('passes nothing on to more agents at once than a few groups have, and goes on afterwards', async () => {
+		let nowOpen = 0;
+		const answers: Array<() => void> = [];
+		const call = async () => {
+			nowOpen++;
+			await new Promise<void>(resolve => {
+				answers.push(resolve);
+			});
+			nowOpen--;
+			return {};
+		};
+
+		const {group} = startHandler();
+		const exceeded: number[] = [];
+		const handler = new RankRequestHandler({
+			targetAddress: 'own', engine: group.engines[0], directClient: () => group.unfencedEngines[1], calls: {call: call as unknown as LinkCalls['call']},
+			onRelaysExceeded({children}) {
+				exceeded.push(children);
+			},
+		});
+		const relay = async (count: number) => handler.handle({
+			targetAddress: 'own', kind: 'relay', request: {kind: 'state'}, children: Array.from({length: count}, (_, index) => ({linkAddress: `a-${index}`, targetAddress: 't'})),
+		});
+		const first = relay(maxOpenRelays);
+		expect(await relay(1)).toEqual({});
+		expect([nowOpen, exceeded]).toEqual([maxOpenRelays, [1]]);
+		for (const answer of answers) {
+			answer();
+		}
+
+		await first;
+		const next = relay(1);
+		expect(nowOpen).toEqual(1);
+		answers.at(-1)!();
+		const {answer} = await next;
+		expect(answer).not.toEqual(undefined);
+	});
+
 	it('refuses an order with a damaged map, which changes nothing', async () => {
 		const {group, handler} = startHandler();
 		const attachment = encodeMap(map)!.subarray(0, 5);
--- a/packages/rank-agent/src/rank-request-handler.ts
+++ b/packages/rank-agent/src/rank-request-handler.ts
@@ -20,14 +20,20 @@
 	readonly directClient: (targetAddress: string) => EngineClient;
 	/** Reaches the agents to which requests are passed on. */
 	readonly calls: Pick<LinkCalls, 'call'>;
+	/** Called when a request was not passed on, as too many are. */
+	readonly onRelaysExceeded?: (event: {readonly children: number; readonly openRelays: number}) => void;
 };
 
+/** Agents to which requests are being passed on at once: two orders at once in the largest groups, whose branches have as many ranks as there are branches. */
+export const maxOpenRelays = 512;
+
 type RelayRequest = Extract<RankRequest, {readonly kind: 'relay'}>;
 
 /** Applies orders to the engine on this VM and answers queries of its state. Hold orders may be for an engine on another VM. */
 export class RankRequestHandler {
 	readonly #options: RankRequestHandlerOptions;
 	readonly #samples = new SentSamples();
+	#openRelays = 0;
 
 	constructor(options: RankRequestHandlerOptions) {
 		this.#options = options;
@@ -51,15 +57,25 @@
 		return request.kind === 'counts' && request.base !== undefined ? this.#sample(request.base) : toReply(await engine[request.kind]());
 	}
 
-	/** Handles a request and passes it on at the same time. */
+	/** Handles a request and passes it on at the same time; none of it if it would be passed on to too many, so that its sender takes all answers as missing. */
 	async #relay({targetAddress, request, children, attachment}: RelayRequest): Promise<RankReply> {
+		if (this.#openRelays + children.length > maxOpenRelays) {
+			this.#options.onRelaysExceeded?.({children: children.length, openRelays: this.#openRelays});
+			return {};
+		}
+
 		const timeoutMs = childTimeoutMs(children.length, attachment?.length);
 		const passed = {...request, ...(attachment && {attachment})};
-		const [own, ...others] = await Promise.all([
-			this.handle({...passed, targetAddress}),
-			...children.map(async (child: RelayChild) => this.#options.calls.call(child.linkAddress, linkService.rank, {...passed, targetAddress: child.targetAddress}, timeoutMs)),
-		]);
-		return {answer: [own, ...others].map(reply => reply?.answer ?? null)};
+		this.#openRelays += children.length;
+		try {
+			const [own, ...others] = await Promise.all([
+				this.handle({...passed, targetAddress}),
+				...children.map(async (child: RelayChild) => this.#options.calls.call(child.linkAddress, linkService.rank, {...passed, targetAddress: child.targetAddress}, timeoutMs)),
+			]);
+			return {answer: [own, ...others].map(reply => reply?.answer ?? null)};
+		} finally {
+			this.#openRelays -= children.length;
+		}
 	}
 
 	async #order(address: string, order: EngineOrder): Promise<OrderOutcome | undefined> {
