Messages of other daemons are parsed only if they have few values

Cause: as with desired states, text was counted, not what it becomes. Messages between daemons may have 16 MB.

Why this works: values are counted before a request is parsed, 100,000 at most (the longest list that is sent, the uses of accounts, is bounded at 10,000 rows); a text with fewer bytes than that isn't looked at. A desired state that is passed on is one value. Answers of the daemons that a process calls itself are not bounded: their lists grow with the fleet.

--- a/packages/fleet-link/src/index.ts
+++ b/packages/fleet-link/src/index.ts
@@ -8,6 +8,7 @@
 export * from './link-service.js';
 export * from './incomplete-messages.js';
 export * from './listen.js';
+export {maxMessageValues, messageValues} from './message-values.js';
 export * from './messages.js';
 export * from './open-calls.js';
 export * from './primary-link.js';
--- a/packages/fleet-link/src/link-service.test.ts
+++ b/packages/fleet-link/src/link-service.test.ts
@@ -7,6 +7,7 @@
 import * as fc from 'fast-check';
 import {LinkCalls} from './link-calls.js';
 import {linkService, type RankReply, type RankRequest} from './link-service.js';
+import {maxMessageValues, messageValues} from './message-values.js';
 
 const {requestSerialize, requestDeserialize, responseSerialize, responseDeserialize} = linkService.rank;
 
@@ -47,6 +48,29 @@
 	});
 });
 
+describe('requests of any daemon', () => {
+	it('with more values than any has are refused before they are parsed, and told of', () => {
+		let toldCount = 0;
+		messageValues.onExceeded = () => {
+			toldCount++;
+		};
+
+		const listOf = (count: number) => `"values":[${'0,'.repeat(count)}0]}`;
+		const requests = [
+			[linkService.join.requestDeserialize, '{"address":"a",'],
+			[linkService.trial.requestDeserialize, '{"component":"c",'],
+			[linkService.follow.requestDeserialize, '{"type":"beat",'],
+			[linkService.rank.requestDeserialize, '{"targetAddress":"t","kind":"state",'],
+		] as const;
+		for (const [deserialize, begin] of requests) {
+			expect(() => deserialize(Buffer.from(begin + listOf(maxMessageValues - 100)))).not.toThrow();
+			expect(() => deserialize(Buffer.from(begin + listOf(maxMessageValues)))).toThrow('The message has too many values.');
+		}
+
+		expect(toldCount).toEqual(requests.length);
+	});
+});
+
 describe('messages about targets', () => {
 	const report = {
 		targetId: 't', bornMs: 1, sequence: 1, service: 's', address: '10.0.0.1:80', failureDomain: 'a', slots: 8, state: 'ready',
--- a/packages/fleet-link/src/link-service.ts
+++ b/packages/fleet-link/src/link-service.ts
@@ -17,6 +17,7 @@
 import {isReadableHeartbeat, isReadableReport, type TargetLoad} from '@rattanspring/target-table';
 import {fromLoadRow, toLoadRow} from './load-rows.js';
 import type {DownMessage, UpMessage} from './messages.js';
+import {messageValues} from './message-values.js';
 import {isReadableCard} from './node-card.js';
 
 /** Bytes that are sent along with a message, without any encoding. */
@@ -100,7 +101,7 @@
 	document: {...method<DocumentRequest, DocumentReply>('Document', false), responseSerialize: serializeWithAttachment, responseDeserialize: parseDocumentReply},
 	submit: method<SubmitRequest, SubmitReply>('Submit', false),
 	readDomains: {...method<Readonly<Record<string, never>>, ReadDomainsReply>('ReadDomains', false), responseDeserialize: parseReadDomainsReply},
-	orderDomain: {...method<DomainOrder, SubmitReply>('OrderDomain', false), requestDeserialize: (bytes: Buffer) => readDomainOrder(parseJson(bytes))},
+	orderDomain: {...method<DomainOrder, SubmitReply>('OrderDomain', false), requestDeserialize: (bytes: Buffer) => readDomainOrder(parseRequest(bytes))},
 	join: method<JoinRequest, JoinReply>('Join', false),
 	trial: {...method<TrialRequest, TrialReply>('Trial', false), requestDeserialize: parseTrialRequest},
 	/** The request is checked where it is handled, so that a malformed one is logged. */
@@ -114,7 +115,7 @@
 		requestStream: isStream,
 		responseStream: isStream,
 		requestSerialize: serializeJson,
-		requestDeserialize: parseJson as (bytes: Buffer) => Request,
+		requestDeserialize: parseRequest as (bytes: Buffer) => Request,
 		responseSerialize: serializeJson,
 		responseDeserialize: parseJson as (bytes: Buffer) => Reply,
 	};
@@ -161,6 +162,7 @@
 
 /** Throws if the bytes are not a message; the library then ends the stream. */
 function parseUp(bytes: Buffer): UpMessage {
+	messageValues.check(bytes);
 	const message = withCheckedLists(parseObject(bytes) as UpMessage & {readonly row?: unknown});
 	return message.type === 'load' ? {type: 'load', load: fromLoadRow(message.row)} : message;
 }
@@ -207,6 +209,7 @@
 }
 
 function parseTrialRequest(bytes: Buffer): TrialRequest {
+	messageValues.check(bytes);
 	const {component} = parseObject(bytes) as Partial<TrialRequest>;
 	if (typeof component !== 'string') {
 		throw new TypeError('The request names no component.');
@@ -232,6 +235,12 @@
 	return value;
 }
 
+/** A request may come from anybody who reaches the port. */
+function parseRequest(bytes: Buffer): unknown {
+	messageValues.check(bytes);
+	return parseJson(bytes);
+}
+
 function parseJson(bytes: Buffer): unknown {
 	return JSON.parse(bytes.toString());
 }
@@ -254,8 +263,14 @@
 
 /** Throws if the bytes are not a message; the library then fails the call. */
 function parseWithAttachment(bytes: Buffer): Attachment {
+	const text = textOf(bytes);
+	return text === bytes ? parseObject(bytes) : {...parseObject(text), attachment: bytes.subarray(attachmentHeadBytes + text.byteLength)};
+}
+
+/** The JSON text of a message, without its attachment. */
+function textOf(bytes: Buffer): Buffer {
 	if (bytes[0] !== attachmentMarker) {
-		return parseObject(bytes);
+		return bytes;
 	}
 
 	const textEnd = attachmentHeadBytes + bytes.readUInt32BE(1);
@@ -263,7 +278,7 @@
 		throw new RangeError('The message is shorter than its head says.');
 	}
 
-	return {...parseObject(bytes.subarray(attachmentHeadBytes, textEnd)), attachment: bytes.subarray(textEnd)};
+	return bytes.subarray(attachmentHeadBytes, textEnd);
 }
 
 function parseObject(bytes: Buffer): object {
@@ -287,6 +302,7 @@
 const rankRequestKinds: ReadonlySet<unknown> = new Set<RankRequest['kind']>(['state', 'counts', 'experts', 'order', 'relay']);
 
 function parseRankRequest(bytes: Buffer): RankRequest {
+	messageValues.check(textOf(bytes));
 	const request = parseWithAttachment(bytes) as Partial<RankRequest>;
 	if (typeof request.targetAddress !== 'string' || !rankRequestKinds.has(request.kind)) {
 		throw new TypeError('The request names no target, or is of an unknown kind.');
