--- a/packages/fleet-control/src/candidate-table.ts
+++ b/packages/fleet-control/src/candidate-table.ts
@@ -5,17 +5,21 @@
 /** Time without a request after which a process is no longer a candidate. */
 const candidateLifetimeMs = 2500;
 
+/** Processes that may ask at once, and the longest name and address of one: whoever reaches the port can ask. */
+const maxCandidates = 256;
+const maxNameLength = 512;
+
 type Candidate = Voter & {lastAskedAtMs: number};
 
 export class CandidateTable {
 	readonly #candidates = new Map<string, Candidate>();
 
-	/** Records a join request. */
+	/** Records a join request. A process for which there is no room asks again. */
 	add({voterId, address}: Voter, nowMs: number): void {
 		const known = this.#candidates.get(voterId);
 		if (known) {
 			known.lastAskedAtMs = nowMs;
-		} else {
+		} else if (this.current(nowMs).length < maxCandidates && isName(voterId) && isName(address)) {
 			this.#candidates.set(voterId, {voterId, address, lastAskedAtMs: nowMs});
 		}
 	}
@@ -36,3 +40,7 @@
 		return this.current(nowMs).some(candidate => candidate.voterId === voterId);
 	}
 }
+
+function isName(value: unknown): boolean {
+	return typeof value === 'string' && value.length <= maxNameLength;
+}
--- a/packages/rank-agent/src/group-engine-clients.ts
+++ b/packages/rank-agent/src/group-engine-clients.ts
@@ -5,6 +5,7 @@
 import {ReceivedSamples} from './count-samples.js';
 import type {EngineClient} from './engine-client.js';
 import {GroupRelay} from './group-relay.js';
+import {RecentEngineClients} from './recent-engine-clients.js';
 import {RemoteEngineClient, type UnansweredRequest} from './remote-engine-client.js';
 import {TransferPacer} from './transfer-pacer.js';
 
@@ -42,7 +43,7 @@
 /** Creates clients for the engines of this agent's group, through their agents or directly. */
 export class GroupEngineClients {
 	readonly #options: GroupEngineClientsOptions;
-	readonly #directClients = new Map<string, EngineClient>();
+	readonly #directClients: RecentEngineClients;
 	readonly #samples = new ReceivedSamples();
 	readonly #pacer = new TransferPacer();
 	#outsideTurn = 0;
@@ -51,6 +52,7 @@
 
 	constructor(options: GroupEngineClientsOptions) {
 		this.#options = options;
+		this.#directClients = new RecentEngineClients(options.createEngineClient);
 	}
 
 	/** The ranks of the group that this place belongs to; undefined unless the agents of all ranks are known and report the same open formation. */
@@ -63,17 +65,13 @@
 
 	/** A client that reaches the engine directly, bypassing its agent. */
 	directClient(targetAddress: string): EngineClient {
-		const client = this.#directClients.get(targetAddress) ?? this.#options.createEngineClient(targetAddress);
-		this.#directClients.set(targetAddress, client);
-		return client;
+		return this.#directClients.of(targetAddress);
 	}
 
 	/** Closes the client of the local engine and all direct clients. */
 	close(): void {
 		this.#options.localEngine.close();
-		for (const client of this.#directClients.values()) {
-			client.close();
-		}
+		this.#directClients.close();
 	}
 
 	#createRemoteClient({linkAddress, targetAddress}: NodeCard): EngineClient {
--- a/packages/rank-agent/src/outside-holder.ts
+++ b/packages/rank-agent/src/outside-holder.ts
@@ -5,15 +5,15 @@
 
 import type {RankReply, RankRequest} from '@rattanspring/fleet-link';
 import {type EngineClient, isEngineOrder} from './engine-client.js';
+import {RecentEngineClients} from './recent-engine-clients.js';
 
 /** Applies hold orders of coordinators, and no other requests. */
 export class OutsideHolder {
-	readonly #createEngineClient: (targetAddress: string) => EngineClient;
-	readonly #clients = new Map<string, EngineClient>();
+	readonly #clients: RecentEngineClients;
 
 	/** The client is created once for each engine. */
 	constructor(createEngineClient: (targetAddress: string) => EngineClient) {
-		this.#createEngineClient = createEngineClient;
+		this.#clients = new RecentEngineClients(createEngineClient);
 	}
 
 	/** The outcome of a hold order; other requests are refused. */
@@ -23,18 +23,10 @@
 			return {answer: 'refused'};
 		}
 
-		return {answer: await this.#clientFor(request.targetAddress).order(order)};
+		return {answer: await this.#clients.of(request.targetAddress).order(order)};
 	}
 
 	close(): void {
-		for (const client of this.#clients.values()) {
-			client.close();
-		}
-	}
-
-	#clientFor(targetAddress: string): EngineClient {
-		const client = this.#clients.get(targetAddress) ?? this.#createEngineClient(targetAddress);
-		this.#clients.set(targetAddress, client);
-		return client;
+		this.#clients.close();
 	}
 }
