--- a/packages/fleet-link/src/link-server.test.ts
+++ b/packages/fleet-link/src/link-server.test.ts
@@ -144,9 +144,12 @@
 		}
 	});
 
-	it('is disconnected if its card is larger than any', async () => {
+	it('is disconnected if its card is larger than any, and stays so whatever it sends behind it', async () => {
 		stream.write(helloOf('x'.repeat(5000)));
+		stream.write(helloOf('n'));
 		await waitUntil(() => followerCount() === 0, {timeoutMs: 5000});
+		await sleep(100);
+		expect(followerCount()).toEqual(0);
 	});
 
 	it('receives only the newest load of each target when it reads again', async () => {
--- a/packages/fleet-link/src/link-server.ts
+++ b/packages/fleet-link/src/link-server.ts
@@ -162,6 +162,10 @@
 	}
 
 	#onMessage(follower: Follower, message: UpMessage): void {
+		if (!this.#followers.has(follower)) {
+			return;
+		}
+
 		follower.heardAtMs = this.#options.nowMs();
 		if (message.type === 'hello') {
 			this.#onHello(follower, message);
