--- a/packages/connection-limit/src/sliced-reads.ts
+++ b/packages/connection-limit/src/sliced-reads.ts
@@ -4,7 +4,7 @@
 */
 
 import type {Socket} from 'node:net';
-import {fragmentedReads} from '@rattanspring/byte-collector';
+import {fragmentedReads, garbageWatch} from '@rattanspring/byte-collector';
 
 /** Some 170 of the smallest chunks. */
 const sliceBytes = 1024;
@@ -51,6 +51,8 @@
 
 	socket.off('data', parse);
 	socket.on('data', (read: Uint8Array) => {
+		// It outlives the collections of young objects while its slices wait.
+		garbageWatch.addBuffer(read.byteLength);
 		reads.push(read);
 		pause();
 		if (reads.length === 1) {
