--- a/packages/fleet-control/src/candidate-table.ts
+++ b/packages/fleet-control/src/candidate-table.ts
@@ -14,14 +14,20 @@
 export class CandidateTable {
 	readonly #candidates = new Map<string, Candidate>();
 
-	/** Records a join request. A process for which there is no room asks again. */
-	add({voterId, address}: Voter, nowMs: number): void {
+	/** Records a join request; returns false if there is no room for it, so that its process has to ask again. */
+	add({voterId, address}: Voter, nowMs: number): boolean {
 		const known = this.#candidates.get(voterId);
 		if (known) {
 			known.lastAskedAtMs = nowMs;
-		} else if (this.current(nowMs).length < maxCandidates && isName(voterId) && isName(address)) {
+			return true;
+		}
+
+		const hasRoom = this.current(nowMs).length < maxCandidates && isName(voterId) && isName(address);
+		if (hasRoom) {
 			this.#candidates.set(voterId, {voterId, address, lastAskedAtMs: nowMs});
 		}
+
+		return hasRoom;
 	}
 
 	/** Processes that asked recently, in the order in which they first asked. */
--- a/packages/fleet-control/src/membership-maintenance.ts
+++ b/packages/fleet-control/src/membership-maintenance.ts
@@ -45,7 +45,11 @@
 
 	/** Records that a process asks to join, and adds it if the group needs it. */
 	addCandidate(driver: Driver, candidate: Voter): void {
-		this.#candidates.add(candidate, this.#options.clock.monotonicMs());
+		if (!this.#candidates.add(candidate, this.#options.clock.monotonicMs())) {
+			this.#options.logger.log('warn', 'joinRefused', {reason: 'candidates', address: String(candidate.address).slice(0, 100)});
+			return;
+		}
+
 		void this.#addLearners(driver);
 	}
 
