--- a/review/lib-2/rank-group.js
+++ b/review/lib-2/rank-group.js
@@ -194,7 +194,8 @@
 		return {
 			stage: 'unified', models: [{name: 'm', version: 1, adapters: []}], busy: false, sequence: rank.sequence, queued: 0, active: rank.active.length,
 			kv_used: 0, kv_total: figures.kv_capacity, handles: 0, pace: 1,
-			born: this.bornMs, step: this.step, map: rank.map.version, prepared: isPrepared ? rank.prepared.version : null, armed: rank.armed ?? null, held: rank.held ?? null, ...this.#placeOf(rank.rank),
+			born: this.bornMs, step: this.step, map: rank.map.version, prepared: isPrepared ? rank.prepared.version : null, armed: rank.armed ?? null,
+			held: rank.held ?? null, ...this.#placeOf(rank.rank),
 		};
 	}
 
