--- a/review/lib-2/fleet.js
+++ b/review/lib-2/fleet.js
@@ -213,12 +213,12 @@
 	}
 }
 
-/** A small deployment: control processes, entries and agents. Each machine has an address of its own, and the ports are the same on all. */
+/** A small deployment: control processes, entries and agents. Each machine has an address of its own, and the ports are the same on all. The first entry is on the machine `firstEntry`. */
 class Fleet {
 	zones = ['zone-a', 'zone-b', 'zone-c'];
 	agents = [];
 
-	static async create({record, controls = 3, entries = 1, bounds = {}}) {
+	static async create({record, controls = 3, entries = 1, firstEntry = 0, bounds = {}}) {
 		const fleet = new Fleet();
 		fleet.record = record;
 		fleet.folder = await mkdtemp(path.join(tmpdir(), 'review-'));
@@ -229,7 +229,7 @@
 		await fleet.#choosePorts();
 		const machine = (index, role) => new RoleProcess(fleet, {name: `edge-${index + 1}`, role, host: fleet.hostOf(10 + index), zone: fleet.zones[index % 3]});
 		fleet.controls = Array.from({length: controls}, (_, index) => machine(index, 'control'));
-		fleet.entries = Array.from({length: entries}, (_, index) => machine(index, 'entry'));
+		fleet.entries = Array.from({length: entries}, (_, index) => machine(firstEntry + index, 'entry'));
 		fleet.seeds = fleet.controls.slice(0, 3).map(({host}) => host);
 		return fleet;
 	}
@@ -339,10 +339,13 @@
 	#turn = 0;
 	#timer;
 
-	constructor(fleet, {id, describe}) {
+	/** With `picksAnew` each call goes to the next daemon, else only a call after one that was not acknowledged. The first one is that at `firstPick` in the list. */
+	constructor(fleet, {id, describe, picksAnew = false, firstPick = 0}) {
 		this.fleet = fleet;
 		this.id = id;
 		this.describe = describe;
+		this.picksAnew = picksAnew;
+		this.#turn = firstPick;
 	}
 
 	start() {
@@ -357,20 +360,33 @@
 		clearInterval(this.#timer);
 	}
 
+	/** Sends a status report; returns the daemon that has acknowledged it. */
 	async send() {
-		const {fleet, id} = this;
+		return this.#call('Heartbeat', () => JSON.stringify({...this.describe(), sequence: ++this.#sequence}));
+	}
+
+	/** Says that the worker is gone; returns the daemon that has acknowledged it. */
+	async deregister() {
+		this.stop();
+		return this.#call('Deregister', () => undefined);
+	}
+
+	async #call(name, bodyOf) {
+		const {fleet, id, picksAnew} = this;
+		this.#turn += picksAnew ? 1 : 0;
 		for (let tries = 0; tries < fleet.controls.length; tries++) {
 			const {host} = fleet.controls[this.#turn % fleet.controls.length];
-			const body = JSON.stringify({...this.describe(), sequence: ++this.#sequence});
-			const answer = await call({host, port: fleet.ports.control, method: 'POST', path: `/-/Instances.Heartbeat/${id}`, body, headers: {'Content-Type': 'application/json'}, timeoutMs: 1000});
+			const body = bodyOf();
+			const headers = body === undefined ? {'Content-Length': '0'} : {'Content-Type': 'application/json'};
+			const answer = await call({host, port: fleet.ports.control, method: 'POST', path: `/-/Instances.${name}/${id}`, body, headers, timeoutMs: 1000});
 			if (answer.status === 200) {
-				return true;
+				return host;
 			}
 
 			this.#turn++;
 		}
 
-		return false;
+		return undefined;
 	}
 }
 
