--- a/review/lib-2/fleet.js
+++ b/review/lib-2/fleet.js
@@ -368,7 +368,8 @@
 	/** Says that the worker is gone; returns the daemon that has acknowledged it. */
 	async deregister() {
 		this.stop();
-		return this.#call('Deregister', () => undefined);
+		const {born} = this.describe();
+		return this.#call('Deregister', () => JSON.stringify({born, sequence: ++this.#sequence}));
 	}
 
 	async #call(name, bodyOf) {
@@ -376,9 +377,7 @@
 		this.#turn += picksAnew ? 1 : 0;
 		for (let tries = 0; tries < fleet.controls.length; tries++) {
 			const {host} = fleet.controls[this.#turn % fleet.controls.length];
-			const body = bodyOf();
-			const headers = body === undefined ? {'Content-Length': '0'} : {'Content-Type': 'application/json'};
-			const answer = await call({host, port: fleet.ports.control, method: 'POST', path: `/-/Instances.${name}/${id}`, body, headers, timeoutMs: 1000});
+			const answer = await call({host, port: fleet.ports.control, method: 'POST', path: `/-/Instances.${name}/${id}`, body: bodyOf(), headers: {'Content-Type': 'application/json'}, timeoutMs: 1000});
 			if (answer.status === 200) {
 				return host;
 			}
