--- a/review/lib-2/fleet.js
+++ b/review/lib-2/fleet.js
@@ -286,7 +286,9 @@
 
 	async close() {
 		await Promise.all(this.processes.map(async each => each.kill()));
-		if (process.env.KEEP !== '1') {
+		if (process.env.KEEP === '1') {
+			console.log(`logs and disks: ${this.folder}`);
+		} else {
 			await rm(this.folder, {recursive: true, force: true});
 		}
 	}
