--- a/review/6/case.js
+++ b/review/6/case.js
@@ -1,95 +1,152 @@
 /* eslint-disable camelcase, @stylistic/object-curly-newline -- the names of the platform */
-/** A hold step that is used twice: a late `go` of the first use releases the group while the second use has armed some ranks only. */
+/** A voter that is killed while it takes over a snapshot that conflicts with its log: what it acknowledges afterwards is gone after its next start. */
 
+import fs from 'node:fs';
+import {mkdir, rm} from 'node:fs/promises';
+import path from 'node:path';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {call, hasTrouble, nowMs, runCase} from '../lib-2/fleet.js';
-import {figures, RankGroup} from '../lib-2/rank-group.js';
-
-const service = 'model-workers';
-const rankCount = 8;
-const burstRequests = 48;
-const burstIntervalMs = 2200;
-const maxBursts = 8;
-const eventsPerStream = 9;
-
-/** The rank whose orders are late for some seconds, the rank at which the group is held, and how late orders are; the pages allow 2 to 12 s. */
-const lateRank = 3;
-const holdingRank = 1;
-const lateMs = {hold: 8000, go: 3000, arm: 2200, other: 6000};
-const lateForMs = 5000;
-
-/** From the first order to hold the group while it rests: that one and the first `go` are late, and all orders to one rank for some seconds. */
-function latenessOf(group) {
-	let sinceMs;
-	let isGoLate = false;
-	return (rank, {operation}) => {
-		if (sinceMs === undefined) {
-			sinceMs = operation === 'hold' && group.isIdle ? nowMs() : undefined;
-			return sinceMs === undefined ? undefined : lateMs.hold;
-		}
+import {objective, readPath, replacePath} from '../lib-2/names.js';
 
-		if (nowMs() - sinceMs > lateForMs) {
-			return undefined;
-		}
+const service = 'orders-app';
+const stabilityMs = 3000;
+const catchUpMs = 4000;
 
-		if (rank === holdingRank && operation === 'go' && !isGoLate) {
-			isGoLate = true;
-			return lateMs.go;
-		}
+/** Size of a large desired state, 2.2 MB; the site's `body_bytes` allow 4 MiB. */
+const routeCount = 270;
+const prefixCharacters = 8000;
 
-		return rank === lateRank ? (lateMs[operation] ?? lateMs.other) : undefined;
+function documentOf(version) {
+	const isLarge = version > 1 && version < 8;
+	return {
+		version,
+		routes: Array.from({length: isLarge ? routeCount : 1}, (_, index) => ({
+			name: `r-${index}`, host: 'a.example', path_prefix: `/${index}-${version}-${'x'.repeat(isLarge ? prefixCharacters : 1)}/`, type: 'idempotent', timeout_ms: 1200, [objective]: 200, priority: 1, service, max_attempts: 1,
+			public: true,
+		})),
+		services: [{name: service, health_path: '/healthz', max_conns: 130, protocol: 'h1', tls: false}],
+		limits: {max_header_bytes: 16_384, max_body_bytes: 4_194_304, header_timeout_ms: 3000, idle_timeout_ms: 15_000},
 	};
 }
 
-const documentOf = () => ({
-	version: 1,
-	routes: [{
-		name: 'r', host: 'a.example', path_prefix: '/draft/', type: 'streaming', timeout_ms: 12_000, slo_ms: 400, priority: 1, service, max_attempts: 2, public: true, sticky: true, resumable: true, gap_slo_ms: 5000,
-	}],
-	services: [{name: service, health_path: '/healthz', max_conns: 278, protocol: 'h1', tls: false, engine: figures}],
-	limits: {max_header_bytes: 16_384, max_body_bytes: 4_194_304, header_timeout_ms: 3000, idle_timeout_ms: 15_000},
-});
+/** The control process that became the leader last, by the logs. */
+function leaderOf(fleet) {
+	const terms = fleet.controls.map(control => Math.max(0, ...[...control.log.matchAll(/event=replicaRoleChanged .*role=leader term=(\d+)/g)].map(([, term]) => Number(term))));
+	return fleet.controls[terms.indexOf(Math.max(...terms))];
+}
+
+/** What the operator reads back: the newest version that any daemon answers with, asked for some seconds. */
+async function readBack(fleet, record) {
+	let newest;
+	for (const untilMs = nowMs() + stabilityMs + 12_000; nowMs() < untilMs;) {
+		for (const {host} of fleet.controls) {
+			const answer = await call({host, port: fleet.ports.control, path: readPath, timeoutMs: 2000});
+			if (answer.status === 200) {
+				const {version} = JSON.parse(answer.text);
+				newest = Math.max(newest ?? 0, version);
+			}
+		}
+
+		await sleep(500);
+	}
+
+	record.add(`the operator reads back version ${newest}`);
+	return newest;
+}
+
+/** Starts a control process, and kills it as soon as it has replaced its snapshot: it looks for that without a pause, as the next step follows in a millisecond or so. */
+async function killAtSnapshot(fleet, control, record) {
+	const folder = path.join(fleet.folder, `${control.options.name}.disk`, 'log');
+	const file = path.join(folder, 'snapshot');
+	const {ino} = fs.statSync(file);
+	const replaced = new Promise(resolve => {
+		const watcher = fs.watch(folder, (_, name) => {
+			if (name !== 'snapshot.new') {
+				return;
+			}
+
+			watcher.close();
+			for (const untilMs = nowMs() + 2000; fs.statSync(file).ino === ino && nowMs() < untilMs;) {
+				// The file is the old one.
+			}
+
+			control.signal('SIGKILL');
+			resolve(true);
+		});
+	});
+	await control.start();
+	const isReplaced = await Promise.race([replaced, sleep(15_000, false)]);
+	await sleep(500);
+	const segments = fs.readdirSync(folder).filter(name => name.startsWith('segment'));
+	record.add(`${control.name} has taken over a snapshot: ${isReplaced}; its log has ${segments.length} files`);
+	return isReplaced;
+}
 
 await runCase(import.meta.url, async ({record, open}) => {
-	const fleet = await open({controls: 3, entries: 1});
-	const members = Array.from({length: rankCount}, (_, index) => ({id: `i-${index}`, host: fleet.hostOf(100 + index), zone: fleet.zones[index % 3]}));
-	fleet.addAgents(members);
-	const group = new RankGroup({fleet, record, service, members});
-	await group.start();
+	const fleet = await open({controls: 3, entries: 0});
 	await fleet.start();
-	if (!await fleet.replace(documentOf()) || !await fleet.ready()) {
+	if (!await fleet.replace(documentOf(1))) {
 		return 2;
 	}
 
-	await sleep(4000);
+	await sleep(stabilityMs);
+	const first = leaderOf(fleet);
+	const others = fleet.controls.filter(control => control !== first);
+	record.add(`the leader is ${first.name}`);
 	if (hasTrouble) {
-		group.lateness = latenessOf(group);
+		// All processes of the core are killed, the leader last, while six orders are in progress.
+		await Promise.all(others.map(async control => control.kill()));
+		const orders = [2, 3, 4, 5, 6, 7].map(async version => call({
+			host: first.host, port: fleet.ports.control, method: 'POST', path: replacePath, body: JSON.stringify(documentOf(version)), headers: {'Content-Type': 'application/json'}, timeoutMs: 1000,
+		}));
+		await sleep(700);
+		await first.kill();
+		const answers = await Promise.all(orders);
+		record.add(`six orders have no clear response: ${answers.map(({status, error}) => status || error).join(', ')}`);
+		await fleet.start(others);
 	}
 
-	/** Other experts are liked in each burst, so that the coordinator has a reason to switch the map. */
-	const burst = async number => {
-		group.chooses = (set, choice) => (choice % 8 === 0 ? choice / 8 : (choice % 3) + (number * 5) + set) % figures.experts;
-		record.add(`burst ${number}: ${burstRequests} streams are sent`);
-		const answers = await Promise.all(Array.from({length: burstRequests}, async (_, index) => call({
-			host: fleet.entries[0].host, port: fleet.ports.frontend, method: 'POST', path: `/draft/x?events=${eventsPerStream}`, body: 'prompt', timeoutMs: 12_000, headers: {
-				Host: 'a.example', 'Attempt-Id': `a-${number}-${index}`, Model: 'm', 'Token-Usage': '600,80', 'Prefix-Hash': 'aa:40,bb:560', 'Deadline-Ms': '12000',
-			},
-		})));
-		record.add(`burst ${number}: ${answers.filter(({status}) => status === 200).length} of ${burstRequests} were answered`);
-	};
+	for (const version of [2, 3, 4, 5, 6, 7]) {
+		if (!await fleet.replace(documentOf(version))) {
+			return 2;
+		}
+	}
+
+	if (hasTrouble) {
+		if (!await killAtSnapshot(fleet, first, record)) {
+			return 2;
+		}
+
+		await first.start();
+		await sleep(catchUpMs + 1000);
+	}
 
-	const bursts = [];
-	for (let number = 1; number <= maxBursts && group.mixedPasses === 0; number++) {
-		bursts.push(burst(number));
-		await sleep(burstIntervalMs);
+	await fleet.replace(documentOf(8));
+	const [staying, down] = others;
+	if (hasTrouble) {
+		await sleep(stabilityMs);
+		down.signal('SIGKILL');
 	}
 
-	await Promise.all(bursts);
-	group.stop();
-	record.add(`${group.step} passes, of which ${group.mixedPasses} began with different maps; ${group.orderCount} orders, of which ${group.lateCount} were late`);
-	if (group.step === 0 || group.orderCount === 0) {
+	if (!await fleet.replace(documentOf(9))) {
 		return 2;
 	}
 
-	return group.mixedPasses > 0 ? 1 : 0;
+	if (hasTrouble) {
+		// The final fault: one disk is lost, and all others are without power for a moment.
+		await Promise.all(fleet.controls.map(async control => control.kill()));
+		const disk = `${fleet.folder}/${staying.options.name}.disk`;
+		await rm(disk, {recursive: true});
+		await mkdir(disk);
+		record.add(`all are down; the disk of ${staying.name} is lost`);
+		await sleep(1200);
+		await fleet.start();
+	}
+
+	const version = await readBack(fleet, record);
+	if (version === undefined) {
+		return hasTrouble ? 1 : 2;
+	}
+
+	return version < 9 ? 1 : 0;
 });
--- a/review/7/case.js
+++ b/review/7/case.js
@@ -1,114 +1,96 @@
 /* eslint-disable camelcase, @stylistic/object-curly-newline -- the names of the platform */
-/** Workers that deregister, and entries that are restarted in turn: an entry that has started again sends requests to workers that were acknowledged as gone. */
+/** A hold step that is used twice: a late `go` of the first use releases the group while the second use has armed some ranks only. */
 
 import {setTimeout as sleep} from 'node:timers/promises';
 import {call, hasTrouble, nowMs, runCase} from '../lib-2/fleet.js';
-import {Worker} from '../lib-2/worker.js';
+import {objective, pauseObjective} from '../lib-2/names.js';
+import {figures, RankGroup} from '../lib-2/rank-group.js';
 
-const service = 'orders-app';
-const workerCount = 9;
-const leavingCount = 3;
-const entryCount = 6;
-const drainMs = 2000;
-const stabilityMs = 3000;
-const sendIntervalMs = 12;
+const service = 'model-workers';
+const rankCount = 8;
+const burstRequests = 48;
+const burstIntervalMs = 2200;
+const maxBursts = 8;
+const eventsPerStream = 9;
 
-/** The pause between the stops of two entries, and the time that a worker goes on to serve after its acknowledgement. */
-const rollGapMs = 1300;
-const lingerMs = 14_000;
+/** The rank whose orders are late for some seconds, the rank at which the group is held, and how late orders are; the pages allow 2 to 12 s. */
+const lateRank = 3;
+const holdingRank = 1;
+const lateMs = {hold: 8000, go: 3000, arm: 2200, other: 6000};
+const lateForMs = 5000;
 
-/** A worker's last status report and its deregistration are this far apart. */
-const betweenCallsMs = 20;
+/** From the first order to hold the group while it rests: that one and the first `go` are late, and all orders to one rank for some seconds. */
+function latenessOf(group) {
+	let sinceMs;
+	let isGoLate = false;
+	return (rank, {operation}) => {
+		if (sinceMs === undefined) {
+			sinceMs = operation === 'hold' && group.isIdle ? nowMs() : undefined;
+			return sinceMs === undefined ? undefined : lateMs.hold;
+		}
 
-await runCase(import.meta.url, async ({record, open}) => {
-	const fleet = await open({controls: 3, entries: entryCount, firstEntry: 3});
-	/** When each entry is in touch again, when each leaving worker was acknowledged as gone, and which entry got each request when. */
-	const inTouchFromMs = new Map();
-	const goneAtMs = new Map();
-	const sent = new Map();
-	const late = [];
-	const arrivals = new Map();
-	const workers = Array.from({length: workerCount}, (_, index) => new Worker({
-		fleet, record, id: `i-${index}`, host: fleet.hostOf(100 + index), zone: fleet.zones[index % 3], service, picksAnew: true, firstPick: index, async handle({worker, response, id, headers}) {
-			arrivals.set(worker.id, (arrivals.get(worker.id) ?? 0) + 1);
-			const ackMs = goneAtMs.get(worker.id);
-			if (ackMs !== undefined && nowMs() > ackMs + drainMs) {
-				const {entry, atMs} = sent.get(id);
-				const isInTouch = atMs > (inTouchFromMs.get(entry) ?? 0);
-				record.add(`${worker.id} gets ${id} from ${entry.name}, ${nowMs() - ackMs} ms after it was acknowledged as gone; the entry is ${isInTouch ? '' : 'not '}in touch`);
-				if (isInTouch) {
-					late.push(id);
-				}
-			}
+		if (nowMs() - sinceMs > lateForMs) {
+			return undefined;
+		}
+
+		if (rank === holdingRank && operation === 'go' && !isGoLate) {
+			isGoLate = true;
+			return lateMs.go;
+		}
+
+		return rank === lateRank ? (lateMs[operation] ?? lateMs.other) : undefined;
+	};
+}
 
-			await sleep(20);
-			response.writeHead(200, headers);
-			response.end('done');
-		},
-	}));
-	await Promise.all(workers.map(async worker => worker.start()));
+const documentOf = () => ({
+	version: 1,
+	routes: [{
+		name: 'r', host: 'a.example', path_prefix: '/draft/', type: 'streaming', timeout_ms: 12_000, [objective]: 400, priority: 1, service, max_attempts: 2, public: true, sticky: true, resumable: true, [pauseObjective]: 5000,
+	}],
+	services: [{name: service, health_path: '/healthz', max_conns: 278, protocol: 'h1', tls: false, engine: figures}],
+	limits: {max_header_bytes: 16_384, max_body_bytes: 4_194_304, header_timeout_ms: 3000, idle_timeout_ms: 15_000},
+});
+
+await runCase(import.meta.url, async ({record, open}) => {
+	const fleet = await open({controls: 3, entries: 1});
+	const members = Array.from({length: rankCount}, (_, index) => ({id: `i-${index}`, host: fleet.hostOf(100 + index), zone: fleet.zones[index % 3]}));
+	fleet.addAgents(members);
+	const group = new RankGroup({fleet, record, service, members});
+	await group.start();
 	await fleet.start();
-	const isAcknowledged = await fleet.replace({
-		version: 1,
-		routes: [{name: 'r', host: 'a.example', path_prefix: '/order/', type: 'non_idempotent', timeout_ms: 1200, slo_ms: 200, priority: 1, service, max_attempts: 1, public: true}],
-		services: [{name: service, health_path: '/healthz', max_conns: 130, protocol: 'h1', tls: false}],
-		limits: {max_header_bytes: 16_384, max_body_bytes: 4_194_304, header_timeout_ms: 3000, idle_timeout_ms: 15_000},
-	});
-	if (!isAcknowledged || !await fleet.ready()) {
+	if (!await fleet.replace(documentOf()) || !await fleet.ready()) {
 		return 2;
 	}
 
-	await sleep(stabilityMs + 1000);
-	let count = 0;
-	let served = 0;
-	const traffic = setInterval(async () => {
-		const id = `a-${++count}`;
-		const running = fleet.entries.filter(({child}) => child !== undefined);
-		const entry = running[count % running.length];
-		sent.set(id, {entry, atMs: nowMs()});
-		const {status} = await call({
-			host: entry.host, port: fleet.ports.frontend, method: 'POST', path: '/order/x', body: 'order', timeoutMs: 1200, headers: {Host: 'a.example', 'Attempt-Id': id, 'Deadline-Ms': '1200'},
-		});
-		served += status === 200 ? 1 : 0;
-	}, sendIntervalMs);
-
-	/** The entries are stopped in turn, and started again. */
-	const restart = async (entry, index) => {
-		await sleep(index * rollGapMs);
-		inTouchFromMs.set(entry, Number.POSITIVE_INFINITY);
-		entry.signal('SIGTERM');
-		while (entry.child) {
-			await sleep(50);
-		}
-
-		await entry.start();
-		inTouchFromMs.set(entry, nowMs() + stabilityMs);
-	};
+	await sleep(4000);
+	if (hasTrouble) {
+		group.lateness = latenessOf(group);
+	}
 
-	const leave = async worker => {
-		const reportedTo = await worker.reports.send();
-		await sleep(betweenCallsMs);
-		const acknowledgedBy = await worker.reports.deregister();
-		goneAtMs.set(worker.id, nowMs());
-		record.add(`${worker.id} reports to ${reportedTo}, then deregisters: acknowledged by ${acknowledgedBy}`);
-		await sleep(lingerMs);
-		worker.crash();
-		record.add(`${worker.id} ends`);
+	/** Other experts are liked in each burst, so that the coordinator has a reason to switch the map. */
+	const burst = async number => {
+		group.chooses = (set, choice) => (choice % 8 === 0 ? choice / 8 : (choice % 3) + (number * 5) + set) % figures.experts;
+		record.add(`burst ${number}: ${burstRequests} streams are sent`);
+		const answers = await Promise.all(Array.from({length: burstRequests}, async (_, index) => call({
+			host: fleet.entries[0].host, port: fleet.ports.frontend, method: 'POST', path: `/draft/x?events=${eventsPerStream}`, body: 'prompt', timeoutMs: 12_000, headers: {
+				Host: 'a.example', 'attempt-id': `a-${number}-${index}`, Model: 'm', 'token-usage': '600,80', 'prefix-hash': 'aa:40,bb:560', 'deadline-ms': '12000',
+			},
+		})));
+		record.add(`burst ${number}: ${answers.filter(({status}) => status === 200).length} of ${burstRequests} were answered`);
 	};
 
-	const restarts = hasTrouble ? fleet.entries.map(async (entry, index) => restart(entry, index)) : [];
-	await sleep(2000);
-	await Promise.all([...restarts, ...workers.slice(0, leavingCount).map(async worker => leave(worker))]);
-	clearInterval(traffic);
-	await sleep(1500);
-	record.add(`${served} of ${count} requests were served; ${late.length} requests reached workers later than ${drainMs} ms after these were acknowledged as gone, from entries in touch`);
-	for (const worker of workers) {
-		worker.crash();
+	const bursts = [];
+	for (let number = 1; number <= maxBursts && group.mixedPasses === 0; number++) {
+		bursts.push(burst(number));
+		await sleep(burstIntervalMs);
 	}
 
-	if (served === 0 || goneAtMs.size < leavingCount) {
+	await Promise.all(bursts);
+	group.stop();
+	record.add(`${group.step} passes, of which ${group.mixedPasses} began with different maps; ${group.orderCount} orders, of which ${group.lateCount} were late`);
+	if (group.step === 0 || group.orderCount === 0) {
 		return 2;
 	}
 
-	return late.length > 0 ? 1 : 0;
+	return group.mixedPasses > 0 ? 1 : 0;
 });
--- a/review/lib-2/fleet.js
+++ b/review/lib-2/fleet.js
@@ -12,6 +12,7 @@
 import process from 'node:process';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {fileURLToPath} from 'node:url';
+import {replacePath, settingsVariable} from './names.js';
 
 const root = fileURLToPath(new URL('../..', import.meta.url));
 export const hasTrouble = process.env.TROUBLE !== '0';
@@ -116,6 +117,12 @@
 	}
 });
 
+for (const signal of ['SIGTERM', 'SIGINT']) {
+	process.on(signal, () => {
+		process.exit(2);
+	});
+}
+
 /** One process of a role. */
 class RoleProcess {
 	lives = 0;
@@ -150,7 +157,7 @@
 		this.lives++;
 		const [program, ...words] = fleet.commands[role].split(' ');
 		const child = spawn(program === 'node' ? process.execPath : program, words, {
-			cwd: root, stdio: ['ignore', 'pipe', 'pipe'], env: {PATH: process.env.PATH, HOME: process.env.HOME, LANG: process.env.LANG, RATTANSPRING_SETTINGS: file},
+			cwd: root, stdio: ['ignore', 'pipe', 'pipe'], env: {PATH: process.env.PATH, HOME: process.env.HOME, LANG: process.env.LANG, [settingsVariable]: file},
 		});
 		const log = fs.createWriteStream(this.logFile, {flags: 'a'});
 		child.stdout.pipe(log, {end: false});
@@ -256,7 +263,7 @@
 		const body = JSON.stringify(document);
 		for (let turn = 0; turn < 200; turn++) {
 			const {host} = this.controls[turn % this.controls.length];
-			const answer = await call({host, port: this.ports.control, method: 'POST', path: '/-/Config.Replace', body, headers: {'Content-Type': 'application/json'}, timeoutMs: 1500});
+			const answer = await call({host, port: this.ports.control, method: 'POST', path: replacePath, body, headers: {'Content-Type': 'application/json'}, timeoutMs: 1500});
 			if (answer.status === 200) {
 				this.record.add(`desired state ${document.version} is acknowledged by ${host}`);
 				return true;
--- a/review/lib-2/rank-group.js
+++ b/review/lib-2/rank-group.js
@@ -4,6 +4,7 @@
 import http from 'node:http';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {nowMs, Reports} from './fleet.js';
+import {coldLeft} from './names.js';
 
 const passMs = 40;
 const choicesOfRequest = 100;
@@ -80,7 +81,7 @@
 		}));
 		this.reports = this.members.map(({id, host, zone}, index) => new Reports(this.fleet, {
 			id, describe: () => ({
-				service: this.service, address: `${host}:${this.fleet.ports.app}`, zone, version: 'v1', slots: figures.slots, state: 'ready', cold_left_ms: 0, stage: 'unified', models: [{name: 'm', version: 1, adapters: []}],
+				service: this.service, address: `${host}:${this.fleet.ports.app}`, zone, version: 'v1', slots: figures.slots, state: 'ready', [coldLeft]: 0, stage: 'unified', models: [{name: 'm', version: 1, adapters: []}],
 				born: this.bornMs, ...this.#placeOf(index),
 			}),
 		}));
@@ -179,12 +180,12 @@
 		const expected = request.headers['expect-instance'];
 		const isOther = expected !== undefined && expected !== ownId;
 		if (isOther || rank.active.length >= figures.slots) {
-			response.writeHead(isOther ? 421 : 503, {'Attempt-Id': id, 'Not-Executed': '1'});
+			response.writeHead(isOther ? 421 : 503, {'attempt-id': id, 'not-executed': '1'});
 			response.end();
 			return;
 		}
 
-		response.writeHead(200, {'Attempt-Id': id, 'Instance-Signature': `s-${ownId}`, 'Content-Type': 'text/event-stream'});
+		response.writeHead(200, {'attempt-id': id, 'instance-signature': `s-${ownId}`, 'Content-Type': 'text/event-stream'});
 		response.flushHeaders();
 		rank.active.push({id, response, events, next: Number(request.headers['last-event-id'] ?? 0)});
 	}
--- a/review/lib-2/worker.js
+++ b/review/lib-2/worker.js
@@ -1,8 +1,9 @@
-/* eslint-disable camelcase, @stylistic/object-curly-newline -- the names of the platform */
+/* eslint-disable @stylistic/object-curly-newline -- the names of the platform */
 /** A worker of a plain service as PROTOCOL.md describes it. It can crash and start again in a new lifetime. */
 
 import http from 'node:http';
 import {Reports} from './fleet.js';
+import {coldLeft} from './names.js';
 
 export class Worker {
 	bornMs = 0;
@@ -16,7 +17,7 @@
 		this.state = 'ready';
 		this.reports = new Reports(fleet, {
 			id, picksAnew, firstPick, describe: () => ({
-				service, address: `${host}:${fleet.ports.app}`, zone, version: 'v1', slots, state: this.state, cold_left_ms: 0, born: this.bornMs,
+				service, address: `${host}:${fleet.ports.app}`, zone, version: 'v1', slots, state: this.state, [coldLeft]: 0, born: this.bornMs,
 			}),
 		});
 	}
@@ -66,10 +67,10 @@
 				response.writeHead(this.state === 'ready' ? 200 : 503, {'Instance-Id': this.id});
 				response.end();
 			} else if (expected !== undefined && expected !== this.id) {
-				response.writeHead(421, {'Attempt-Id': id, 'Not-Executed': '1'});
+				response.writeHead(421, {'attempt-id': id, 'not-executed': '1'});
 				response.end();
 			} else {
-				this.handle({worker: this, request, response, id, body: new TextDecoder().decode(Uint8Array.from(parts.flatMap(part => [...part]))), headers: {'Attempt-Id': id, 'Instance-Signature': `s-${this.id}`}});
+				this.handle({worker: this, request, response, id, body: new TextDecoder().decode(Uint8Array.from(parts.flatMap(part => [...part]))), headers: {'attempt-id': id, 'instance-signature': `s-${this.id}`}});
 			}
 		});
 	}
