--- a/packages/log-storage/src/disk-space.ts
+++ b/packages/log-storage/src/disk-space.ts
@@ -5,14 +5,15 @@
 
 import {setTimeout as sleep} from 'node:timers/promises';
 
-/** Pause between attempts. */
-const attemptPauseMs = 100;
+const defaultAttemptPauseMs = 100;
 
 /** Error codes of a file system that has no room, or none left for this user. */
 const fullCodes: ReadonlySet<unknown> = new Set(['ENOSPC', 'EDQUOT']);
 
-/** What happens to the disk meanwhile. */
+/** Options of a wait for room. */
 export type DiskSpaceOptions = {
+	/** Pause between attempts. */
+	readonly attemptPauseMs?: number;
 	/** Called when the disk refuses a write for want of room, once until it has room again. */
 	readonly onFull?: (message: string) => void;
 	/** Called when the disk has room again. */
@@ -61,7 +62,7 @@
 
 	async #pause(): Promise<void> {
 		try {
-			await sleep(attemptPauseMs, undefined, {signal: this.#end.signal});
+			await sleep(this.#options.attemptPauseMs ?? defaultAttemptPauseMs, undefined, {signal: this.#end.signal});
 		} catch {
 			// Waiting has ended, and the next attempt is the last one.
 		}
--- a/packages/log-storage/src/file-log-storage.test.ts
+++ b/packages/log-storage/src/file-log-storage.test.ts
@@ -8,7 +8,7 @@
 import {loadOrCreateDiskIdentity} from './disk-identity.js';
 import {FatalErrorHandler, type StorageFailure} from './failures.js';
 import {FileLogStorage} from './file-log-storage.js';
-import type {FileSystem} from './file-system.js';
+import type {AppendFile, FileSystem} from './file-system.js';
 import {MemoryFileSystem} from './memory-file-system.js';
 
 class RecordingFatalErrorHandler extends FatalErrorHandler {
@@ -32,6 +32,27 @@
 	}
 }
 
+/** Ends the process, on demand, before it opens a file or after it has removed one. */
+class MortalProcess extends MemoryFileSystem {
+	endBeforeOpening?: string;
+	endAfterRemoving?: string;
+
+	override async openAppend(file: string): Promise<AppendFile> {
+		if (file === this.endBeforeOpening) {
+			throw new FailureError({type: 'ended', message: 'the process has ended'});
+		}
+
+		return super.openAppend(file);
+	}
+
+	override async remove(file: string): Promise<void> {
+		await super.remove(file);
+		if (file === this.endAfterRemoving) {
+			throw new FailureError({type: 'ended', message: 'the process has ended'});
+		}
+	}
+}
+
 const folder = '/data/log';
 const firstSegment = `${folder}/segment-0000000001.log`;
 
@@ -194,6 +215,18 @@
 		const recovered = await open(fileSystem).recover();
 		expect(recovered.entries).toEqual(entries(6, 1, 2));
 	});
+
+	it('keeps what is appended after a kill between the two writes of a conflicting snapshot', async () => {
+		const fileSystem = new MortalProcess();
+		const killed = await openAndRecover(fileSystem);
+		await killed.append(entries(1, 8));
+		fileSystem.endBeforeOpening = `${folder}/segment-0000000002.log`;
+		await failureTypeOf(killed.saveSnapshot(snapshotAt(6, 2)));
+		fileSystem.endBeforeOpening = undefined;
+		const restarted = await openAndRecover(fileSystem);
+		await restarted.append(entries(7, 3, 2));
+		expect(await open(fileSystem).recover()).toEqual({voteState: {term: 0}, snapshot: snapshotAt(6, 2), entries: entries(7, 3, 2)});
+	});
 });
 
 describe('loadOrCreateDiskIdentity', () => {
--- a/packages/log-storage/src/memory-file-system.ts
+++ b/packages/log-storage/src/memory-file-system.ts
@@ -5,13 +5,15 @@
 import {AppendFile, FileSystem} from './file-system.js';
 
 type StoredFile = {written: Uint8Array; synced: Uint8Array};
+type FolderChange = {readonly folder: string; readonly apply: (files: Map<string, StoredFile>) => void};
 
-/** Stores files in memory; `crash` discards unsynced data. */
+/** Stores files in memory; `crash` discards unsynced data, `cutPower` a random part of it. */
 export class MemoryFileSystem extends FileSystem {
 	/** Makes every sync fail while true. */
 	failSyncs = false;
 	#files = new Map<string, StoredFile>();
 	#syncedFiles = new Map<string, StoredFile>();
+	#unsyncedChanges: FolderChange[] = [];
 
 	async makeFolder(): Promise<void> {
 		// Folders are not represented; files are stored by path.
@@ -27,18 +29,24 @@
 
 	async openAppend(file: string): Promise<AppendFile> {
 		const stored = this.#files.get(file) ?? {written: new Uint8Array(), synced: new Uint8Array()};
-		this.#files.set(file, stored);
+		this.#change(file, files => {
+			files.set(file, stored);
+		});
 		return new MemoryAppendFile(this, stored);
 	}
 
 	async rename(from: string, to: string): Promise<void> {
 		const stored = this.#files.get(from)!;
-		this.#files.delete(from);
-		this.#files.set(to, stored);
+		this.#change(to, files => {
+			files.delete(from);
+			files.set(to, stored);
+		});
 	}
 
 	async remove(file: string): Promise<void> {
-		this.#files.delete(file);
+		this.#change(file, files => {
+			files.delete(file);
+		});
 	}
 
 	async syncFolder(folder: string): Promise<void> {
@@ -46,17 +54,42 @@
 		const others = [...this.#syncedFiles].filter(([file]) => path.dirname(file) !== folder);
 		const inFolder = [...this.#files].filter(([file]) => path.dirname(file) === folder);
 		this.#syncedFiles = new Map([...others, ...inFolder]);
+		this.#unsyncedChanges = this.#unsyncedChanges.filter(change => change.folder !== folder);
 	}
 
 	/** Simulates a power failure: unsynced files and bytes are lost, except for the first `tailBytes` unsynced bytes of each file. */
 	crash(tailBytes = 0): void {
 		this.#files = new Map(this.#syncedFiles);
+		this.#unsyncedChanges = [];
 		for (const stored of this.#files.values()) {
 			stored.written = stored.written.slice(0, stored.synced.byteLength + tailBytes);
 			stored.synced = stored.written;
 		}
 	}
 
+	/** Simulates a power failure: each unsynced change of a folder is lost or kept, and of each file a part of the unsynced bytes. `random` returns values from 0 up to 1. */
+	cutPower(random: () => number): void {
+		for (const {apply} of this.#unsyncedChanges.filter(() => random() < 0.5)) {
+			apply(this.#syncedFiles);
+		}
+
+		this.#unsyncedChanges = [];
+		this.#files = new Map(this.#syncedFiles);
+		for (const stored of this.#files.values()) {
+			const {written, synced} = stored;
+			const keptBytes = synced.byteLength + Math.floor(random() * (written.byteLength - synced.byteLength + 1));
+			stored.written = random() < 0.5 ? synced : written.slice(0, Math.max(0, keptBytes));
+			stored.synced = stored.written;
+		}
+	}
+
+	/** Writes all bytes back to the disk without a sync, as an operating system may at any time. */
+	writeBack(): void {
+		for (const stored of this.#files.values()) {
+			stored.synced = stored.written;
+		}
+	}
+
 	/** Inverts one byte of a file. */
 	corruptByte(file: string, offset: number): void {
 		const {written} = this.#files.get(file)!;
@@ -68,6 +101,11 @@
 		return this.#files.get(file)?.written.byteLength ?? 0;
 	}
 
+	#change(file: string, apply: FolderChange['apply']): void {
+		apply(this.#files);
+		this.#unsyncedChanges.push({folder: path.dirname(file), apply});
+	}
+
 	/** Throws if `failSyncs` is set. */
 	throwIfSyncsFail(): void {
 		if (this.failSyncs) {
--- a/packages/log-storage/src/replay.ts
+++ b/packages/log-storage/src/replay.ts
@@ -45,7 +45,18 @@
 		}
 	}
 
-	/** Entries after the snapshot; none if the log conflicts with the snapshot's last entry. */
+	/** Whether the records do not lead to the snapshot: they end before it, or have another entry at its position. */
+	get isConflicting(): boolean {
+		const firstIndex = this.#entries.at(0)?.index;
+		if (firstIndex === undefined || firstIndex > this.#snapshotIndex) {
+			return false;
+		}
+
+		const covered = this.#entries.find(entry => entry.index === this.#snapshotIndex);
+		return covered?.term !== this.#snapshot?.lastTerm;
+	}
+
+	/** Entries after the snapshot; none if the log conflicts with it. */
 	result(file: string): EntryList {
 		const list = new EntryList(this.#snapshotIndex, this.#snapshot?.lastTerm ?? 0);
 		const firstIndex = this.#entries.at(0)?.index ?? this.#snapshotIndex + 1;
@@ -53,9 +64,7 @@
 			throw new FailureError(damaged(file, `entries ${this.#snapshotIndex + 1} to ${firstIndex - 1} are missing`));
 		}
 
-		const covered = this.#entries.find(entry => entry.index === this.#snapshotIndex);
-		const matchesSnapshot = firstIndex === this.#snapshotIndex + 1 || covered?.term === this.#snapshot?.lastTerm;
-		for (const entry of matchesSnapshot ? this.#entries : []) {
+		for (const entry of this.isConflicting ? [] : this.#entries) {
 			if (entry.index > this.#snapshotIndex) {
 				list.push(entry);
 			}
--- a/packages/log-storage/src/segments.ts
+++ b/packages/log-storage/src/segments.ts
@@ -26,9 +26,14 @@
 		this.#options = options;
 	}
 
-	/** Replays all segments, truncates a torn record at the end of the last one, and syncs that one. */
+	/**
+	Replays all segments, truncates a torn record at the end of the last one, and syncs that one. Finishes the reset to a snapshot that conflicts with the log, so that
+	later records do not continue what was discarded. May be repeated after the disk has refused it.
+	*/
 	async recover(snapshot: LogSnapshot | undefined): Promise<EntryList> {
 		const {fileSystem, folder} = this.#options;
+		await this.close();
+		this.#hasPartialRecord = false;
 		const names = await fileSystem.list(folder);
 		const replay = new LogReplay(snapshot);
 		this.#segments = [];
@@ -42,7 +47,12 @@
 			await this.#read(segment, replay);
 		}
 
-		return replay.result(folder);
+		const entries = replay.result(folder);
+		if (replay.isConflicting) {
+			await this.reset(entries.baseIndex, entries.lastTerm);
+		}
+
+		return entries;
 	}
 
 	/** Appends one record and syncs it to disk. May be repeated after the disk has refused it. */
