Segments are removed one by one, each removal synced (LOST after a loss of power)

A loss of power may keep an earlier one without a later one.

Evidence: the new test 'undoes the first of two removals' failed before (no entries instead of three).

Why this works: what a loss of power leaves is always an end of the log without a gap, which replays as the log did.

--- a/packages/log-storage/src/file-log-storage.test.ts
+++ b/packages/log-storage/src/file-log-storage.test.ts
@@ -227,6 +227,19 @@
 		await restarted.append(entries(7, 3, 2));
 		expect(await open(fileSystem).recover()).toEqual({voteState: {term: 0}, snapshot: snapshotAt(6, 2), entries: entries(7, 3, 2)});
 	});
+
+	it('keeps its entries through a loss of power that undoes the first of two removals of segments', async () => {
+		const fileSystem = new MortalProcess();
+		const storage = await openAndRecover(fileSystem);
+		await storage.append(entries(1, 10));
+		await storage.append(entries(5, 6, 2));
+		await storage.append(entries(11, 3, 2));
+		fileSystem.endAfterRemoving = `${folder}/segment-0000000002.log`;
+		await failureTypeOf(storage.saveSnapshot(snapshotAt(10, 2)));
+		const isKept = [1, 0];
+		fileSystem.cutPower(() => isKept.shift() ?? 0);
+		expect(await open(fileSystem).recover()).toEqual({voteState: {term: 0}, snapshot: snapshotAt(10, 2), entries: entries(11, 3, 2)});
+	});
 });
 
 describe('loadOrCreateDiskIdentity', () => {
--- a/packages/log-storage/src/memory-file-system.ts
+++ b/packages/log-storage/src/memory-file-system.ts
@@ -101,17 +101,17 @@
 		return this.#files.get(file)?.written.byteLength ?? 0;
 	}
 
-	#change(file: string, apply: FolderChange['apply']): void {
-		apply(this.#files);
-		this.#unsyncedChanges.push({folder: path.dirname(file), apply});
-	}
-
 	/** Throws if `failSyncs` is set. */
 	throwIfSyncsFail(): void {
 		if (this.failSyncs) {
 			throw new FailureError({type: 'syncFailed', message: 'input/output error'});
 		}
 	}
+
+	#change(file: string, apply: FolderChange['apply']): void {
+		apply(this.#files);
+		this.#unsyncedChanges.push({folder: path.dirname(file), apply});
+	}
 }
 
 class MemoryAppendFile extends AppendFile {
--- a/packages/log-storage/src/segments.ts
+++ b/packages/log-storage/src/segments.ts
@@ -112,18 +112,14 @@
 		});
 	}
 
+	/** Each removal is on disk before the next one, so that what a loss of power leaves has no gap. */
 	async #removeOldest(count: number): Promise<void> {
 		const removed = this.#segments.slice(0, Math.max(0, count));
-		if (removed.length === 0) {
-			return;
-		}
-
 		for (const segment of removed) {
 			await this.#options.fileSystem.remove(segment.file);
+			await this.#options.fileSystem.syncFolder(this.#options.folder);
+			this.#segments.shift();
 		}
-
-		await this.#options.fileSystem.syncFolder(this.#options.folder);
-		this.#segments = this.#segments.slice(removed.length);
 	}
 
 	async #read(segment: Segment, replay: LogReplay): Promise<void> {
