The rest of a refused record is cut off with a sync; random lives of a log (refused start)

Found by random lives on a disk that is full at times; nobody has reported it.

Cause: a record that a full disk had refused was cut off without a sync, and the next segment could be started right after. A loss of power could then bring the rest back in a segment that is not the last one, which recovery refuses as damaged: the voter would have had to be replaced.

Why this works: every segment but the last one then ends with a whole record, whatever is lost.

--- a/packages/log-storage/src/segments.ts
+++ b/packages/log-storage/src/segments.ts
@@ -96,6 +96,7 @@
 	async #removePartialRecord(): Promise<void> {
 		if (this.#hasPartialRecord) {
 			await this.#open!.truncate(this.#segments.at(-1)!.sizeBytes);
+			await this.#open!.sync();
 			this.#hasPartialRecord = false;
 		}
 	}
