--- a/packages/rank-agent/src/fake-rank-group.ts
+++ b/packages/rank-agent/src/fake-rank-group.ts
@@ -29,8 +29,8 @@
 	readonly lists: readonly Lists[];
 	readonly copyMs: number;
 	readonly stepMs: number;
-	readonly orderDelayMs: () => number;
-	readonly nextDelivery: () => OrderDelivery;
+	readonly orderDelayMs: (order: EngineOrder) => number;
+	readonly nextDelivery: (rank: number, order: EngineOrder) => OrderDelivery;
 	readonly nowMs: () => number;
 	/** Requests that each rank processes. */
 	readonly active?: number;
@@ -146,9 +146,9 @@
 	}
 
 	order(rank: number, order: EngineOrder): OrderOutcome {
-		const delivery = this.#options.nextDelivery();
+		const delivery = this.#options.nextDelivery(rank, order);
 		if (delivery === 'late') {
-			this.#late.push({rank, order, atMs: this.#options.nowMs() + this.#options.orderDelayMs()});
+			this.#late.push({rank, order, atMs: this.#options.nowMs() + this.#options.orderDelayMs(order)});
 			return 'unknown';
 		}
 
--- a/packages/rank-agent/src/group-relay.test.ts
+++ b/packages/rank-agent/src/group-relay.test.ts
@@ -151,7 +151,7 @@
 				const {heldStep} = group.state(1);
 				if (heldStep !== undefined) {
 					let next = (version * 10) + 1;
-					await relayed.newSwitch().recover(heldStep, () => next++);
+					await relayed.newSwitch().recover(() => next++);
 				}
 			}
 
--- a/packages/rank-agent/src/map-rebalancer.ts
+++ b/packages/rank-agent/src/map-rebalancer.ts
@@ -12,6 +12,7 @@
 import {DemandTracker} from './demand-tracker.js';
 import type {EngineClient, ExpertCounts} from './engine-client.js';
 import type {GroupRanks} from './group-engine-clients.js';
+import {HoldSteps} from './hold-steps.js';
 import {MapSwitch, type MapSwitchOptions, type SwitchOutcome} from './map-switch.js';
 import type {MapVersionAllocator} from './map-version-allocator.js';
 import {samplePanel} from './sample-panel.js';
@@ -77,6 +78,8 @@
 	#known: {readonly key: string; readonly lists: RankLists} | undefined;
 	/** Fencing number of the last switch, if it succeeded, and the formation in which that was. */
 	#held: {readonly formation: string; readonly fencing: number} | undefined;
+	/** The steps used to hold the group in a formation. */
+	#holds: {readonly formation: string; readonly steps: HoldSteps} | undefined;
 	#active = 0;
 	#backoffUntilMs = Number.NEGATIVE_INFINITY;
 	readonly #skippedRounds: SkippedRounds;
@@ -131,6 +134,10 @@
 			return 'switchUnfinished';
 		}
 
+		if (!this.#holdStepsOf(ranks).hasNext(holding.step)) {
+			return 'groupRests';
+		}
+
 		this.#active += (holding.active - this.#active) * newestActiveWeight;
 		const lists = await this.#currentLists(ranks, holding.mapVersion);
 		if (!lists) {
@@ -147,6 +154,16 @@
 		return this.#options.nowMs() < this.#backoffUntilMs ? 'backingOff' : this.#plan(ranks, holdingRank, lists, samplingMs);
 	}
 
+	/** The steps that this coordinator has used in the present formation. */
+	#holdStepsOf(ranks: GroupRanks): HoldSteps {
+		const formation = formationOf(ranks);
+		if (this.#holds?.formation !== formation) {
+			this.#holds = {formation, steps: new HoldSteps()};
+		}
+
+		return this.#holds.steps;
+	}
+
 	/** The expert lists of the map in use: those of the last switch, or else fetched once per version. */
 	async #currentLists(ranks: GroupRanks, version: number | undefined): Promise<RankLists | undefined> {
 		const key = mapKey(ranks, version);
@@ -248,14 +265,16 @@
 		const startedAtMs = nowMs();
 		const changedAtMs = this.#demand.unansweredChangeAtMs;
 		const formation = formationOf(ranks);
+		const heldFencing = this.#held?.formation === formation ? this.#held.fencing : undefined;
 		const mapSwitch = new MapSwitch({
-			ranks, holdingRank, nowMs, sleep, mayHold, stepMs: this.#passMs(plan.skewBefore), heldFencing: this.#held?.formation === formation ? this.#held.fencing : undefined,
+			ranks, holdingRank, nowMs, sleep, mayHold, stepMs: this.#passMs(plan.skewBefore), holdSteps: this.#holdStepsOf(ranks), heldFencing,
 		});
 		const outcome = await mapSwitch.run(version, plan.lists);
 		logger.log('info', 'mapSwitch', {
 			group: ranks.group,
 			epoch: ranks.epoch,
 			version,
+			step: mapSwitch.holdStep,
 			outcome,
 			refusal: mapSwitch.firstRefusal,
 			copies: plan.copies,
--- a/packages/rank-agent/src/map-switch.test.ts
+++ b/packages/rank-agent/src/map-switch.test.ts
@@ -46,7 +46,7 @@
 	let next = version;
 	const {heldStep} = group.state(1);
 	if (heldStep !== undefined) {
-		await newSwitch(group).recover(heldStep, () => next++);
+		await newSwitch(group).recover(() => next++);
 	}
 }
 
@@ -214,7 +214,7 @@
 					await sleep(15);
 					const {heldStep} = group.state(1);
 					if (heldStep !== undefined) {
-						await new MapSwitch({ranks: {group: 'g', epoch: 1, engines: group.engines}, holdingRank: 1, nowMs: () => performance.now()}).recover(heldStep, nextVersion);
+						await new MapSwitch({ranks: {group: 'g', epoch: 1, engines: group.engines}, holdingRank: 1, nowMs: () => performance.now()}).recover(nextVersion);
 					}
 
 					group.isBusy = look % 4 !== 3;
@@ -259,7 +259,7 @@
 		await other.order({
 			kind: 'arm', version: 5, step: step + 3, ...under,
 		});
-		expect(await newSwitch(group).recover(step + 3, () => 6)).toEqual('aborted');
+		expect(await newSwitch(group).recover(() => 6)).toEqual('aborted');
 		expect(await other.order({
 			kind: 'arm', version: 5, step: step + 100, ...under,
 		})).toEqual('refused');
--- a/packages/rank-agent/src/map-switch.ts
+++ b/packages/rank-agent/src/map-switch.ts
@@ -9,19 +9,20 @@
 	EngineClient, EngineOrder, EngineState, OrderOutcome,
 } from './engine-client.js';
 import type {GroupRanks} from './group-engine-clients.js';
+import {HoldSteps} from './hold-steps.js';
 
 /** Outcome of a switch. After `left` the group may still be held, and the agent of the holding rank has to recover it. After `notHeld` the group continues with its old map. */
 export type SwitchOutcome = 'switched' | 'notPrepared' | 'notHeld' | 'left' | 'aborted' | 'groupChanged' | 'unsettled';
 
 /** Time between the last step begun and the one at which the ranks switch, in which they are armed without holding the group up; and the bounds in steps. */
 const armLeadMs = 140;
-const minArmMarginSteps = 2;
-const maxArmMarginSteps = 3;
+const minArmMarginSteps = 3;
+const maxArmMarginSteps = 4;
 
-/** Number of steps over which switches that start from the same step are spread, so that they use different ones. */
-const armSpreadSteps = 3;
+/** Longest wait for a step to hold the group before: a coordinator that takes over has none until the group begins its next one. */
+const holdStepLimitMs = 200;
 
-/** Interval between recovery attempts. */
+/** Interval between recovery attempts, and between looks for a step to hold the group before. */
 const recoverPollMs = 40;
 
 /** Pauses between checks whether all ranks are prepared: a share of the time that they have taken so far, within bounds, so that short copies are noticed early and long ones cost few checks. */
@@ -65,15 +66,17 @@
 	number is taken.
 	*/
 	readonly heldFencing?: number;
+	/** The steps that this coordinator has used in this formation; by default it has used none, and another one may have used any. */
+	readonly holdSteps?: HoldSteps;
 };
 
 /**
 A map switch in one formation of a group.
 
-An order without an answer may still be applied seconds later, and a coordinator may be paused for as long. Both are safe: versions and
-steps are never used twice; a rank on which a switch was aborted prepares a higher version, after which it can no longer be armed for
-the aborted one; and the agent of the holding rank, which takes over, first fences off the earlier coordinator at every rank whose agent
-answers.
+An order without an answer may still be applied seconds later, and a coordinator may be paused for as long. This is safe for the following reasons:
+- Versions and the steps of holds are never used twice, so that a late order fits its own attempt only (see `HoldSteps`).
+- A group is released only once all ranks are armed for the same version and step, or none can be any more. A rank that has prepared a higher version can't be armed for a lower one.
+- The agent of the holding rank, which takes over, first fences off the earlier coordinator at every rank whose agent answers.
 */
 export class MapSwitch {
 	readonly #ranks: GroupRanks;
@@ -82,12 +85,16 @@
 	readonly #sleep: (durationMs: number) => Promise<void>;
 	readonly #mayHold: () => boolean;
 	readonly #armMarginSteps: number;
+	readonly #holdSteps: HoldSteps;
 	#fencing = 0;
+	/** Whether an earlier coordinator may have held the group since this one last knew of all holds. */
+	#isTakingOver = false;
 	#firstRefusal: string | undefined;
 	#phaseTimes: SwitchPhaseTimes = {};
+	#holdStep: number | undefined;
 
 	constructor({
-		ranks, holdingRank, nowMs, stepMs = 0, sleep = sleepOnTimer, heldFencing = 0, mayHold = () => true,
+		ranks, holdingRank, nowMs, stepMs = 0, sleep = sleepOnTimer, heldFencing = 0, mayHold = () => true, holdSteps = new HoldSteps(),
 	}: MapSwitchOptions) {
 		this.#fencing = heldFencing;
 		this.#armMarginSteps = Math.min(maxArmMarginSteps, Math.max(minArmMarginSteps, Math.ceil(armLeadMs / Math.max(1, stepMs))));
@@ -96,6 +103,7 @@
 		this.#nowMs = nowMs;
 		this.#sleep = sleep;
 		this.#mayHold = mayHold;
+		this.#holdSteps = holdSteps;
 	}
 
 	/** The fencing number of this switch; 0 before it has one. */
@@ -108,6 +116,11 @@
 		return this.#firstRefusal;
 	}
 
+	/** The last step that the group was to be held before, for the log. */
+	get holdStep(): number | undefined {
+		return this.#holdStep;
+	}
+
 	/** Time spent in each phase of `run`, for the log. */
 	get phaseTimes(): SwitchPhaseTimes {
 		return this.#phaseTimes;
@@ -127,7 +140,7 @@
 			return 'notHeld';
 		}
 
-		const hold = await this.#timed('holding', async () => this.#holdBeforeStep(version));
+		const hold = await this.#timed('holding', async () => this.#holdBeforeStep());
 		if (typeof hold === 'string') {
 			return hold;
 		}
@@ -136,10 +149,10 @@
 	}
 
 	/** Releases a group that was left held, once the switch is complete on all ranks or undone on all. Only the agent of the holding rank calls this. */
-	async recover(step: number, nextVersion: () => number): Promise<SwitchOutcome> {
+	async recover(nextVersion: () => number): Promise<SwitchOutcome> {
 		const untilMs = this.#nowMs() + recoverLimitMs;
 		while (this.#nowMs() < untilMs) {
-			const outcome = await this.#tryRecover(step, nextVersion, this.#nowMs() + armLimitMs);
+			const outcome = await this.#tryRecover(nextVersion, this.#nowMs() + armLimitMs);
 			if (outcome) {
 				return outcome;
 			}
@@ -162,15 +175,15 @@
 	Holds the group before a step that it has not begun: through a process outside of it if there is one, and if that one does not answer or is too late, through the agent of
 	the holding rank at a later step. The copied weights need not be copied again.
 	*/
-	async #holdBeforeStep(version: number): Promise<Hold | 'notHeld' | 'groupChanged'> {
+	async #holdBeforeStep(): Promise<Hold | 'notHeld' | 'groupChanged'> {
 		const steps: number[] = [];
 		for (const holdEngine of [this.#ranks.holdEngine, undefined]) {
-			const states = await this.#fetchStates();
-			if (!states) {
-				return 'groupChanged';
+			const step = await this.#nextHoldStep();
+			if (typeof step === 'string') {
+				return step;
 			}
 
-			const step = Math.max(...states.map(state => state.step)) + this.#armMarginSteps + (version % armSpreadSteps);
+			this.#holdStep = step;
 			const untilMs = this.#nowMs() + armLimitMs;
 			if (await this.#hold(step, untilMs, holdEngine)) {
 				return {step, untilMs};
@@ -186,6 +199,28 @@
 		return 'notHeld';
 	}
 
+	/** The next step to hold the group before; `notHeld` if the group begins none while it is waited for. */
+	async #nextHoldStep(): Promise<number | 'notHeld' | 'groupChanged'> {
+		for (const untilMs = this.#nowMs() + holdStepLimitMs; ;) {
+			const states = await this.#fetchStates();
+			if (!states) {
+				return 'groupChanged';
+			}
+
+			const step = this.#holdSteps.next(lastStepOf(states), this.#armMarginSteps);
+			if (step !== undefined) {
+				return step;
+			}
+
+			if (this.#nowMs() > untilMs) {
+				this.#firstRefusal ??= 'no step left while the group rests';
+				return 'notHeld';
+			}
+
+			await this.#sleep(recoverPollMs);
+		}
+	}
+
 	/** Holds the group, through an outside process if one is given: one order, whose outcome is read from the holding rank if no answer arrived. */
 	async #hold(step: number, untilMs: number, holdEngine: EngineClient | undefined): Promise<boolean> {
 		const {epoch} = this.#ranks;
@@ -204,7 +239,7 @@
 		return false;
 	}
 
-	async #tryRecover(step: number, nextVersion: () => number, untilMs: number): Promise<SwitchOutcome | undefined> {
+	async #tryRecover(nextVersion: () => number, untilMs: number): Promise<SwitchOutcome | undefined> {
 		const isFenced = await this.#fenceRanks();
 		const states = isFenced ? await this.#fetchStates() : undefined;
 		if (!states) {
@@ -253,7 +288,14 @@
 		}
 
 		this.#fencing = Math.max(...states.map(state => state.fencing ?? 0)) + 1;
-		return this.#orderAll({kind: 'fence'}, this.#nowMs() + armLimitMs);
+		this.#isTakingOver = false;
+		if (!await this.#orderAll({kind: 'fence'}, this.#nowMs() + armLimitMs)) {
+			return false;
+		}
+
+		this.#isTakingOver = !this.#holdSteps.isSuccessor(this.#fencing);
+		this.#holdSteps.noteFencing(this.#fencing);
+		return true;
 	}
 
 	async #prepare(version: number, map: ExpertLists): Promise<boolean> {
@@ -323,8 +365,17 @@
 	async #fetchStates(engines = this.#ranks.engines): Promise<EngineState[] | undefined> {
 		const relayed = engines === this.#ranks.engines ? await this.#ranks.relay?.states() : undefined;
 		const states = await Promise.all(engines.map(async (engine, rank) => relayed?.[rank] ?? engine.state()));
-		const isWhole = states.every(state => state?.rankPlace?.epoch === this.#ranks.epoch && state.rankPlace.isOpen);
-		return isWhole ? states as EngineState[] : undefined;
+		if (!states.every(state => state?.rankPlace?.epoch === this.#ranks.epoch && state.rankPlace.isOpen)) {
+			return undefined;
+		}
+
+		const whole = states as EngineState[];
+		if (this.#isTakingOver) {
+			this.#isTakingOver = false;
+			this.#holdSteps.takeOver(lastStepOf(whole));
+		}
+
+		return whole;
 	}
 
 	/** Runs a phase and records the time that it took. */
@@ -343,6 +394,11 @@
 	}
 }
 
+/** The last step that a rank of the group has begun. */
+function lastStepOf(states: readonly EngineState[]): number {
+	return Math.max(...states.map(({step}) => step));
+}
+
 function areAllArmed(states: readonly EngineState[], version: number, step: number): boolean {
 	return states.every(({armed}) => armed?.version === version && armed.step === step);
 }
--- a/packages/rank-agent/src/rank-agent.ts
+++ b/packages/rank-agent/src/rank-agent.ts
@@ -292,7 +292,7 @@
 
 	async #release(ranks: GroupRanks, ownRank: number, heldStep: number): Promise<void> {
 		const mapSwitch = new MapSwitch({ranks, holdingRank: ownRank, nowMs: () => this.#suspendAwareClock.nowMs()});
-		const outcome = await mapSwitch.recover(heldStep, () => this.#versions.next());
+		const outcome = await mapSwitch.recover(() => this.#versions.next());
 		this.#heldSinceMs = undefined;
 		this.#options.logger.log('warn', 'abandonedGroupReleased', {
 			group: ranks.group, epoch: ranks.epoch, step: heldStep, outcome,
--- a/packages/rank-agent/src/skipped-rounds.ts
+++ b/packages/rank-agent/src/skipped-rounds.ts
@@ -3,7 +3,7 @@
 import type {Logger} from '@rattanspring/logger';
 
 /** Why a round ended early. */
-export type SkipReason = 'holdingRankSilent' | 'switchUnfinished' | 'mapUnknown' | 'countsMissing' | 'tooFewSelections' | 'backingOff' | 'gainTooSmall';
+export type SkipReason = 'holdingRankSilent' | 'switchUnfinished' | 'groupRests' | 'mapUnknown' | 'countsMissing' | 'tooFewSelections' | 'backingOff' | 'gainTooSmall';
 
 /** Counts the rounds that end early in succession for the same reason. */
 export class SkippedRounds {
--- a/packages/rank-agent/src/unresponsive-agent.test.ts
+++ b/packages/rank-agent/src/unresponsive-agent.test.ts
@@ -131,7 +131,7 @@
 		});
 		await sleep(50);
 		expect(group.isHeld).toEqual(true);
-		const outcome = await new MapSwitch({ranks: {group: 'g', epoch: 1, engines}, holdingRank: 1, nowMs: () => performance.now()}).recover(step, () => 20);
+		const outcome = await new MapSwitch({ranks: {group: 'g', epoch: 1, engines}, holdingRank: 1, nowMs: () => performance.now()}).recover(() => 20);
 		expect([outcome, group.isHeld, group.mixedSteps]).toEqual(['aborted', false, 0]);
 	});
 });
