Recovery completes a switch while it can, so that no late disarm meets a complete one (MAP)

Cause: recovery decided by what was armed at the moment. Where a rank was not, it disarmed the others; after an order without an answer it looked again, and if a late arm had made the switch complete meanwhile, it released the group, while its own disarm was still to come.

In spec/map-switch.pml recovery follows the new rule; there the time limit alone is no longer needed, so its seeded fault is now the former rule without a limit.

Why this works: a switch is completed while every rank is armed for it or can be, by arming the rest, without a disarm. It is undone only where a rank can't be armed any more (it has prepared a higher version), which no order can change, so that a late disarm meets no complete switch.

--- a/packages/rank-agent/src/map-switch.ts
+++ b/packages/rank-agent/src/map-switch.ts
@@ -6,7 +6,7 @@
 
 import {setTimeout as sleepOnTimer} from 'node:timers/promises';
 import type {
-	EngineClient, EngineOrder, EngineState, OrderOutcome,
+	ArmedMap, EngineClient, EngineOrder, EngineState, OrderOutcome,
 } from './engine-client.js';
 import type {GroupRanks} from './group-engine-clients.js';
 import {HoldSteps} from './hold-steps.js';
@@ -76,6 +76,7 @@
 An order without an answer may still be applied seconds later, and a coordinator may be paused for as long. This is safe for the following reasons:
 - Versions and the steps of holds are never used twice, so that a late order fits its own attempt only (see `HoldSteps`).
 - A group is released only once all ranks are armed for the same version and step, or none can be any more. A rank that has prepared a higher version can't be armed for a lower one.
+- Whoever takes over completes a switch unless a rank can't be armed for it any more. Only then ranks are disarmed, so that a late order to disarm never meets a complete switch.
 - The agent of the holding rank, which takes over, first fences off the earlier coordinator at every rank whose agent answers.
 */
 export class MapSwitch {
@@ -246,26 +247,34 @@
 			return await this.#isOtherFormation() ? 'groupChanged' : undefined;
 		}
 
-		const holding = states[this.#ranks.engines.indexOf(this.#holdingEngine)];
-		if (holding.heldStep === undefined) {
+		const {heldStep} = states[this.#ranks.engines.indexOf(this.#holdingEngine)];
+		if (heldStep === undefined) {
 			return 'aborted';
 		}
 
-		const {armed} = states[0];
-		const isWhole = armed ? armed.step >= holding.heldStep && areAllArmed(states, armed.version, armed.step) : false;
-		if (!isWhole && !await this.#disarmAll(states, nextVersion(), untilMs)) {
+		const armed = newestArmed(states);
+		const canComplete = armed !== undefined && states.every(state => canSwitch(state, armed));
+		const isSettled = canComplete ? await this.#armRest(states, armed, untilMs) : await this.#undoAll(states, nextVersion(), untilMs);
+		if (!isSettled) {
 			return undefined;
 		}
 
-		const isReleased = await this.#orderUntilApplied(this.#holdingEngine, {kind: 'go', step: holding.heldStep}, untilMs);
-		return isReleased ? (isWhole ? 'switched' : 'aborted') : undefined;
+		const isReleased = await this.#orderUntilApplied(this.#holdingEngine, {kind: 'go', step: heldStep}, untilMs);
+		return isReleased ? (canComplete ? 'switched' : 'aborted') : undefined;
+	}
+
+	/** Arms the ranks that are not armed yet. */
+	async #armRest(states: readonly EngineState[], {version, step}: ArmedMap, untilMs: number): Promise<boolean> {
+		const rest = this.#ranks.engines.filter((_, rank) => states[rank].armed === undefined && states[rank].mapVersion !== version);
+		const results = await Promise.all(rest.map(async engine => this.#orderUntilApplied(engine, {kind: 'arm', version, step}, untilMs)));
+		return results.every(Boolean);
 	}
 
 	/**
 	Disarms all ranks and makes them prepare the map in use under a higher version. A rank that accepts this is not armed, and a late order
 	can no longer arm it.
 	*/
-	async #disarmAll(states: readonly EngineState[], version: number, untilMs: number): Promise<boolean> {
+	async #undoAll(states: readonly EngineState[], version: number, untilMs: number): Promise<boolean> {
 		await Promise.all(this.#ranks.engines.map(async (engine, rank) => {
 			const {armed} = states[rank];
 			return armed && this.#orderUntilApplied(engine, {kind: 'disarm', version: armed.version}, untilMs);
@@ -399,8 +408,14 @@
 	return Math.max(...states.map(({step}) => step));
 }
 
-function areAllArmed(states: readonly EngineState[], version: number, step: number): boolean {
-	return states.every(({armed}) => armed?.version === version && armed.step === step);
+function newestArmed(states: readonly EngineState[]): ArmedMap | undefined {
+	const newest = Math.max(...states.map(({armed}) => armed?.version ?? Number.NEGATIVE_INFINITY));
+	return states.find(({armed}) => armed?.version === newest)?.armed;
+}
+
+/** Whether a rank is armed for a switch, can still be, or has made it. */
+function canSwitch({armed, preparedVersion, mapVersion}: EngineState, {version, step}: ArmedMap): boolean {
+	return armed ? armed.version === version && armed.step === step : preparedVersion === version || mapVersion === version;
 }
 
 function isAccepted(outcome: OrderOutcome | undefined): boolean {
--- a/packages/rank-agent/src/resting-group.test.ts
+++ b/packages/rank-agent/src/resting-group.test.ts
@@ -308,3 +308,52 @@
 		expect(new Set(group.versions).size).toEqual(1);
 	});
 });
+
+describe('A group that rests while it is recovered', () => {
+	const lateMs = {
+		fence: 0, prepare: 3000, arm: 2200, disarm: 3000, hold: 0, go: 0,
+	};
+
+	it('is not released for a complete switch while an order to disarm a rank is late', async () => {
+		const time = new VirtualTime();
+		let isTrouble = false;
+		const group = new FakeRankGroup({
+			ranks: 2,
+			lists: [[[0, 2], [1, 3]]],
+			copyMs: 60,
+			stepMs,
+			nowMs: () => time.nowMs,
+			orderDelayMs: ({kind}) => lateMs[kind],
+			nextDelivery: (_, {kind}) => isTrouble && lateMs[kind] > 0 && time.nowMs < 2500 ? 'late' : 'prompt',
+		});
+		const engines = group.engines.map(engine => new ProcessEngineClient(time, () => engine));
+		group.isBusy = false;
+		const under = {fencing: 1, epoch: 1};
+		const leaveHeld = async (): Promise<void> => {
+			await Promise.all(engines.map(async engine => engine.order({
+				kind: 'prepare', version: 5, map: [[[0, 3], [1, 2]]], ...under,
+			})));
+			await time.sleep(100);
+			await engines[holdingRank].order({kind: 'hold', step: 3, ...under});
+			await engines[0].order({
+				kind: 'arm', version: 5, step: 3, ...under,
+			});
+			isTrouble = true;
+			await engines[holdingRank].order({
+				kind: 'arm', version: 5, step: 3, ...under,
+			});
+			await new MapSwitch(switchOptions(time, group, engines)).recover(() => 6);
+		};
+
+		const passes = async (): Promise<void> => {
+			while (time.nowMs < 6000) {
+				group.isBusy = time.nowMs > lateMs.disarm + 700;
+				await time.sleep(10);
+				group.advance();
+			}
+		};
+
+		await time.run(Promise.all([leaveHeld(), passes()]));
+		expect([group.mixedSteps, new Set(group.versions).size, group.isHeld]).toEqual([0, 1, false]);
+	});
+});
--- a/spec/map-switch.pml
+++ b/spec/map-switch.pml
@@ -4,14 +4,14 @@
  * Proves: no pass begins with ranks on different maps, and no rank is armed once the group is released after an abandoned
  * switch.
  * An agent may become silent at any time; orders then bypass it and go to its engine without a fence until the coordinator's
- * time limit. The holding agent takes over after that limit.
+ * time limit. The holding agent takes over after that limit; it completes the switch if all ranks can still be armed.
  */
 // search-depth: 200000
 // fault: NO_HOLD
 // fault: NO_FENCE
 // fault: NO_SUPERSEDE
 // fault: RELEASES_UNSEEN
-// fault: NO_TIME_LIMIT
+// fault: UNDOES_WITHOUT_TIME_LIMIT
 
 #define RANKS 3
 #define AIM 2
@@ -27,10 +27,12 @@
 bool isLateGo = false;
 bool isTakenOver = false;
 
-#ifdef NO_TIME_LIMIT
+#ifdef UNDOES_WITHOUT_TIME_LIMIT
 #define hasTime true
+#define canComplete (seen == RANKS)
 #else
 #define hasTime (!isTakenOver)
+#define canComplete (seen > 0 && fit == RANKS)
 #endif
 
 inline takeArm(r) {
@@ -150,6 +152,7 @@
 active proctype HoldingAgent() {
 	byte r;
 	byte seen;
+	byte fit;
 endWait:	held != 0;
 	isTakenOver = true;
 again:	r = 0;
@@ -164,14 +167,26 @@
 	od;
 	r = 0;
 	seen = 0;
+	fit = 0;
 	do
-	:: r < RANKS -> seen = seen + armed[r]; r++
+	:: r < RANKS -> seen = seen + armed[r]; fit = fit + (armed[r] == 1 || prepared[r] == 1); r++
 	:: else -> break
 	od;
 	if
 	:: held == 0 -> goto done
-	:: held != 0 && seen == RANKS -> skip
-	:: held != 0 && seen < RANKS ->
+	/* The switch can be completed: the rest is armed. */
+	:: held != 0 && canComplete ->
+		r = 0;
+		do
+		:: r < RANKS ->
+			if
+			:: atomic { prepared[r] == 1 && step < AIM -> armed[r] = 1 }
+			:: atomic { !(prepared[r] == 1 && step < AIM) -> goto again }
+			fi;
+			r++
+		:: else -> break
+		od
+	:: held != 0 && !canComplete ->
 		r = 0;
 		do
 		:: r < RANKS ->
