--- a/packages/daemon/src/roles/agent/target-run.ts
+++ b/packages/daemon/src/roles/agent/target-run.ts
@@ -4,7 +4,7 @@
 import {Agent, type IncomingMessage} from 'node:http';
 import Wreck from '@hapi/wreck';
 import type {TargetSettings} from '@rattanspring/settings';
-import {FailureError, type RequestFailureType} from '@rattanspring/types';
+import {FailureError, isHttpStatus, type RequestFailureType} from '@rattanspring/types';
 import {createFailure, type Attempt} from './attempt-table.js';
 import {hasCrashed} from './crash-check.js';
 import {isConnectionRefused} from './engine-load.js';
@@ -120,6 +120,7 @@
 	async #copyResponse(answer: IncomingMessage): Promise<void> {
 		const {buffer} = this.#options.attempt;
 		const headers = endToEndHeaders(answer);
+		requireStatus(answer);
 		requireFraming(answer);
 		this.#options.onFirstByte?.();
 		buffer.head({status: answer.statusCode ?? 502, headers});
@@ -185,6 +186,12 @@
 }
 
 /** Rejects a response that is delimited only by the end of its connection: it cannot be distinguished from a truncated one. */
+function requireStatus({statusCode = 0}: IncomingMessage): void {
+	if (!isHttpStatus(statusCode)) {
+		throw new FailureError({type: 'answerInvalid', message: `The response of the target has the status ${statusCode}.`});
+	}
+}
+
 function requireFraming(answer: IncomingMessage): void {
 	const hasNoBody = answer.statusCode === 204 || answer.statusCode === 304;
 	const isFramed = hasNoBody || answer.headers['content-length'] !== undefined || answer.headers['transfer-encoding'] !== undefined;
--- a/packages/rank-agent/src/map-switch.ts
+++ b/packages/rank-agent/src/map-switch.ts
@@ -25,6 +25,9 @@
 /** Interval between recovery attempts, and between looks for a step to hold the group before. */
 const recoverPollMs = 40;
 
+/** Pause before an order without an answer is repeated: an engine in trouble may fail to answer at once. */
+const unansweredPauseMs = 10;
+
 /** Pauses between checks whether all ranks are prepared: a share of the time that they have taken so far, within bounds, so that short copies are noticed early and long ones cost few checks. */
 const preparePollShare = 0.25;
 const minPreparePollMs = 20;
@@ -364,6 +367,8 @@
 
 				return isOrderApplied;
 			}
+
+			await this.#sleep(unansweredPauseMs);
 		}
 
 		this.#firstRefusal ??= `${body.kind}: no answer`;
--- a/packages/target-connection/src/connection-pool.ts
+++ b/packages/target-connection/src/connection-pool.ts
@@ -4,7 +4,7 @@
 */
 
 import type {Buffer} from 'node:buffer';
-import {isHeaderName} from '@rattanspring/types';
+import {isHeaderName, isHttpStatus} from '@rattanspring/types';
 import {
 	buildConnector, Client, type Dispatcher, errors,
 } from 'undici';
@@ -86,7 +86,14 @@
 				headWatch?.begin();
 				listener.onSending();
 			},
-			onHeaders(status, rawHeaders) {
+			onHeaders: (status, rawHeaders) => {
+				if (!isHttpStatus(status)) {
+					fail(new Error(`status ${status}`));
+					abort?.();
+					this.#discard(client);
+					return true;
+				}
+
 				if (status >= 200) {
 					headWatch?.end();
 				}
--- a/packages/types/src/index.ts
+++ b/packages/types/src/index.ts
@@ -6,6 +6,7 @@
 export type * from './execution.js';
 export * from './failures.js';
 export * from './header-text.js';
+export * from './http-status.js';
 export type * from './identity.js';
 export * from './result.js';
 export * from './suspend-aware-clock.js';
