--- a/packages/target-table/src/target-table.test.ts
+++ b/packages/target-table/src/target-table.test.ts
@@ -171,6 +171,20 @@
 		});
 	});
 
+	describe('a target whose last report is not known where it says that it leaves', () => {
+		it('has left wherever that report is known, also of the build before', () => {
+			const withoutLast = new TargetTable();
+			const withLast = new TargetTable();
+			withoutLast.add(report, 0);
+			withLast.add({...report, sequence: report.sequence + 1}, 0);
+			const gone = withoutLast.goneReport(report)!;
+			expect(gone.sequence).toBeGreaterThan(report.sequence + 1);
+			expect(withLast.add({...gone, sequence: report.sequence}, 1)).toEqual(true);
+			expect(withLast.ready()).toEqual([]);
+			expect(withLast.touch({...report, sequence: report.sequence + 2}, 2)).toEqual(false);
+		});
+	});
+
 	describe('a target that has started again under its ID', () => {
 		it('has not left when an earlier lifetime has', () => {
 			const table = new TargetTable();
--- a/packages/target-table/src/target-table.ts
+++ b/packages/target-table/src/target-table.ts
@@ -22,6 +22,9 @@
 /** Time for which a target that has left or fallen silent is kept, so that a late report does not add it again; also a notice of one that never reported. */
 const goneRetentionMs = 120_000;
 
+/** More reports of a lifetime than others may know and this process does not. Builds before this one order the end of a lifetime by its sequence. */
+const goneSequenceLead = 1000;
+
 /** Targets that are known at once, unless another limit is set; and the part of them that goes when there are more, since each search looks at all of them. */
 const defaultMaxTargets = 20_000;
 const removedShare = 1 / 16;
@@ -88,7 +91,7 @@
 	goneReport({targetId, bornMs}: Pick<TargetLifetime, 'targetId'> & Partial<TargetLifetime>): TargetReport | undefined {
 		const known = this.#targets.get(targetId)?.report;
 		const isNamed = bornMs === undefined || known?.bornMs === bornMs;
-		return known && isNamed ? {...known, state: 'gone', sequence: known.sequence + 1} : undefined;
+		return known && isNamed ? {...known, state: 'gone', sequence: known.sequence + goneSequenceLead} : undefined;
 	}
 
 	/** The newest report of a target. */
@@ -249,10 +252,11 @@
 	return coldUntilMs === undefined ? report : {...report, coldLeftMs: Math.max(0, coldUntilMs - nowMs)};
 }
 
+/** Nothing follows the end of a lifetime, whichever reports of it others know. */
 function isNewer(report: TargetReport, known: TargetReport): boolean {
 	if (report.bornMs !== known.bornMs) {
 		return report.bornMs > known.bornMs;
 	}
 
-	return known.state !== 'gone' && report.sequence > known.sequence;
+	return known.state !== 'gone' && (report.state === 'gone' || report.sequence > known.sequence);
 }
