An end of no named lifetime is acknowledged only where the target is known (DRAIN)

Cause: a call that names no lifetime concerns the known one. A control process that knows none, as after its restart, recorded nothing and acknowledged the call.

Calls that name their lifetime are recorded as before.

--- a/packages/fleet-control/src/deregistration-spread.test.ts
+++ b/packages/fleet-control/src/deregistration-spread.test.ts
@@ -32,10 +32,15 @@
 		group.get(0).report(report);
 		await waitUntil(() => followers.every(entry => statesAt(entry).includes('ready')), {timeoutMs: 4000});
 		group.get(1).report({...report, sequence: 5});
-		group.get(0).deregister({targetId: report.targetId, bornMs: report.bornMs});
+		expect(group.get(0).deregister({targetId: report.targetId, bornMs: report.bornMs})).toEqual(true);
 		await waitUntil(() => followers.every(entry => statesAt(entry).includes('gone')), {timeoutMs: 4000});
 		const restarted = await entries.add([group.addressOf(1)]);
 		await waitUntil(() => statesAt(restarted).length > 0, {timeoutMs: 4000});
 		expect(statesAt(restarted)).toEqual(['gone']);
 	});
+
+	it('is not acknowledged if it names no lifetime and the target is not known', () => {
+		expect(group.get(0).deregister({targetId: report.targetId})).toEqual(false);
+		expect(group.get(0).deregister({targetId: report.targetId, bornMs: report.bornMs})).toEqual(true);
+	});
 });
--- a/packages/fleet-control/src/fleet-control.ts
+++ b/packages/fleet-control/src/fleet-control.ts
@@ -235,9 +235,9 @@
 
 	/**
 	Marks a lifetime of a target as gone and broadcasts that. The call may arrive after the target has started again, which it doesn't concern, and before the first report of its
-	lifetime, which then gets no work. Without a lifetime it concerns the known one.
+	lifetime, which then gets no work. Without a lifetime it concerns the known one; if none is known, nothing is recorded, and false returned.
 	*/
-	deregister(target: Pick<TargetLifetime, 'targetId'> & Partial<TargetLifetime>): void {
+	deregister(target: Pick<TargetLifetime, 'targetId'> & Partial<TargetLifetime>): boolean {
 		const {targetId, bornMs} = target;
 		const knownBornMs = this.#targets.get(targetId)?.bornMs;
 		const report = this.#targets.goneReport(target);
@@ -249,6 +249,8 @@
 		} else if (bornMs !== undefined) {
 			this.#facts.recordLeaving([{targetId, bornMs}], ['entry', 'control']);
 		}
+
+		return report !== undefined || bornMs !== undefined;
 	}
 
 	/** Announces that this process is about to stop, and transfers leadership to another voter. */
