--- a/packages/fleet-control/src/crash-evidence-spread.test.ts
+++ b/packages/fleet-control/src/crash-evidence-spread.test.ts
@@ -10,7 +10,7 @@
 import {SilentLogger} from '@rattanspring/logger';
 import {waitUntil} from '@rattanspring/test-kit';
 import {expect} from 'earl';
-import {ConvictionStore} from './conviction-store.js';
+import {EvidenceStore} from './evidence-store.js';
 import {TestEntries, type TestEntry} from './test-entry.js';
 import {TestGroup} from './test-group.js';
 
@@ -64,17 +64,27 @@
 		expect(evidenceOf(other).length).toEqual(other.connectedCount);
 	});
 
-	it('remains after all processes have lost their power, as far as it convicts', async () => {
+	it('remains after all processes have lost their power, also of one crash or two, unless an answer has refuted it', async () => {
+		const once: ComponentEvidence = {
+			component: 'part:once', crashes: ['t1 1'], trialCrashes: [], refuted: [],
+		};
+		const twice: ComponentEvidence = {
+			component: 'part:twice', crashes: ['t1 1', 't2 1'], trialCrashes: [], refuted: [],
+		};
+		const refuted: ComponentEvidence = {
+			component: 'part:refuted', crashes: ['t1 1', 't2 1'], trialCrashes: [], refuted: ['t1 1', 't2 1'],
+		};
 		const reporter = await addEntry([0, 1, 2]);
 		sentBy(reporter);
-		reporter.links.send({type: 'evidence', records: [{...conviction, component: 'part:once', trialCrashes: []}]});
+		reporter.links.send({type: 'evidence', records: [once, twice, {...refuted, refuted: []}]});
+		reporter.links.send({type: 'evidence', records: [refuted]});
 		await sleep(500);
 		reporter.links.close();
 		await group.stop(0, 1, 2);
 		await Promise.all([0, 1, 2].map(async index => group.start(index)));
 		const entry = await addEntry([1]);
 		await waitUntil(() => evidenceOf(entry).length > 0, {timeoutMs: 2000});
-		expect(evidenceOf(entry)).toEqual([conviction]);
+		expect(evidenceOf(entry)).toEqual([once, twice, conviction]);
 	});
 
 	it('that is malformed ends its stream, and no process', async () => {
@@ -95,10 +105,10 @@
 	});
 });
 
-describe('ConvictionStore', () => {
+describe('EvidenceStore', () => {
 	it('starts without convictions if its file is unreadable, and writes the newest of several lists', async () => {
 		const folder = await mkdtemp(path.join(tmpdir(), 'convictions-'));
-		const store = new ConvictionStore({folder, logger: new SilentLogger()});
+		const store = new EvidenceStore({folder, logger: new SilentLogger()});
 		await writeFile(path.join(folder, 'convictions'), 'no record');
 		expect(await store.load()).toEqual([]);
 		await Promise.all([store.save([]), store.save([]), store.save([conviction])]);
@@ -107,7 +117,7 @@
 	});
 
 	it('goes on if its folder takes no file', async () => {
-		const store = new ConvictionStore({folder: '/dev/null/none', logger: new SilentLogger()});
+		const store = new EvidenceStore({folder: '/dev/null/none', logger: new SilentLogger()});
 		expect(await store.load()).toEqual([]);
 		await store.save([conviction]);
 	});
--- a/packages/fleet-control/src/earlier-build.test.ts
+++ b/packages/fleet-control/src/earlier-build.test.ts
@@ -17,7 +17,7 @@
 import {freePorts, waitUntil} from '@rattanspring/test-kit';
 import {SystemClock} from '@rattanspring/voter-group';
 import {expect} from 'earl';
-import {ConvictionStore} from './conviction-store.js';
+import {EvidenceStore} from './evidence-store.js';
 import {documentCommand, DocumentStateMachine, domainCommand} from './document-state-machine.js';
 import {FleetControl} from './fleet-control.js';
 
@@ -73,7 +73,7 @@
 /** Everything that a disk holds: identity, convictions, vote, snapshot, entries and a reset. */
 async function writeSamples(folder: string): Promise<void> {
 	await loadOrCreateDiskIdentity({folder, createId: () => 'd1'});
-	await new ConvictionStore({folder, logger}).save(convictions);
+	await new EvidenceStore({folder, logger}).save(convictions);
 	const storage = new FileLogStorage({folder: path.join(folder, 'log'), fatalErrorHandler});
 	await storage.recover();
 	await storage.saveVoteState(voteState);
@@ -122,7 +122,7 @@
 			await control.stop();
 		}
 
-		expect(await new ConvictionStore({folder, logger}).load()).toEqual([...convictions]);
+		expect(await new EvidenceStore({folder, logger}).load()).toEqual([...convictions]);
 	});
 
 	it('cannot be written in a way that the earlier build does not read', async () => {
--- a/packages/fleet-control/src/fleet-control.ts
+++ b/packages/fleet-control/src/fleet-control.ts
@@ -23,7 +23,7 @@
 	type handleUnaryCall, type sendUnaryData, Server, type ServerDuplexStream, status, type UntypedServiceImplementation,
 } from '@grpc/grpc-js';
 import type {ControlGroup} from './control-group.js';
-import {ConvictionStore} from './conviction-store.js';
+import {EvidenceStore} from './evidence-store.js';
 import {DisklessGroup} from './diskless-group.js';
 import {DocumentGroup} from './document-group.js';
 import {DomainAnnouncements} from './domain-announcements.js';
@@ -127,7 +127,7 @@
 		this.#facts = new RelayedFacts({
 			targets: this.#targets,
 			nowMs,
-			...(dataFolder !== undefined && {convictions: new ConvictionStore({folder: dataFolder, logger, ...(fileSystem && {fileSystem})})}),
+			...(dataFolder !== undefined && {evidenceStore: new EvidenceStore({folder: dataFolder, logger, ...(fileSystem && {fileSystem})})}),
 			broadcast: (message, receivers) => {
 				this.#linkServer.broadcast(message, receivers);
 			},
--- a/packages/fleet-control/src/relayed-facts.ts
+++ b/packages/fleet-control/src/relayed-facts.ts
@@ -3,7 +3,7 @@
 passes on what is new, and gives all of it to daemons that come later.
 */
 
-import {type ComponentEvidence, CrashEvidence} from '@rattanspring/crash-evidence';
+import {type ComponentEvidence, CrashEvidence, openCrashes} from '@rattanspring/crash-evidence';
 import type {
 	DownMessage, LimitsMessage, NodeRole, Receivers,
 } from '@rattanspring/fleet-link';
@@ -11,13 +11,16 @@
 import {type Accusation, AccusationBook} from '@rattanspring/outlier-ejection';
 import {ColdTargets, LimitTable} from '@rattanspring/target-limits';
 import type {TargetLifetime, TargetTable} from '@rattanspring/target-table';
-import type {ConvictionStore} from './conviction-store.js';
+import type {EvidenceStore} from './evidence-store.js';
+
+/** Components on the disk that are not convicted: some 100 KB, written again with each change. */
+const maxStoredOpen = 500;
 
 /** Options of the facts. */
 export type RelayedFactsOptions = {
 	readonly targets: TargetTable;
-	/** Where convictions outlast a loss of power; absent without a disk. */
-	readonly convictions?: ConvictionStore;
+	/** Where evidence about what crashes targets outlasts a loss of power; absent without a disk. */
+	readonly evidenceStore?: EvidenceStore;
 	readonly nowMs: () => number;
 	readonly broadcast: (message: DownMessage, receivers: Receivers) => void;
 	readonly logger: Logger;
@@ -37,7 +40,7 @@
 
 	/** Reads what is kept on the disk. */
 	async load(): Promise<void> {
-		this.#crashEvidence.merge(await this.#options.convictions?.load() ?? []);
+		this.#crashEvidence.merge(await this.#options.evidenceStore?.load() ?? []);
 	}
 
 	/** Records which targets are leaving. */
@@ -77,9 +80,13 @@
 		}
 
 		this.#options.broadcast({type: 'evidence', records: changed}, {roles: receivers});
-		if (changed.some(({trialCrashes}) => trialCrashes.length > 0)) {
-			void this.#options.convictions?.save(this.#crashEvidence.withVerdict('convicted'));
-		}
+		void this.#options.evidenceStore?.save(this.#storedEvidence);
+	}
+
+	/** All convictions, and the newest of what no answer has refuted: a request that has crashed two targets must not begin anew with none. */
+	get #storedEvidence(): ComponentEvidence[] {
+		const open = this.#crashEvidence.withVerdict('unsuspected', 'suspected').filter(evidence => openCrashes(evidence).length > 0);
+		return [...open.slice(-maxStoredOpen), ...this.#crashEvidence.withVerdict('convicted')];
 	}
 
 	/** Messages with all facts, for an entry or a control process that has just connected. */
