--- a/packages/fleet-control/src/crash-evidence-spread.test.ts
+++ b/packages/fleet-control/src/crash-evidence-spread.test.ts
@@ -7,13 +7,26 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {ComponentEvidence} from '@rattanspring/crash-evidence';
 import {LinkCalls, linkService, type UpMessage} from '@rattanspring/fleet-link';
+import {MemoryFileSystem} from '@rattanspring/log-storage';
 import {SilentLogger} from '@rattanspring/logger';
 import {waitUntil} from '@rattanspring/test-kit';
 import {expect} from 'earl';
 import {EvidenceStore} from './evidence-store.js';
+import {TestDisk} from './test-disk.js';
 import {TestEntries, type TestEntry} from './test-entry.js';
 import {TestGroup} from './test-group.js';
 
+/** Loses the names of files, on demand, as a process does that is killed before it syncs them. */
+class UnsyncedFolders extends MemoryFileSystem {
+	areFoldersSynced = true;
+
+	override async syncFolder(folder: string): Promise<void> {
+		if (this.areFoldersSynced) {
+			await super.syncFolder(folder);
+		}
+	}
+}
+
 const conviction: ComponentEvidence = {
 	component: 'part:bad', crashes: ['t1 1', 't2 1', 't3 1'], trialCrashes: ['t3 1'], refuted: [],
 };
@@ -116,6 +129,36 @@
 		await rm(folder, {recursive: true});
 	});
 
+	it('keeps through a loss of power what a killed process has renamed but not synced, once it was loaded', async () => {
+		const disk = new UnsyncedFolders();
+		const options = {folder: '/data', logger: new SilentLogger(), fileSystem: disk};
+		await new EvidenceStore(options).save([]);
+		disk.areFoldersSynced = false;
+		await new EvidenceStore(options).save([conviction]);
+		disk.areFoldersSynced = true;
+		expect(await new EvidenceStore(options).load()).toEqual([conviction]);
+		disk.crash();
+		expect(await new EvidenceStore(options).load()).toEqual([conviction]);
+	});
+
+	it('writes the newest evidence once a full disk has room, and gives up when it is closed', async () => {
+		const disk = new TestDisk();
+		const options = {folder: '/data', logger: new SilentLogger(), fileSystem: disk};
+		const store = new EvidenceStore(options);
+		disk.isFull = true;
+		const saved = [store.save([]), store.save([conviction])];
+		await sleep(300);
+		disk.isFull = false;
+		await Promise.all(saved);
+		expect(await new EvidenceStore(options).load()).toEqual([conviction]);
+		disk.isFull = true;
+		const refused = store.save([]);
+		store.close();
+		await refused;
+		disk.isFull = false;
+		expect(await new EvidenceStore(options).load()).toEqual([conviction]);
+	});
+
 	it('goes on if its folder takes no file', async () => {
 		const store = new EvidenceStore({folder: '/dev/null/none', logger: new SilentLogger()});
 		expect(await store.load()).toEqual([]);
--- a/packages/fleet-control/src/evidence-store.ts
+++ b/packages/fleet-control/src/evidence-store.ts
@@ -1,13 +1,13 @@
 /**
 What crashes targets, on this process's disk, so that it outlasts a kill or a loss of power of the whole fleet. Each process keeps its own copy:
-evidence is merged in any order, so the copies need not agree. If the disk fails, the evidence is kept in memory only.
+evidence is merged in any order, so the copies need not agree. If the disk fails, the evidence is kept in memory only; while it is full, writing waits.
 */
 
 import path from 'node:path';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {type ComponentEvidence, readEvidenceRecords} from '@rattanspring/crash-evidence';
 import {
-	type FileSystem, NodeFileSystem, readRecordFile, replaceRecordFile,
+	DiskSpace, type FileSystem, NodeFileSystem, readRecordFile, replaceRecordFile,
 } from '@rattanspring/log-storage';
 import {describeError, type Logger} from '@rattanspring/logger';
 
@@ -28,6 +28,7 @@
 export class EvidenceStore {
 	readonly #options: Required<EvidenceStoreOptions>;
 	readonly #file: string;
+	readonly #space = new DiskSpace();
 	#pending: readonly ComponentEvidence[] | undefined;
 	#writing: Promise<void> | undefined;
 
@@ -40,8 +41,14 @@
 	async load(): Promise<ComponentEvidence[]> {
 		const {fileSystem, folder, logger} = this.#options;
 		try {
-			await fileSystem.makeFolder(folder);
-			return readEvidenceRecords(await readRecordFile(fileSystem, this.#file) ?? []);
+			const content = await readRecordFile(fileSystem, this.#file);
+			if (content === undefined) {
+				return [];
+			}
+
+			// A killed process may have left the file's name unsynced.
+			await fileSystem.syncFolder(folder);
+			return readEvidenceRecords(content);
 		} catch (error) {
 			logger.log('warn', 'evidenceNotRead', describeError(error));
 			return [];
@@ -55,6 +62,11 @@
 		await this.#writing;
 	}
 
+	/** Ends the waits for room on the disk. */
+	close(): void {
+		this.#space.stopWaiting();
+	}
+
 	async #writePending(): Promise<void> {
 		await this.#writeNewest();
 		while (this.#pending) {
@@ -65,12 +77,17 @@
 		this.#writing = undefined;
 	}
 
+	/** Writes what is the newest evidence at each attempt. */
 	async #writeNewest(): Promise<void> {
-		const {fileSystem, logger} = this.#options;
-		const records = this.#pending ?? [];
-		this.#pending = undefined;
+		const {fileSystem, folder, logger} = this.#options;
+		let records: readonly ComponentEvidence[] = [];
 		try {
-			await replaceRecordFile(fileSystem, this.#file, records);
+			await this.#space.use(async () => {
+				records = this.#pending ?? records;
+				this.#pending = undefined;
+				await fileSystem.makeFolder(folder);
+				await replaceRecordFile(fileSystem, this.#file, records);
+			});
 		} catch (error) {
 			logger.log('warn', 'evidenceNotWritten', {count: records.length, ...describeError(error)});
 		}
--- a/packages/fleet-control/src/fleet-control.ts
+++ b/packages/fleet-control/src/fleet-control.ts
@@ -266,6 +266,7 @@
 			clearInterval(timer);
 		}
 
+		this.#facts.close();
 		this.#figures.stop();
 		this.#uses.stop();
 		this.#controlLinks.close();
--- a/packages/fleet-control/src/relayed-facts.ts
+++ b/packages/fleet-control/src/relayed-facts.ts
@@ -83,6 +83,11 @@
 		void this.#options.evidenceStore?.save(this.#storedEvidence);
 	}
 
+	/** Ends the waits of what is kept on the disk. */
+	close(): void {
+		this.#options.evidenceStore?.close();
+	}
+
 	/** All convictions, and the newest of what no answer has refuted: a request that has crashed two targets must not begin anew with none. */
 	get #storedEvidence(): ComponentEvidence[] {
 		const open = this.#crashEvidence.withVerdict('unsuspected', 'suspected').filter(evidence => openCrashes(evidence).length > 0);
