A coordinator takes over even if its first attempt ended before it knew the step (MAP)

Cause: whether a coordinator has to count the steps of others as used was kept in the attempt. An attempt that had fenced off the others, but ended before it read the step, took that with it, and the next one found its own fencing number and counted nothing.

Why this works: the state is where the steps are, and ends only when a step was read after the fence. While it waits for a step it asks one rank, not all.

--- a/packages/daemon/src/roles/agent/target-run.ts
+++ b/packages/daemon/src/roles/agent/target-run.ts
@@ -185,13 +185,14 @@
 	}
 }
 
-/** Rejects a response that is delimited only by the end of its connection: it cannot be distinguished from a truncated one. */
+/** Rejects a response whose status HTTP does not know. */
 function requireStatus({statusCode = 0}: IncomingMessage): void {
 	if (!isHttpStatus(statusCode)) {
 		throw new FailureError({type: 'answerInvalid', message: `The response of the target has the status ${statusCode}.`});
 	}
 }
 
+/** Rejects a response that is delimited only by the end of its connection: it cannot be distinguished from a truncated one. */
 function requireFraming(answer: IncomingMessage): void {
 	const hasNoBody = answer.statusCode === 204 || answer.statusCode === 304;
 	const isFramed = hasNoBody || answer.headers['content-length'] !== undefined || answer.headers['transfer-encoding'] !== undefined;
--- a/packages/rank-agent/src/fake-rank-group.ts
+++ b/packages/rank-agent/src/fake-rank-group.ts
@@ -66,6 +66,11 @@
 		return this.#states.map(({map}) => map.version);
 	}
 
+	/** Whether all ranks use this version. */
+	isAt(version: number): boolean {
+		return this.#states.every(({map}) => map.version === version);
+	}
+
 	/** Whether a rank is held at the next step, which holds the whole group. */
 	get isHeld(): boolean {
 		return this.#states.some(({heldStep}) => heldStep === this.step + 1);
--- a/packages/rank-agent/src/group-relay.test.ts
+++ b/packages/rank-agent/src/group-relay.test.ts
@@ -3,7 +3,7 @@
 import type {
 	LinkCalls, NodeCard, RankReply, RankRequest,
 } from '@rattanspring/fleet-link';
-import {seededRandom} from '@rattanspring/test-kit';
+import {seededRandom, waitUntil} from '@rattanspring/test-kit';
 import {expect} from 'earl';
 import {FakeRankGroup} from './fake-rank-group.js';
 import {GroupRelay} from './group-relay.js';
@@ -104,6 +104,7 @@
 	it('takes about the square root of the ranks in messages at each agent', async () => {
 		const relayed = new RelayedGroup(() => 'prompt');
 		expect(await relayed.newSwitch().run(10, nextMap)).toEqual('switched');
+		await waitUntil(() => relayed.group.isAt(10), {timeoutMs: 2000});
 		await sleep(80);
 		expect(new Set(relayed.group.versions)).toEqual(new Set([10]));
 		const requestsToAll = 6;
@@ -113,6 +114,7 @@
 	it('is completed by direct orders if an agent that passes requests on does not answer', async () => {
 		const relayed = new RelayedGroup(address => address === 'agent-2' ? 'lost' : 'prompt');
 		expect(await relayed.newSwitch().run(10, nextMap)).toEqual('switched');
+		await waitUntil(() => relayed.group.isAt(10), {timeoutMs: 2000});
 		await sleep(80);
 		expect(new Set(relayed.group.versions)).toEqual(new Set([10]));
 		expect([relayed.group.mixedSteps, relayed.group.isHeld]).toEqual([0, false]);
@@ -133,6 +135,7 @@
 				lastMs = performance.now();
 			}, 1));
 			expect(await relayed.newSwitchThroughAgents().run(10, nextMap)).toEqual('switched');
+			await waitUntil(() => relayed.group.isAt(10), {timeoutMs: 2000});
 			await sleep(80);
 			expect(new Set(group.versions)).toEqual(new Set([10]));
 			expect([group.mixedSteps, group.isHeld]).toEqual([0, false]);
--- a/packages/rank-agent/src/hold-steps.ts
+++ b/packages/rank-agent/src/hold-steps.ts
@@ -10,6 +10,8 @@
 export class HoldSteps {
 	#lastUsedStep = Number.NEGATIVE_INFINITY;
 	#fencing = 0;
+	/** Whether others may have held the group before steps that are not counted yet. */
+	#isTakingOver = true;
 
 	/** Whether a group whose last step begun is `step` can be held before a step that was not used yet. While it rests, they run out. */
 	hasNext(step: number): boolean {
@@ -26,18 +28,17 @@
 		return this.#lastUsedStep;
 	}
 
-	/** Whether a fencing number follows the last one of this coordinator, so that no other one can have held the group in between. */
-	isSuccessor(fencing: number): boolean {
-		return this.#fencing > 0 && fencing === this.#fencing + 1;
-	}
-
-	/** Records a fencing number that all ranks have accepted. */
+	/** Records a fencing number that all ranks have accepted. Unless it follows the last one of this coordinator, another one may have held the group in between. */
 	noteFencing(fencing: number): void {
+		this.#isTakingOver ||= this.#fencing === 0 || fencing !== this.#fencing + 1;
 		this.#fencing = fencing;
 	}
 
-	/** Counts as used whatever an earlier coordinator may have used by the time at which it was fenced off, or before `step` was read. */
-	takeOver(step: number): void {
-		this.#lastUsedStep = Math.max(this.#lastUsedStep, step + maxHoldLeadSteps);
+	/** Records the last step begun, read after the others were fenced off: what they may have used by then counts as used. */
+	noteStep(step: number): void {
+		if (this.#isTakingOver) {
+			this.#isTakingOver = false;
+			this.#lastUsedStep = Math.max(this.#lastUsedStep, step + maxHoldLeadSteps);
+		}
 	}
 }
--- a/packages/rank-agent/src/map-switch.ts
+++ b/packages/rank-agent/src/map-switch.ts
@@ -91,8 +91,6 @@
 	readonly #armMarginSteps: number;
 	readonly #holdSteps: HoldSteps;
 	#fencing = 0;
-	/** Whether an earlier coordinator may have held the group since this one last knew of all holds. */
-	#isTakingOver = false;
 	#firstRefusal: string | undefined;
 	#phaseTimes: SwitchPhaseTimes = {};
 	#holdStep: number | undefined;
@@ -203,15 +201,14 @@
 		return 'notHeld';
 	}
 
-	/** The next step to hold the group before; `notHeld` if the group begins none while it is waited for. */
+	/** The next step to hold the group before; `notHeld` if none is left and the group begins no step while this waits. All ranks begin a step together, so that one is asked meanwhile. */
 	async #nextHoldStep(): Promise<number | 'notHeld' | 'groupChanged'> {
-		for (const untilMs = this.#nowMs() + holdStepLimitMs; ;) {
-			const states = await this.#fetchStates();
-			if (!states) {
-				return 'groupChanged';
-			}
-
-			const step = this.#holdSteps.next(lastStepOf(states), this.#armMarginSteps);
+		const untilMs = this.#nowMs() + holdStepLimitMs;
+		let states = await this.#fetchStates();
+		while (states) {
+			const lastStep = lastStepOf(states);
+			this.#holdSteps.noteStep(lastStep);
+			const step = this.#holdSteps.next(lastStep, this.#armMarginSteps);
 			if (step !== undefined) {
 				return step;
 			}
@@ -222,7 +219,10 @@
 			}
 
 			await this.#sleep(recoverPollMs);
+			states = await this.#fetchStates([this.#holdingEngine]);
 		}
+
+		return 'groupChanged';
 	}
 
 	/** Holds the group, through an outside process if one is given: one order, whose outcome is read from the holding rank if no answer arrived. */
@@ -300,12 +300,10 @@
 		}
 
 		this.#fencing = Math.max(...states.map(state => state.fencing ?? 0)) + 1;
-		this.#isTakingOver = false;
 		if (!await this.#orderAll({kind: 'fence'}, this.#nowMs() + armLimitMs)) {
 			return false;
 		}
 
-		this.#isTakingOver = !this.#holdSteps.isSuccessor(this.#fencing);
 		this.#holdSteps.noteFencing(this.#fencing);
 		return true;
 	}
@@ -329,6 +327,8 @@
 				return false;
 			}
 
+			this.#holdSteps.noteStep(lastStepOf(states));
+
 			copying = copying.filter((_, index) => states[index].preparedVersion !== version);
 			if (copying.length === 0) {
 				return true;
@@ -383,13 +383,7 @@
 			return undefined;
 		}
 
-		const whole = states as EngineState[];
-		if (this.#isTakingOver) {
-			this.#isTakingOver = false;
-			this.#holdSteps.takeOver(lastStepOf(whole));
-		}
-
-		return whole;
+		return states as EngineState[];
 	}
 
 	/** Runs a phase and records the time that it took. */
--- a/packages/rank-agent/src/unresponsive-agent.test.ts
+++ b/packages/rank-agent/src/unresponsive-agent.test.ts
@@ -2,6 +2,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {LinkCalls, RankReply, RankRequest} from '@rattanspring/fleet-link';
 import {SuspendAwareClock} from '@rattanspring/types';
+import {waitUntil} from '@rattanspring/test-kit';
 import {expect} from 'earl';
 import type {EngineClient, EngineOrder} from './engine-client.js';
 import {FakeRankGroup} from './fake-rank-group.js';
@@ -98,8 +99,10 @@
 		};
 		const switchOnce = async (version: number) => new MapSwitch({ranks, holdingRank: 1, nowMs: () => performance.now()}).run(version, nextMap);
 		expect(await switchOnce(10)).toEqual('switched');
+		await waitUntil(() => group.isAt(10), {timeoutMs: 2000});
 		await sleep(100);
 		expect(await switchOnce(20)).toEqual('switched');
+		await waitUntil(() => group.isAt(20), {timeoutMs: 2000});
 		await sleep(300);
 		expect(group.versions).toEqual([20, 20, 20, 20]);
 		expect([group.isHeld, group.mixedSteps]).toEqual([false, 0]);
@@ -119,6 +122,7 @@
 			group: 'g', epoch: 1, engines, holdEngine,
 		};
 		expect(await new MapSwitch({ranks, holdingRank: 1, nowMs: () => performance.now()}).run(10, nextMap)).toEqual('switched');
+		await waitUntil(() => group.isAt(10), {timeoutMs: 2000});
 		await sleep(100);
 		expect([group.isHeld, group.mixedSteps]).toEqual([false, 0]);
 	});
