--- a/packages/fleet-control/src/relayed-facts.ts
+++ b/packages/fleet-control/src/relayed-facts.ts
@@ -13,7 +13,7 @@
 import type {TargetLifetime, TargetTable} from '@rattanspring/target-table';
 import type {EvidenceStore} from './evidence-store.js';
 
-/** Components on the disk that are not convicted: some 100 KB, written again with each change. */
+/** Components on the disk that are not convicted, since all are written again with each change. */
 const maxStoredOpen = 500;
 
 /** Options of the facts. */
--- a/packages/log-storage/src/file-log-storage.test.ts
+++ b/packages/log-storage/src/file-log-storage.test.ts
@@ -33,7 +33,7 @@
 }
 
 /** Ends the process, on demand, before it opens a file or after it has removed one. */
-class MortalProcess extends MemoryFileSystem {
+class InterruptedProcess extends MemoryFileSystem {
 	endBeforeOpening?: string;
 	endAfterRemoving?: string;
 
@@ -217,7 +217,7 @@
 	});
 
 	it('keeps what is appended after a kill between the two writes of a conflicting snapshot', async () => {
-		const fileSystem = new MortalProcess();
+		const fileSystem = new InterruptedProcess();
 		const killed = await openAndRecover(fileSystem);
 		await killed.append(entries(1, 8));
 		fileSystem.endBeforeOpening = `${folder}/segment-0000000002.log`;
@@ -229,7 +229,7 @@
 	});
 
 	it('keeps its entries through a loss of power that undoes the first of two removals of segments', async () => {
-		const fileSystem = new MortalProcess();
+		const fileSystem = new InterruptedProcess();
 		const storage = await openAndRecover(fileSystem);
 		await storage.append(entries(1, 10));
 		await storage.append(entries(5, 6, 2));
--- a/packages/log-storage/src/random-lives.test.ts
+++ b/packages/log-storage/src/random-lives.test.ts
@@ -34,7 +34,7 @@
 }
 
 /** A disk under a process that ends at a given file operation, before it or after a part of it. */
-class MortalDisk extends MemoryFileSystem {
+class InterruptedDisk extends MemoryFileSystem {
 	#operationsLeft = 0;
 	#isFullAtTimes = false;
 	readonly #random: () => number;
@@ -152,7 +152,7 @@
 async function playLives(seed: number): Promise<number> {
 	const random = seededRandom(seed * 7919);
 	const below = (limit: number): number => Math.floor(random() * limit);
-	const disk = new MortalDisk(random);
+	const disk = new InterruptedDisk(random);
 	let possible: readonly Contents[] = [{voteState: {term: 0}, entries: []}];
 	let usedCount = 0;
 	for (let life = 1; life <= lifeCount; life++) {
